Set down the shape: root package, loop and tables

Cause: the shape of the code comes before its features, so the loop, the messages and the tables stand first. One control goroutine owns a Model and sleeps on an inbox and a timer; traffic sends typed messages and waits for answers by ticket. Tables are slices of plain rows with an index by key.

Ruled out: one package for each table with its systems (systems read several tables, which would tie the packages in circles), and locks around shared state (decisions would depend on who came first).

--- /dev/null
+++ b/node.go
@@ -0,0 +1,162 @@
+package lentilmux
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// defaultInboxSize is the number of messages that wait for the control
+// goroutine before senders block.
+const defaultInboxSize = 4096
+
+// Sentinel errors of a [Node].
+const (
+	// ErrStopped reports that the node's loop has ended.
+	ErrStopped = errors.ConstError("node stopped")
+)
+
+// Node is the control loop of one entry VM. It owns a [Model] and is the only
+// goroutine that touches it.
+type Node struct {
+	model    Model
+	effector Effector
+	inbox    chan Envelope
+	stopped  chan struct{}
+	waiting  map[Ticket]chan<- Answer
+	last     Ticket
+}
+
+// Option changes a [Node] while it is made.
+type Option func(*Node)
+
+// WithEffector sets what carries out the effects of each tick. Without it
+// effects other than answers are dropped.
+func WithEffector(e Effector) Option {
+	return func(n *Node) { n.effector = e }
+}
+
+// WithInboxSize sets how many messages may wait for the loop.
+func WithInboxSize(size int) Option {
+	return func(n *Node) { n.inbox = make(chan Envelope, size) }
+}
+
+// NewNode returns a node that runs model. Call [Node.Run] to start it.
+func NewNode(model Model, options ...Option) *Node {
+	n := &Node{
+		model:    model,
+		effector: discard{},
+		inbox:    make(chan Envelope, defaultInboxSize),
+		stopped:  make(chan struct{}),
+		waiting:  make(map[Ticket]chan<- Answer),
+	}
+	for _, option := range options {
+		option(n)
+	}
+	return n
+}
+
+// Run ticks the model until ctx ends. A tick is caused by a message or by the
+// model's next due time; between ticks the goroutine sleeps.
+func (n *Node) Run(ctx context.Context) {
+	defer close(n.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []Envelope
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return
+		case envelope := <-n.inbox:
+			batch = n.drain(append(batch, n.admit(envelope)))
+		case <-timer.C:
+		}
+		now := time.Now()
+		effects, due := n.model.Tick(now, batch)
+		n.carryOut(effects)
+		timer.Reset(due.Sub(now))
+	}
+}
+
+// drain appends what waits in the inbox to batch, up to the inbox's size, so
+// that a tick is bounded.
+func (n *Node) drain(batch []Envelope) []Envelope {
+	for range cap(n.inbox) {
+		select {
+		case envelope := <-n.inbox:
+			batch = append(batch, n.admit(envelope))
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// admit gives an asking envelope its ticket.
+func (n *Node) admit(envelope Envelope) Envelope {
+	if envelope.reply == nil {
+		return envelope
+	}
+	n.last++
+	envelope.Ticket = n.last
+	n.waiting[n.last] = envelope.reply
+	return envelope
+}
+
+// carryOut answers the askers and passes all other effects on.
+func (n *Node) carryOut(effects []Effect) {
+	for _, effect := range effects {
+		answer, ok := effect.(AnswerEffect)
+		if !ok {
+			n.effector.Do(effect)
+			continue
+		}
+		reply, ok := n.waiting[answer.Ticket]
+		if !ok {
+			continue
+		}
+		delete(n.waiting, answer.Ticket)
+		reply <- answer.Answer
+	}
+}
+
+// Send hands msg to the loop. It blocks while the inbox is full.
+// It returns [ErrStopped] or the context's error.
+func (n *Node) Send(ctx context.Context, msg Msg) (err error) {
+	return n.put(ctx, Envelope{Msg: msg})
+}
+
+// Ask hands msg to the loop and waits for its answer.
+// It returns [ErrStopped] or the context's error.
+func (n *Node) Ask(ctx context.Context, msg Msg) (answer Answer, err error) {
+	reply := make(chan Answer, 1)
+	if err := n.put(ctx, Envelope{Msg: msg, reply: reply}); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.stopped:
+		return nil, ErrStopped
+	}
+}
+
+func (n *Node) put(ctx context.Context, envelope Envelope) (err error) {
+	select {
+	case n.inbox <- envelope:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
+// discard is the [Effector] of a node that was given none.
+type discard struct{}
+
+func (discard) Do(Effect) {}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,56 @@
+package lentilmux
+
+import "time"
+
+// Candidate is an upstream that could take a request.
+type Candidate struct {
+	Upstream string
+	SameZone bool
+	Cached   bool          // whether a cache event named the request's prefix
+	InFlight int           // own and, as last heard, other VMs' requests
+	Slots    int           // requests at once
+	Reported int           // running and queued as last reported
+	Age      time.Duration // of the report
+	Warmth   float64       // 0 to 1, below 1 for an upstream just back
+}
+
+// Dispatch picks one of several candidates. It never sees an empty list and
+// returns an index into it.
+type Dispatch interface {
+	Pick(candidates []Candidate) (index int)
+}
+
+// PlacementNode is an engine that placement may use.
+type PlacementNode struct {
+	Upstream string
+	Zone     string
+	Layers   int // the most it can hold
+	Rate     int // layer steps a second
+}
+
+// PlacedStage is a range of layers and the engines that hold it.
+type PlacedStage struct {
+	Layers    LayerRange
+	Upstreams []string
+}
+
+// Placement spreads a model's layers over nodes. The same input gives the same
+// stages on every VM. It returns no stages if the nodes cannot hold the model.
+type Placement interface {
+	Place(layers int, nodes []PlacementNode) (stages []PlacedStage)
+}
+
+// WorkspaceLoad is what admission knows of one workspace.
+type WorkspaceLoad struct {
+	Workspace string
+	Share     float64
+	Priority  int
+	Running   int // over all VMs, as last heard
+	Queued    int // at this VM
+}
+
+// Admission picks the workspace whose oldest queued request goes next. It
+// never sees an empty list and returns an index into it.
+type Admission interface {
+	Next(loads []WorkspaceLoad) (index int)
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,153 @@
+package lentilmux
+
+import (
+	"net/netip"
+	"time"
+)
+
+// RequestID names one request of a caller at one entry VM.
+type RequestID string
+
+// Epoch counts the attempts of a request, from 1. Output of an earlier epoch
+// is never joined to a later one.
+type Epoch uint32
+
+// Request describes a caller's request, without its bytes.
+type Request struct {
+	ID          RequestID
+	Workspace   string
+	Model       string // the model asked for, or empty
+	Service     string // the plain service asked for, or empty
+	Method      string // of a call to a plain service
+	Credential  string // hash of the credential that the caller showed
+	Key         string // the caller's idempotency key, or empty
+	Born        time.Time
+	Fingerprint Fingerprint
+	Prefix      Fingerprint // of the prompt's beginning, for cache affinity
+	Tokens      int         // the most tokens the answer may have
+	Deadline    time.Time
+}
+
+// RequestMsg asks for a route. The answer is a [RouteAnswer], a
+// [RememberedAnswer] or a [RefusalAnswer].
+type RequestMsg struct {
+	Request Request
+}
+
+// AttemptFailedMsg reports that an attempt failed and asks for another route.
+// The answer is a [RouteAnswer] or a [RefusalAnswer].
+type AttemptFailedMsg struct {
+	Request  RequestID
+	Epoch    Epoch
+	Stage    int // index of the stage that failed
+	Kind     FailureKind
+	Position int // tokens given to the caller so far
+}
+
+// RequestDoneMsg reports the end of a request. Reply is kept for resends if
+// the request had a key.
+type RequestDoneMsg struct {
+	Request RequestID
+	Outcome Outcome
+	Reason  Reason
+	Reply   ServiceReply
+	Tokens  int
+}
+
+// ProgressMsg reports a gap between tokens, which traffic samples.
+type ProgressMsg struct {
+	Upstream string
+	Took     time.Duration
+}
+
+// Route is the decision where an attempt runs.
+type Route struct {
+	Request     RequestID
+	Epoch       Epoch
+	Model       string
+	Total       int // layers of the model
+	Priority    int
+	Stages      []StageRoute
+	StepTimeout time.Duration
+	MayRepeat   bool // whether a failure after bytes left may be retried
+}
+
+// StageRoute is one stage of a route. A plain service has one with no layers.
+type StageRoute struct {
+	Upstream string
+	Addr     netip.AddrPort
+	Layers   LayerRange
+}
+
+// RouteAnswer gives a request its route.
+type RouteAnswer struct {
+	Route Route
+}
+
+// RememberedAnswer gives a resent request the reply of the first one.
+type RememberedAnswer struct {
+	Reply ServiceReply
+}
+
+// RefusalAnswer tells why there is no route.
+type RefusalAnswer struct {
+	Refusal Refusal
+}
+
+// CancelEffect stops a request that is being served.
+type CancelEffect struct {
+	Request RequestID
+	Reason  Reason
+}
+
+// AbortEffect ends one attempt, whose upstream was found dead, so that another
+// can take over.
+type AbortEffect struct {
+	Request RequestID
+	Epoch   Epoch
+}
+
+// ProbeEffect checks an upstream over a new connection.
+type ProbeEffect struct {
+	Upstream string
+	Kind     UpstreamKind
+	Addr     netip.AddrPort
+}
+
+// ProbeMsg reports a probe.
+type ProbeMsg struct {
+	Upstream string
+	Alive    bool
+}
+
+// LoadEffect asks an engine for its load.
+type LoadEffect struct {
+	Upstream string
+	Addr     netip.AddrPort
+}
+
+// LoadMsg brings an upstream's load report.
+type LoadMsg struct {
+	Upstream string
+	Report   LoadReport
+	Err      error
+}
+
+// OrderEffect sends an order to an engine.
+type OrderEffect struct {
+	Upstream string
+	Addr     netip.AddrPort
+	Order    Order
+}
+
+// OrderMsg reports how an order ended.
+type OrderMsg struct {
+	Upstream string
+	Order    Order
+	Err      error
+}
+
+// VMListMsg brings the platform's list.
+type VMListMsg struct {
+	VMs []ListedVM
+}
--- /dev/null
+++ b/table/decision.go
@@ -0,0 +1,39 @@
+package table
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// decisionRows is how many decisions are kept for queries.
+const decisionRows = 4096
+
+// DecisionRow is a decision and its time.
+type DecisionRow struct {
+	At time.Time
+	lentilmux.Decision
+}
+
+// Decisions is the table of the last decisions, a ring.
+type Decisions struct {
+	rows     []DecisionRow
+	next     int
+	capacity int
+}
+
+func (d *Decisions) add(row DecisionRow) {
+	if len(d.rows) < d.capacity {
+		d.rows = append(d.rows, row)
+		return
+	}
+	d.rows[d.next] = row
+	d.next = (d.next + 1) % d.capacity
+}
+
+// All returns the rows, the oldest first.
+func (d *Decisions) All() []DecisionRow {
+	rows := make([]DecisionRow, 0, len(d.rows))
+	rows = append(rows, d.rows[d.next:]...)
+	return append(rows, d.rows[:d.next]...)
+}
--- /dev/null
+++ b/table/limits.go
@@ -0,0 +1,63 @@
+package table
+
+import "time"
+
+// Limits are the times and bounds of the systems.
+type Limits struct {
+	StepTimeout    time.Duration // silence of a stage before the attempt fails
+	ClaimTimeout   time.Duration // wait for an intent to be read back
+	KeyWindow      time.Duration // how long an idempotency key is remembered
+	ClockSkew      time.Duration // tolerated between callers and entry VMs
+	OwnerTimeout   time.Duration // silence of an entry VM before its calls are unknown
+	SilentLog      time.Duration // silence of the log before it counts as down
+	StaleLimit     time.Duration // without log and peers before the node is not ready
+	ExchangeEvery  time.Duration // between rounds of digests
+	ExchangeFanout int           // peers a round
+	LoadEvery      time.Duration // between load reports of one upstream
+	LeavingFor     time.Duration // how long evidence of leaving holds
+	EjectBase      time.Duration // the first ejection; each further one doubles it
+	EjectMost      time.Duration
+	SlowStart      time.Duration // until an upstream that came back takes its full part
+	QueueMost      int           // queued requests a workspace
+	RetryShare     float64       // retries allowed for each arrival
+	RetryMost      float64       // retries saved up at most
+	AttemptsMost   int           // attempts a request
+	CrashesMost    int           // upstreams one fingerprint may crash
+	QuarantineFor  time.Duration
+	DrainGrace     time.Duration // of a planned stop, in which new work is still taken
+	SnapshotEvery  time.Duration
+	SnapshotAfter  int // records
+	AnswerMost     int // bytes of an answer kept for resends
+	Oversubscribe  float64
+}
+
+// DefaultLimits returns the limits of a deployment of today's size.
+func DefaultLimits() Limits {
+	return Limits{
+		StepTimeout:    5 * time.Second,
+		ClaimTimeout:   2 * time.Second,
+		KeyWindow:      time.Hour,
+		ClockSkew:      time.Minute,
+		OwnerTimeout:   10 * time.Second,
+		SilentLog:      3 * time.Second,
+		StaleLimit:     5 * time.Second,
+		ExchangeEvery:  250 * time.Millisecond,
+		ExchangeFanout: 3,
+		LoadEvery:      500 * time.Millisecond,
+		LeavingFor:     5 * time.Second,
+		EjectBase:      500 * time.Millisecond,
+		EjectMost:      10 * time.Second,
+		SlowStart:      2 * time.Second,
+		QueueMost:      512,
+		RetryShare:     0.1,
+		RetryMost:      50,
+		AttemptsMost:   5,
+		CrashesMost:    2,
+		QuarantineFor:  10 * time.Minute,
+		DrainGrace:     5 * time.Second,
+		SnapshotEvery:  10 * time.Minute,
+		SnapshotAfter:  256,
+		AnswerMost:     64 << 10,
+		Oversubscribe:  1.5,
+	}
+}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,102 @@
+// Package table holds all state of one node as tables of plain rows.
+//
+// A table is a slice of rows of one kind with an index by key. Rows are plain
+// data without methods that decide anything; the systems of package system
+// read and write them, all on the control goroutine, so nothing here locks.
+// Rows are always visited in row order, never in a map's, so that the same
+// messages give the same decisions.
+//
+// Events that arrive between two ticks are rows too: [Events] has one list for
+// each kind, which the systems read and which is empty again after the tick.
+// Effects are rows that systems add and the node carries out.
+//
+// The package speaks to no peer; it is named for what it holds.
+//
+// # Usage
+//
+//	t := table.New(table.Self{Name: "entry-1", Zone: "kochi"})
+//	t.Upstreams.Put(table.Upstream{Spec: spec})
+//	if u := t.Upstreams.Find("worker-1"); u != nil {
+//		u.InFlight++
+//	}
+//
+// A pointer that Find or Put returns is valid until the next Put or Remove on
+// the same table.
+package table
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Tables is the state of one node.
+type Tables struct {
+	Limits     Limits
+	Self       Self
+	Streams    Streams
+	VMs        VMs
+	Peers      Peers
+	Upstreams  Upstreams
+	Pipelines  Pipelines
+	Stages     Stages
+	Services   Services
+	Workspaces Workspaces
+	History    History
+	Backlog    Backlog
+	Commands   Commands
+	Requests   Requests
+	Queue      Queue
+	Calls      Calls
+	Appends    Appends
+	Suspects   Suspects
+	Decisions  Decisions
+	Events     Events
+
+	effects []lentilmux.Effect
+	due     time.Time
+}
+
+// New returns empty tables for the node self.
+func New(self Self) *Tables {
+	return &Tables{Limits: DefaultLimits(), Self: self, Decisions: Decisions{capacity: decisionRows}}
+}
+
+// Begin starts a tick: no effects, and the next tick at the latest at idle.
+func (t *Tables) Begin(idle time.Time) {
+	t.effects = nil
+	t.due = idle
+}
+
+// End finishes a tick. It clears the events and returns the effects and the
+// time of the next tick.
+func (t *Tables) End() (effects []lentilmux.Effect, due time.Time) {
+	t.Events.clear()
+	return t.effects, t.due
+}
+
+// Add adds an effect to carry out after the tick.
+func (t *Tables) Add(effect lentilmux.Effect) {
+	t.effects = append(t.effects, effect)
+}
+
+// Answer adds the answer to the holder of ticket; the zero ticket has none.
+func (t *Tables) Answer(ticket lentilmux.Ticket, answer lentilmux.Answer) {
+	if ticket == 0 {
+		return
+	}
+	t.Add(lentilmux.AnswerEffect{Ticket: ticket, Answer: answer})
+}
+
+// WakeAt asks for a tick at the time at, if none comes before.
+func (t *Tables) WakeAt(at time.Time) {
+	if at.Before(t.due) {
+		t.due = at
+	}
+}
+
+// Decide records a decision and adds its log line.
+func (t *Tables) Decide(now time.Time, decision lentilmux.Decision) {
+	t.Decisions.add(DecisionRow{At: now, Decision: decision})
+	t.Add(lentilmux.DecisionEffect{Decision: decision})
+}
