--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,58 @@
+// Package admission holds the policies that share the budget out between
+// workspaces.
+//
+// [Shares] is the one in use; [Arrival] is a baseline to compare it with.
+//
+// The package speaks to no peer; it is named for the policy it implements.
+//
+// # Usage
+//
+//	index := admission.Shares{}.Next(loads)
+package admission
+
+import "lentilmux.example/lentilmux"
+
+// Shares takes the workspace that uses the least of its share. A workspace
+// whose use is below its part of the running work goes before one that
+// borrows; within each group priority decides first. What a workspace leaves
+// unused is so lent at once and taken back with the next free slot.
+type Shares struct{}
+
+// Next implements [lentilmux.Admission].
+func (Shares) Next(loads []lentilmux.WorkspaceLoad) (index int) {
+	total := 0
+	for i := range loads {
+		total += loads[i].Running
+	}
+	for i := 1; i < len(loads); i++ {
+		if before(&loads[i], &loads[index], total) {
+			index = i
+		}
+	}
+	return index
+}
+
+// before reports whether a goes before b when total requests run.
+func before(a, b *lentilmux.WorkspaceLoad, total int) bool {
+	borrowsA, borrowsB := borrows(a, total), borrows(b, total)
+	if borrowsA != borrowsB {
+		return borrowsB
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return float64(a.Running)*b.Share < float64(b.Running)*a.Share
+}
+
+// borrows reports whether one more request would take the workspace over its
+// share of the running work.
+func borrows(l *lentilmux.WorkspaceLoad, total int) bool {
+	return float64(l.Running) >= l.Share*float64(total+1)
+}
+
+// Arrival takes the workspaces in the order in which they are given, which is
+// that of their oldest requests. It is a baseline.
+type Arrival struct{}
+
+// Next implements [lentilmux.Admission].
+func (Arrival) Next([]lentilmux.WorkspaceLoad) (index int) { return 0 }
--- /dev/null
+++ b/system/answer.go
@@ -0,0 +1,168 @@
+package system
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// Answer answers questions about the tables, after all other systems ran. It
+// reads every table and writes none.
+type Answer struct{}
+
+// Run implements [System].
+func (s *Answer) Run(t *table.Tables, now time.Time) {
+	for _, event := range t.Events.Queries {
+		t.Answer(event.Ticket, s.query(t, now, event.Query))
+	}
+	for _, ticket := range t.Events.StatusAsks {
+		t.Answer(ticket, s.status(t, now))
+	}
+}
+
+func (s *Answer) status(t *table.Tables, now time.Time) lentilmux.StatusAnswer {
+	status := lentilmux.StatusAnswer{
+		Ready: t.Self.Ready, Reason: t.Self.NotReady, Revision: t.Self.Revision,
+		Upstreams: len(t.Upstreams.Rows), Now: now,
+	}
+	for i := range t.Requests.Rows {
+		if t.Requests.Rows[i].State == table.RequestRunning {
+			status.Running++
+		} else {
+			status.Queued++
+		}
+	}
+	for i := range t.Pipelines.Rows {
+		p := &t.Pipelines.Rows[i]
+		status.Models = append(status.Models, p.Spec.Model)
+	}
+	return status
+}
+
+// query returns the rows that the query asks for, or what is wrong with it.
+func (s *Answer) query(t *table.Tables, now time.Time, q lentilmux.Query) lentilmux.QueryAnswer {
+	v, ok := views[q.Table]
+	if !ok {
+		return lentilmux.QueryAnswer{Err: fmt.Sprintf("there is no table %q; the nearest is %q", q.Table, Nearest(q.Table, TableNames()))}
+	}
+	rows := v.rows(t, now)
+	columns := v.columns
+	for _, condition := range q.Where {
+		column, err := columnOf(columns, condition.Column)
+		if err != "" {
+			return lentilmux.QueryAnswer{Err: err}
+		}
+		rows = keep(rows, column, condition)
+	}
+	if q.OrderBy != "" {
+		column, err := columnOf(columns, q.OrderBy)
+		if err != "" {
+			return lentilmux.QueryAnswer{Err: err}
+		}
+		order(rows, column, q.Desc)
+	}
+	if q.Limit > 0 && len(rows) > q.Limit {
+		rows = rows[:q.Limit]
+	}
+	return lentilmux.QueryAnswer{Columns: columns, Rows: rows}
+}
+
+// columnOf returns the number of a column, or an error that names the nearest.
+func columnOf(columns []string, name string) (column int, err string) {
+	for i, c := range columns {
+		if c == name {
+			return i, ""
+		}
+	}
+	return 0, fmt.Sprintf("there is no column %q; the nearest is %q", name, Nearest(name, columns))
+}
+
+// keep returns the rows whose column meets the condition.
+func keep(rows [][]string, column int, c lentilmux.Condition) (kept [][]string) {
+	for _, row := range rows {
+		if meets(compare(row[column], c.Value), c.Op) {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
+// meets reports whether the result of a comparison satisfies the operator.
+func meets(result int, op string) bool {
+	switch op {
+	case "=":
+		return result == 0
+	case "!=":
+		return result != 0
+	case "<":
+		return result < 0
+	case "<=":
+		return result <= 0
+	case ">":
+		return result > 0
+	default:
+		return result >= 0
+	}
+}
+
+// compare orders two cells as numbers if both are, else as text.
+func compare(a, b string) int {
+	x, errX := strconv.ParseFloat(a, 64)
+	y, errY := strconv.ParseFloat(b, 64)
+	if errX != nil || errY != nil {
+		return strings.Compare(a, b)
+	}
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func order(rows [][]string, column int, desc bool) {
+	sort.SliceStable(rows, func(i, j int) bool {
+		if desc {
+			i, j = j, i
+		}
+		return compare(rows[i][column], rows[j][column]) < 0
+	})
+}
+
+// Nearest returns the name that needs the fewest edits to become word.
+func Nearest(word string, names []string) (nearest string) {
+	best := -1
+	for _, name := range names {
+		if d := distance(word, name); best < 0 || d < best {
+			best, nearest = d, name
+		}
+	}
+	return nearest
+}
+
+// distance returns the Levenshtein distance of two words.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/system/apply.go
@@ -0,0 +1,319 @@
+package system
+
+import (
+	"fmt"
+	"slices"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// ErrCommand is the typed reason why a command cannot be applied.
+type ErrCommand struct {
+	Entity lentilmux.Entity
+	Name   string
+	Detail string
+}
+
+// Error returns the entity, its name and what is wrong.
+func (e *ErrCommand) Error() string {
+	return fmt.Sprintf("%s %q: %s", e.Entity, e.Name, e.Detail)
+}
+
+// refusal returns an [ErrCommand] for the command c.
+func refusal(c lentilmux.Command, format string, args ...any) error {
+	return &ErrCommand{Entity: c.Entity, Name: c.Name, Detail: fmt.Sprintf(format, args...)}
+}
+
+// check reports why the command cannot be applied to the configuration in t.
+// It depends on configuration only, so that every VM decides alike.
+func check(t *table.Tables, c lentilmux.Command) (err error) {
+	revision, exists := entityRevision(t, c.Entity, c.Name)
+	switch {
+	case c.Name == "":
+		return refusal(c, "a name is expected")
+	case c.Create && exists:
+		return refusal(c, "exists already; use change")
+	case !c.Create && !exists:
+		return refusal(c, "does not exist")
+	case c.IfRevision != 0 && c.IfRevision != revision:
+		return refusal(c, "is at revision %d, not %d", revision, c.IfRevision)
+	}
+	switch c.Verb {
+	case lentilmux.VerbSet:
+		return checkSet(t, c)
+	case lentilmux.VerbRemove:
+		return checkRemove(t, c)
+	case lentilmux.VerbDrain, lentilmux.VerbUndrain, lentilmux.VerbExclude, lentilmux.VerbInclude:
+		return checkMark(t, c)
+	default:
+		return refusal(c, "unknown verb %q", c.Verb)
+	}
+}
+
+// entityRevision returns the revision of the last change of a named entity.
+func entityRevision(t *table.Tables, entity lentilmux.Entity, name string) (revision lentilmux.Revision, exists bool) {
+	switch entity {
+	case lentilmux.EntityUpstream:
+		if u := t.Upstreams.Find(name); u != nil {
+			return u.Spec.Revision, true
+		}
+	case lentilmux.EntityPipeline:
+		if p := t.Pipelines.Find(name); p != nil {
+			return p.Spec.Revision, true
+		}
+	case lentilmux.EntityService:
+		if s := t.Services.Find(name); s != nil {
+			return s.Spec.Revision, true
+		}
+	case lentilmux.EntityWorkspace:
+		if w := t.Workspaces.Find(name); w != nil {
+			return w.Spec.Revision, true
+		}
+	}
+	return 0, false
+}
+
+func checkSet(t *table.Tables, c lentilmux.Command) (err error) {
+	switch {
+	case c.Entity == lentilmux.EntityUpstream && c.Upstream != nil:
+		return checkUpstream(c, c.Upstream)
+	case c.Entity == lentilmux.EntityPipeline && c.Pipeline != nil:
+		return checkPipeline(t, c, c.Pipeline)
+	case c.Entity == lentilmux.EntityService && c.Service != nil:
+		return checkService(t, c, c.Service)
+	case c.Entity == lentilmux.EntityWorkspace && c.Workspace != nil:
+		return checkWorkspace(t, c, c.Workspace)
+	default:
+		return refusal(c, "the command lacks its settings")
+	}
+}
+
+func checkUpstream(c lentilmux.Command, s *lentilmux.UpstreamSpec) (err error) {
+	switch {
+	case s.Kind != lentilmux.KindEngine && s.Kind != lentilmux.KindService:
+		return refusal(c, "kind %q is neither engine nor service", s.Kind)
+	case !s.Addr.IsValid():
+		return refusal(c, "an address is expected, such as 192.0.2.1:9000")
+	case s.Slots < 1:
+		return refusal(c, "slots must be 1 or more")
+	case s.Kind == lentilmux.KindEngine && s.Layers < 1:
+		return refusal(c, "an engine needs layers, the most it can hold")
+	case s.Kind == lentilmux.KindEngine && s.Rate < 1:
+		return refusal(c, "an engine needs a rate, in layer steps a second")
+	}
+	return nil
+}
+
+func checkPipeline(t *table.Tables, c lentilmux.Command, s *lentilmux.PipelineSpec) (err error) {
+	if s.Model == "" || s.Layers < 1 {
+		return refusal(c, "a model and its number of layers are expected")
+	}
+	for i := range t.Pipelines.Rows {
+		other := &t.Pipelines.Rows[i].Spec
+		if other.Name != s.Name && other.Model == s.Model {
+			return refusal(c, "model %q is served by pipeline %q", s.Model, other.Name)
+		}
+	}
+	capacity := 0
+	for _, name := range s.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u == nil {
+			return refusal(c, "upstream %q does not exist", name)
+		}
+		if u.Spec.Kind != lentilmux.KindEngine {
+			return refusal(c, "upstream %q is no engine", name)
+		}
+		if user := userOf(t, name); user != "" && user != s.Name {
+			return refusal(c, "upstream %q is used by %q", name, user)
+		}
+		capacity += u.Spec.Layers
+	}
+	if capacity < s.Layers {
+		return refusal(c, "its upstreams hold %d layers, the model has %d", capacity, s.Layers)
+	}
+	return nil
+}
+
+func checkService(t *table.Tables, c lentilmux.Command, s *lentilmux.ServiceSpec) (err error) {
+	if len(s.Upstreams) == 0 {
+		return refusal(c, "at least one upstream is expected")
+	}
+	for _, name := range s.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u == nil {
+			return refusal(c, "upstream %q does not exist", name)
+		}
+		if u.Spec.Kind != lentilmux.KindService {
+			return refusal(c, "upstream %q is no service", name)
+		}
+	}
+	return nil
+}
+
+func checkWorkspace(t *table.Tables, c lentilmux.Command, s *lentilmux.WorkspaceSpec) (err error) {
+	if s.Share <= 0 || s.Share > 1 {
+		return refusal(c, "share must be above 0 and at most 1")
+	}
+	sum := s.Share
+	for i := range t.Workspaces.Rows {
+		other := &t.Workspaces.Rows[i].Spec
+		if other.Name != s.Name {
+			sum += other.Share
+		}
+	}
+	const rounding = 1e-9
+	if sum > 1+rounding {
+		return refusal(c, "all shares together would be %.3f, above 1", sum)
+	}
+	for _, name := range s.Uses {
+		if t.Pipelines.Find(name) == nil && t.Services.Find(name) == nil {
+			return refusal(c, "uses %q, which is neither a pipeline nor a service", name)
+		}
+	}
+	return nil
+}
+
+func checkRemove(t *table.Tables, c lentilmux.Command) (err error) {
+	switch c.Entity {
+	case lentilmux.EntityUpstream:
+		if user := userOf(t, c.Name); user != "" {
+			return refusal(c, "is used by %q", user)
+		}
+	case lentilmux.EntityPipeline, lentilmux.EntityService:
+		for i := range t.Workspaces.Rows {
+			w := &t.Workspaces.Rows[i].Spec
+			if slices.Contains(w.Uses, c.Name) {
+				return refusal(c, "is used by workspace %q", w.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// userOf returns the pipeline or service that names the upstream.
+func userOf(t *table.Tables, upstream string) string {
+	for i := range t.Pipelines.Rows {
+		if slices.Contains(t.Pipelines.Rows[i].Spec.Upstreams, upstream) {
+			return t.Pipelines.Rows[i].Spec.Name
+		}
+	}
+	for i := range t.Services.Rows {
+		if slices.Contains(t.Services.Rows[i].Spec.Upstreams, upstream) {
+			return t.Services.Rows[i].Spec.Name
+		}
+	}
+	return ""
+}
+
+func checkMark(t *table.Tables, c lentilmux.Command) (err error) {
+	if c.Entity != lentilmux.EntityUpstream {
+		return refusal(c, "%s applies to upstreams only", c.Verb)
+	}
+	if c.Verb != lentilmux.VerbExclude {
+		return nil
+	}
+	for i := range t.Pipelines.Rows {
+		p := &t.Pipelines.Rows[i].Spec
+		if !slices.Contains(p.Upstreams, c.Name) {
+			continue
+		}
+		if left := capacityWithout(t, p, c.Name); left < p.Layers {
+			return refusal(c, "without it pipeline %q could hold %d of %d layers", p.Name, left, p.Layers)
+		}
+	}
+	return nil
+}
+
+// capacityWithout returns how many layers a pipeline's placement could hold
+// without one upstream.
+func capacityWithout(t *table.Tables, p *lentilmux.PipelineSpec, without string) int {
+	layers := 0
+	for _, name := range p.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u != nil && name != without && !u.Spec.Excluded {
+			layers += u.Spec.Layers
+		}
+	}
+	return layers
+}
+
+// apply changes the configuration in t by a command that passed check.
+func apply(t *table.Tables, c lentilmux.Command, revision lentilmux.Revision) {
+	t.Stages.Stale = true
+	switch c.Verb {
+	case lentilmux.VerbSet:
+		applySet(t, c, revision)
+	case lentilmux.VerbRemove:
+		applyRemove(t, c)
+	default:
+		applyMark(t, c, revision)
+	}
+}
+
+func applySet(t *table.Tables, c lentilmux.Command, revision lentilmux.Revision) {
+	switch c.Entity {
+	case lentilmux.EntityUpstream:
+		spec := *c.Upstream
+		spec.Revision = revision
+		putUpstream(t, spec)
+	case lentilmux.EntityPipeline:
+		spec := *c.Pipeline
+		spec.Revision = revision
+		t.Pipelines.Put(table.Pipeline{Spec: spec})
+	case lentilmux.EntityService:
+		spec := *c.Service
+		spec.Revision = revision
+		t.Services.Put(table.Service{Spec: spec})
+	case lentilmux.EntityWorkspace:
+		spec := *c.Workspace
+		spec.Revision = revision
+		putWorkspace(t, spec)
+	}
+}
+
+// putUpstream sets an upstream's settings and keeps what is known of its state.
+func putUpstream(t *table.Tables, spec lentilmux.UpstreamSpec) {
+	if u := t.Upstreams.Find(spec.Name); u != nil {
+		u.Spec = spec
+		return
+	}
+	t.Upstreams.Put(table.Upstream{Spec: spec})
+}
+
+// putWorkspace sets a workspace's settings and keeps its counts.
+func putWorkspace(t *table.Tables, spec lentilmux.WorkspaceSpec) {
+	if w := t.Workspaces.Find(spec.Name); w != nil {
+		w.Spec = spec
+		return
+	}
+	t.Workspaces.Put(table.Workspace{Spec: spec})
+}
+
+func applyRemove(t *table.Tables, c lentilmux.Command) {
+	switch c.Entity {
+	case lentilmux.EntityUpstream:
+		t.Upstreams.Remove(c.Name)
+	case lentilmux.EntityPipeline:
+		t.Pipelines.Remove(c.Name)
+	case lentilmux.EntityService:
+		t.Services.Remove(c.Name)
+	case lentilmux.EntityWorkspace:
+		t.Workspaces.Remove(c.Name)
+	}
+}
+
+func applyMark(t *table.Tables, c lentilmux.Command, revision lentilmux.Revision) {
+	u := t.Upstreams.Find(c.Name)
+	u.Spec.Revision = revision
+	switch c.Verb {
+	case lentilmux.VerbDrain:
+		u.Spec.Draining = true
+	case lentilmux.VerbUndrain:
+		u.Spec.Draining = false
+	case lentilmux.VerbExclude:
+		u.Spec.Excluded = true
+	case lentilmux.VerbInclude:
+		u.Spec.Excluded = false
+	}
+}
--- /dev/null
+++ b/system/arrive.go
@@ -0,0 +1,148 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// shortRetry is the time after which another entry VM can be tried.
+const shortRetry = 100 * time.Millisecond
+
+// Arrive takes new requests in. It reads Workspaces, Pipelines and Services
+// and writes Requests, or refuses what cannot be served, before any work.
+type Arrive struct{}
+
+// Run implements [System].
+func (s *Arrive) Run(t *table.Tables, now time.Time) {
+	for _, arrival := range t.Events.Arrivals {
+		s.arrive(t, now, arrival)
+	}
+}
+
+func (s *Arrive) arrive(t *table.Tables, now time.Time, arrival table.Arrival) {
+	request := arrival.Request
+	target, refusal := s.admit(t, now, request)
+	if refusal == nil && request.Key != "" {
+		refusal = s.checkKey(t, now, request)
+	}
+	if refusal != nil {
+		t.Answer(arrival.Ticket, lentilmux.RefusalAnswer{Refusal: *refusal})
+		decideRefusal(t, now, request, *refusal)
+		return
+	}
+	t.Self.RetryTokens = min(t.Self.RetryTokens+t.Limits.RetryShare, t.Limits.RetryMost)
+	row := table.Request{
+		Request: request, Ticket: arrival.Ticket, Pipeline: target, ArrivedAt: now, State: table.RequestQueued,
+	}
+	r := t.Requests.Put(row)
+	countState(t, r, 1)
+	proceed(t, now, r)
+}
+
+// admit returns the pipeline or service that serves the request, or why none
+// does.
+func (s *Arrive) admit(t *table.Tables, now time.Time, request lentilmux.Request) (target string, refusal *lentilmux.Refusal) {
+	refuse := func(reason lentilmux.Reason, after time.Duration, format string, args ...any) (string, *lentilmux.Refusal) {
+		r := notRun(reason, after, format, args...)
+		return "", &r
+	}
+	if !t.Self.Joined {
+		return refuse(lentilmux.ReasonNotReady, time.Second, "this entry VM is starting: %s", t.Self.NotReady)
+	}
+	if t.Self.Draining() && now.Sub(t.Self.DrainingAt) >= t.Limits.DrainGrace {
+		return refuse(lentilmux.ReasonDraining, shortRetry, "this entry VM is stopping; send the request again")
+	}
+	w := t.Workspaces.Find(request.Workspace)
+	if w == nil {
+		return refuse(lentilmux.ReasonUnknownWorkspace, 0, "workspace %q does not exist", request.Workspace)
+	}
+	if w.Spec.KeyHash != "" && w.Spec.KeyHash != request.Credential {
+		return refuse(lentilmux.ReasonNotAllowed, 0, "the credential is not that of workspace %q", request.Workspace)
+	}
+	target, known := findTarget(t, request)
+	switch {
+	case !known && request.Service != "":
+		return refuse(lentilmux.ReasonUnknownService, 0, "service %q does not exist", request.Service)
+	case !known:
+		return refuse(lentilmux.ReasonUnknownModel, 0, "model %q does not exist", request.Model)
+	case !slices.Contains(w.Spec.Uses, target):
+		return refuse(lentilmux.ReasonNotAllowed, 0, "workspace %q does not use %q", request.Workspace, target)
+	case request.Key == "" && !idempotent(t, request):
+		return refuse(lentilmux.ReasonKeyRequired, 0, "%s on %q may not run twice: send an Idempotency-Key", request.Method, target)
+	case w.Queued >= t.Limits.QueueMost:
+		return refuse(lentilmux.ReasonQueueFull, time.Second, "workspace %q has %d requests waiting here", request.Workspace, w.Queued)
+	case !now.Before(request.Deadline):
+		return refuse(lentilmux.ReasonDeadline, 0, "the deadline had passed on arrival")
+	}
+	return target, nil
+}
+
+// findTarget returns the name of the pipeline or service that is asked for.
+func findTarget(t *table.Tables, request lentilmux.Request) (target string, known bool) {
+	if request.Service != "" {
+		return request.Service, t.Services.Find(request.Service) != nil
+	}
+	for i := range t.Pipelines.Rows {
+		if spec := &t.Pipelines.Rows[i].Spec; spec.Model == request.Model {
+			return spec.Name, true
+		}
+	}
+	return "", false
+}
+
+// idempotent reports whether the work may run again: that of a model, and a
+// service's methods that are declared so.
+func idempotent(t *table.Tables, request lentilmux.Request) bool {
+	if request.Service == "" {
+		return true
+	}
+	service := t.Services.Find(request.Service)
+	return service != nil && slices.Contains(service.Spec.Idempotent, request.Method)
+}
+
+// repeatable reports whether an attempt of r may be repeated although the
+// first may have run.
+func repeatable(t *table.Tables, r *table.Request) bool {
+	return idempotent(t, r.Request)
+}
+
+// checkKey refuses a key whose whole life the node has not seen.
+func (s *Arrive) checkKey(t *table.Tables, now time.Time, request lentilmux.Request) *lentilmux.Refusal {
+	skew := t.Limits.ClockSkew
+	known := t.Streams.Calls.KnownSince
+	var refusal lentilmux.Refusal
+	switch {
+	case request.Born.After(now.Add(skew)):
+		refusal = notRun(lentilmux.ReasonKeyInvalid, 0, "the key's time is more than %s ahead", skew)
+	case now.Sub(request.Born) > t.Limits.KeyWindow:
+		refusal = notRun(lentilmux.ReasonKeyExpired, 0, "the key is older than %s and is no longer remembered", t.Limits.KeyWindow)
+	case !known.IsZero() && request.Born.Before(known.Add(skew)):
+		refusal = notRun(lentilmux.ReasonKeyExpired, 0, "the key is older than what the log still tells")
+	default:
+		return nil
+	}
+	return &refusal
+}
+
+// proceed moves a request to its next wait: for its key, for the trial of its
+// fingerprint, or for capacity.
+func proceed(t *table.Tables, now time.Time, r *table.Request) {
+	if r.Request.Key != "" && !slices.Contains(r.Held, callKey(r.Request)) {
+		claim(t, now, r, callKey(r.Request))
+		return
+	}
+	suspect := t.Suspects.Find(fingerprintText(r.Request.Fingerprint))
+	switch {
+	case suspect == nil || isTrial(r):
+		enqueue(t, now, r)
+	case quarantined(t, suspect):
+		refuse(t, now, r, notRun(lentilmux.ReasonQuarantined, t.Limits.QuarantineFor, "requests like this one crashed %d upstreams", len(suspect.Upstreams)))
+	case !t.Streams.Calls.Healthy():
+		enqueue(t, now, r) // the trial cannot be claimed; the own count still holds
+	default:
+		claim(t, now, r, trialKey(r.Request))
+	}
+}
--- /dev/null
+++ b/system/assign.go
@@ -0,0 +1,220 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// consideredMost is how many candidates a decision line names.
+const consideredMost = 6
+
+// Assign gives queued requests their routes while there is capacity. It reads
+// Stages, Services and Workspaces and writes Requests and the counts of
+// Upstreams. The admission policy picks the workspace, the dispatch policy one
+// upstream for each stage.
+type Assign struct {
+	Dispatch  lentilmux.Dispatch
+	Admission lentilmux.Admission
+
+	candidates []lentilmux.Candidate
+	rows       []int
+	names      []string
+	route      []lentilmux.StageRoute
+	loads      []lentilmux.WorkspaceLoad
+	oldest     []lentilmux.RequestID
+}
+
+// Run implements [System].
+func (s *Assign) Run(t *table.Tables, now time.Time) {
+	s.compact(t)
+	if len(t.Queue.IDs) == 0 {
+		return
+	}
+	var full []string // targets without capacity
+	for {
+		s.gather(t, full)
+		if len(s.loads) == 0 {
+			return
+		}
+		r := t.Requests.Find(string(s.oldest[s.Admission.Next(s.loads)]))
+		if s.choose(t, now, r) {
+			s.send(t, now, r)
+			continue
+		}
+		full = append(full, r.Pipeline)
+	}
+}
+
+// compact drops requests from the queue that are no longer queued.
+func (s *Assign) compact(t *table.Tables) {
+	t.Queue.IDs = slices.DeleteFunc(t.Queue.IDs, func(id lentilmux.RequestID) bool {
+		r := t.Requests.Find(string(id))
+		return r == nil || r.State != table.RequestQueued
+	})
+}
+
+// gather lists each workspace that has a queued request for a target that is
+// not full, with the oldest such request.
+func (s *Assign) gather(t *table.Tables, full []string) {
+	s.loads, s.oldest = s.loads[:0], s.oldest[:0]
+	for _, id := range t.Queue.IDs {
+		r := t.Requests.Find(string(id))
+		if r.State != table.RequestQueued || slices.Contains(full, r.Pipeline) {
+			continue
+		}
+		name := r.Request.Workspace
+		listed := slices.ContainsFunc(s.loads, func(l lentilmux.WorkspaceLoad) bool { return l.Workspace == name })
+		if listed {
+			continue
+		}
+		load := lentilmux.WorkspaceLoad{Workspace: name, Share: 1}
+		if w := t.Workspaces.Find(name); w != nil {
+			load.Share, load.Priority = w.Spec.Share, w.Spec.Priority
+			load.Running, load.Queued = w.Running+w.PeerRunning, w.Queued
+		}
+		s.loads = append(s.loads, load)
+		s.oldest = append(s.oldest, id)
+	}
+}
+
+// choose finds a route for r and leaves it in s.route. It reports whether there
+// is one. Upstreams that failed the request before are used only if there are
+// no others.
+func (s *Assign) choose(t *table.Tables, now time.Time, r *table.Request) bool {
+	if s.chain(t, now, r, r.Failed) {
+		return true
+	}
+	return len(r.Failed) > 0 && s.chain(t, now, r, nil)
+}
+
+// chain picks one upstream for each stage from the first layer to the last.
+func (s *Assign) chain(t *table.Tables, now time.Time, r *table.Request, avoid []string) bool {
+	s.route, s.names = s.route[:0], s.names[:0]
+	if service := t.Services.Find(r.Pipeline); service != nil {
+		s.candidates, s.rows = s.candidates[:0], s.rows[:0]
+		s.offer(t, now, r, service.Replicas, avoid)
+		return s.pick(t, lentilmux.LayerRange{First: 0, Last: -1})
+	}
+	p := t.Pipelines.Find(r.Pipeline)
+	if p == nil {
+		return false
+	}
+	stages := t.Stages.Rows[p.First : p.First+p.Count]
+	for layer := 0; layer < p.Spec.Layers; {
+		s.candidates, s.rows = s.candidates[:0], s.rows[:0]
+		for i := range stages {
+			if stages[i].Reach && stages[i].Layers.First == layer {
+				s.offer(t, now, r, stages[i].Replicas, avoid)
+			}
+		}
+		if !s.pick(t, lentilmux.LayerRange{}) {
+			return false
+		}
+		layer = s.route[len(s.route)-1].Layers.Last + 1
+	}
+	return true
+}
+
+// offer adds the replicas that may take r to the candidates.
+func (s *Assign) offer(t *table.Tables, now time.Time, r *table.Request, replicas []int, avoid []string) {
+	trial := isTrial(r)
+	for _, row := range replicas {
+		u := &t.Upstreams.Rows[row]
+		slots := float64(u.Spec.Slots) * t.Limits.Oversubscribe
+		if !u.Open(now) || float64(u.InFlight+u.PeerInFlight) >= slots {
+			continue
+		}
+		if slices.Contains(avoid, u.Spec.Name) || (trial && u.Trials > 0) {
+			continue
+		}
+		s.rows = append(s.rows, row)
+		s.candidates = append(s.candidates, lentilmux.Candidate{
+			Upstream: u.Spec.Name,
+			SameZone: u.Spec.Zone == t.Self.Zone,
+			Cached:   slices.Contains(u.Report.CacheHit, r.Request.Prefix),
+			InFlight: u.InFlight + u.PeerInFlight,
+			Slots:    u.Spec.Slots,
+			Reported: u.Report.Running + u.Report.Queued,
+			Age:      now.Sub(u.ReportedAt),
+			Warmth:   warmth(t, now, u),
+		})
+	}
+}
+
+// warmth returns how much of its part an upstream takes: all, or less in the
+// first moments after it came back.
+func warmth(t *table.Tables, now time.Time, u *table.Upstream) float64 {
+	since := now.Sub(u.BackAt)
+	if u.BackAt.IsZero() || since >= t.Limits.SlowStart {
+		return 1
+	}
+	const least = 0.1
+	return max(least, since.Seconds()/t.Limits.SlowStart.Seconds())
+}
+
+// pick lets the policy choose a candidate for the next stage. A service has
+// the given empty range, an engine the one it holds.
+func (s *Assign) pick(t *table.Tables, layers lentilmux.LayerRange) bool {
+	if len(s.candidates) == 0 {
+		return false
+	}
+	u := &t.Upstreams.Rows[s.rows[s.Dispatch.Pick(s.candidates)]]
+	if u.Spec.Kind == lentilmux.KindEngine {
+		layers = u.Report.Layers
+	}
+	s.route = append(s.route, lentilmux.StageRoute{Upstream: u.Spec.Name, Addr: u.Spec.Addr, Layers: layers})
+	for i := range s.candidates {
+		if i == consideredMost {
+			break
+		}
+		s.names = append(s.names, s.candidates[i].Upstream)
+	}
+	return true
+}
+
+// send hands the chosen route to the request's asker.
+func (s *Assign) send(t *table.Tables, now time.Time, r *table.Request) {
+	setState(t, r, table.RequestRunning)
+	r.StartedAt = now
+	r.Attempts++
+	r.Epoch++
+	for _, stage := range s.route {
+		r.Upstreams = append(r.Upstreams, stage.Upstream)
+	}
+	occupy(t, r, 1)
+	route := lentilmux.Route{
+		Request: r.Request.ID, Epoch: r.Epoch, Model: r.Request.Model,
+		Stages: slices.Clone(s.route), StepTimeout: t.Limits.StepTimeout, MayRepeat: repeatable(t, r),
+	}
+	if p := t.Pipelines.Find(r.Pipeline); p != nil {
+		route.Total = p.Spec.Layers
+	}
+	if w := t.Workspaces.Find(r.Request.Workspace); w != nil {
+		route.Priority = w.Spec.Priority
+	}
+	t.Answer(r.Ticket, lentilmux.RouteAnswer{Route: route})
+	r.Ticket = 0
+	t.Decide(now, lentilmux.Decision{
+		What: "route", Subject: string(r.Request.ID), Chosen: routeText(s.route),
+		Reason:     "workspace " + r.Request.Workspace + " to " + r.Pipeline,
+		Considered: slices.Clone(s.names),
+	})
+}
+
+// routeText returns the route as decisions show it.
+func routeText(route []lentilmux.StageRoute) string {
+	text := ""
+	for i, stage := range route {
+		if i > 0 {
+			text += " "
+		}
+		text += stage.Upstream
+		if stage.Layers.Len() > 0 {
+			text += "[" + rangeText(stage.Layers) + "]"
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/system/configure.go
@@ -0,0 +1,296 @@
+package system
+
+import (
+	"fmt"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+const (
+	// appendEvery is the time after which an unseen command is appended again.
+	appendEvery = 500 * time.Millisecond
+	// fetchEvery is the time between two requests for a peer's snapshot.
+	fetchEvery = 500 * time.Millisecond
+)
+
+// Configure keeps the configuration in force equal to the log's. It reads the
+// pages, snapshots and commands that arrived and writes the tables of
+// configuration, History, Commands, Backlog and the row of the stream.
+//
+// Commands are decided by their order in the log, alike on every VM. A record
+// is applied once by its ID, so an append whose reply was lost can be repeated.
+type Configure struct{}
+
+// Run implements [System].
+func (s *Configure) Run(t *table.Tables, now time.Time) {
+	for _, failure := range t.Events.LogFailures {
+		if failure.Stream == lentilmux.StreamConfig && t.Streams.Config.FailedAt.IsZero() {
+			t.Streams.Config.FailedAt = now
+		}
+	}
+	for _, page := range t.Events.ConfigPages {
+		s.read(t, now, page)
+	}
+	for _, snapshot := range t.Events.Snapshots {
+		s.offer(t, now, snapshot)
+	}
+	s.advance(t, now)
+	for _, event := range t.Events.Commands {
+		s.submit(t, now, event)
+	}
+	s.pending(t, now)
+	s.publish(t, now)
+	for _, ticket := range t.Events.SnapshotAsks {
+		t.Answer(ticket, lentilmux.SnapshotAnswer{Snapshot: snapshot(t)})
+	}
+}
+
+// read takes a page of the log into the backlog.
+func (s *Configure) read(t *table.Tables, now time.Time, page lentilmux.ConfigPageMsg) {
+	row := &t.Streams.Config
+	regressed := page.End < uint64(t.Self.Revision)
+	if regressed && !row.Regressed {
+		t.Decide(now, lentilmux.Decision{
+			What: "config_log", Subject: "config", Chosen: "keep",
+			Reason: fmt.Sprintf("log ends at %d before revision %d", page.End, t.Self.Revision),
+		})
+	}
+	row.Regressed = regressed
+	row.Seen = true
+	row.End = page.End
+	row.ReadAt = now
+	row.FailedAt = time.Time{}
+	t.Self.Contact = now
+	if len(t.Backlog.Entries) == 0 && len(page.Entries) == 0 && page.Start > uint64(t.Self.Revision) {
+		s.fetch(t, now)
+	}
+	t.Backlog.Entries = append(t.Backlog.Entries, page.Entries...)
+}
+
+// advance applies what the backlog allows, in log order. Over a gap it looks
+// for a snapshot in the backlog, and else asks a peer.
+func (s *Configure) advance(t *table.Tables, now time.Time) {
+	entries := t.Backlog.Entries
+	for len(entries) > 0 {
+		entry := entries[0]
+		switch next := uint64(t.Self.Revision); {
+		case entry.Offset < next:
+			entries = entries[1:]
+		case entry.Offset == next:
+			s.apply(t, now, entry)
+			entries = entries[1:]
+		default:
+			if !s.bridge(t, now, entries) {
+				s.fetch(t, now)
+				t.Backlog.Entries = entries
+				return
+			}
+		}
+	}
+	t.Backlog.Entries = nil
+	if row := &t.Streams.Config; row.Seen && uint64(t.Self.Revision) >= row.End {
+		row.CaughtUp = true
+	}
+}
+
+// bridge installs the first snapshot among entries that reaches the first of
+// them. It reports whether there was one.
+func (s *Configure) bridge(t *table.Tables, now time.Time, entries []lentilmux.ConfigEntry) bool {
+	for _, entry := range entries {
+		snapshot := entry.Record.Snapshot
+		if snapshot != nil && uint64(snapshot.Revision) >= entries[0].Offset {
+			s.offer(t, now, *snapshot)
+			return true
+		}
+	}
+	return false
+}
+
+// fetch asks the peer with the highest revision for a snapshot.
+func (s *Configure) fetch(t *table.Tables, now time.Time) {
+	if now.Sub(t.Backlog.AskedAt) < fetchEvery {
+		t.WakeAt(t.Backlog.AskedAt.Add(fetchEvery))
+		return
+	}
+	best := -1
+	for i := range t.Peers.Rows {
+		revision := t.Peers.Rows[i].Digest.Revision
+		if revision > t.Self.Revision && (best < 0 || revision > t.Peers.Rows[best].Digest.Revision) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return
+	}
+	t.Backlog.AskedAt = now
+	peer := &t.Peers.Rows[best]
+	t.Add(lentilmux.FetchSnapshotEffect{VM: peer.Name, Addr: peer.Addr})
+}
+
+// offer installs a snapshot if it is newer than what is in force.
+func (s *Configure) offer(t *table.Tables, now time.Time, snapshot lentilmux.Snapshot) {
+	if snapshot.Revision <= t.Self.Revision {
+		return
+	}
+	t.Decide(now, lentilmux.Decision{
+		What: "config_snapshot", Subject: "config", Chosen: fmt.Sprint(snapshot.Revision),
+		Reason: fmt.Sprintf("newer than revision %d", t.Self.Revision),
+	})
+	install(t, snapshot)
+}
+
+// apply decides one record and counts it, whatever the verdict.
+func (s *Configure) apply(t *table.Tables, now time.Time, entry lentilmux.ConfigEntry) {
+	t.Self.Revision = lentilmux.Revision(entry.Offset + 1)
+	record := entry.Record
+	if record.Snapshot != nil {
+		t.History.SinceSnapshot = 0
+		t.History.SnapshotAt = now
+		return
+	}
+	if entry.Bad != "" {
+		record.ID = fmt.Sprintf("offset-%d", entry.Offset)
+		t.Streams.Config.Outdated = t.Streams.Config.Outdated || entry.Newer
+	}
+	if t.History.Applied(record.ID) {
+		return
+	}
+	t.History.SinceSnapshot++
+	row := table.HistoryRow{
+		Revision: t.Self.Revision, At: entry.At, ID: record.ID, Who: record.Who, Text: record.Text,
+	}
+	row.Accepted, row.Detail = s.decide(t, entry)
+	t.History.Add(row)
+	verdict := "refused"
+	if row.Accepted {
+		verdict = "accepted"
+	}
+	t.Decide(now, lentilmux.Decision{
+		What: "config", Subject: row.Text, Chosen: verdict, Reason: row.Detail,
+		Considered: []string{fmt.Sprintf("revision %d", row.Revision), "who " + row.Who},
+	})
+	s.acknowledge(t, row)
+}
+
+// decide applies the command of an entry if it can be applied.
+func (s *Configure) decide(t *table.Tables, entry lentilmux.ConfigEntry) (accepted bool, detail string) {
+	if entry.Bad != "" {
+		return false, "unreadable record: " + entry.Bad
+	}
+	if entry.Record.Command == nil {
+		return false, "record without a command"
+	}
+	command := *entry.Record.Command
+	if err := check(t, command); err != nil {
+		return false, err.Error()
+	}
+	apply(t, command, t.Self.Revision)
+	return true, "in force"
+}
+
+// acknowledge answers the operator who waits for the record of row.
+func (s *Configure) acknowledge(t *table.Tables, row table.HistoryRow) {
+	command := t.Commands.Find(row.ID)
+	if command == nil {
+		return
+	}
+	t.Answer(command.Ticket, verdict(row))
+	t.Commands.Remove(row.ID)
+}
+
+func verdict(row table.HistoryRow) lentilmux.CommandAnswer {
+	return lentilmux.CommandAnswer{
+		Accepted: row.Accepted, Known: true, Revision: row.Revision, Detail: row.Detail,
+	}
+}
+
+// submit appends a command to the log unless it can be decided at once.
+func (s *Configure) submit(t *table.Tables, now time.Time, event table.CommandEvent) {
+	if row := t.History.Find(event.ID); row != nil {
+		t.Answer(event.Ticket, verdict(*row))
+		return
+	}
+	refuse := func(detail string) {
+		t.Answer(event.Ticket, lentilmux.CommandAnswer{Known: true, Revision: t.Self.Revision, Detail: detail})
+	}
+	row := &t.Streams.Config
+	if err := check(t, event.Command); err != nil {
+		refuse(err.Error())
+		return
+	}
+	switch {
+	case event.DryRun:
+		t.Answer(event.Ticket, lentilmux.CommandAnswer{
+			Accepted: true, Known: true, Revision: t.Self.Revision, Detail: "would be accepted; nothing was changed",
+		})
+	case row.Regressed:
+		refuse("the log is shorter than the configuration in force; nothing was changed")
+	case !row.Healthy() || !t.Self.Joined:
+		refuse("the log is not available; nothing was changed")
+	default:
+		record := lentilmux.ConfigRecord{ID: event.ID, Who: event.Who, Text: event.Text, Command: &event.Command}
+		if older := t.Commands.Find(event.ID); older != nil {
+			t.Answer(older.Ticket, lentilmux.CommandAnswer{Detail: "sent again by another call"})
+		}
+		t.Commands.Put(table.Command{Record: record, Ticket: event.Ticket, Deadline: event.Deadline, AppendedAt: now})
+		t.Add(lentilmux.ConfigAppendEffect{Record: record})
+	}
+}
+
+// pending appends commands again that were not read back, and gives up at
+// their deadlines.
+func (s *Configure) pending(t *table.Tables, now time.Time) {
+	for i := len(t.Commands.Rows) - 1; i >= 0; i-- {
+		command := &t.Commands.Rows[i]
+		if !now.Before(command.Deadline) {
+			t.Answer(command.Ticket, lentilmux.CommandAnswer{
+				Detail: "the log did not confirm in time; look for " + command.Record.ID + " in the history",
+			})
+			t.Commands.Remove(command.Record.ID)
+			continue
+		}
+		if now.Sub(command.AppendedAt) >= appendEvery {
+			command.AppendedAt = now
+			t.Add(lentilmux.ConfigAppendEffect{Record: command.Record})
+		}
+		t.WakeAt(command.AppendedAt.Add(appendEvery))
+	}
+}
+
+// publish appends a snapshot before the log's retention can take the records
+// that it replaces. The VM with the lowest name does it.
+func (s *Configure) publish(t *table.Tables, now time.Time) {
+	if !t.Self.Joined || !t.Streams.Config.Healthy() || t.History.SinceSnapshot == 0 {
+		return
+	}
+	if t.History.SnapshotAt.IsZero() {
+		t.History.SnapshotAt = now
+	}
+	aged := now.Sub(t.History.SnapshotAt) >= t.Limits.SnapshotEvery
+	if !aged && t.History.SinceSnapshot < t.Limits.SnapshotAfter {
+		return
+	}
+	if !lowestPeer(t, now, t.Limits.OwnerTimeout) {
+		return
+	}
+	taken := snapshot(t)
+	t.History.SinceSnapshot = 0
+	t.History.SnapshotAt = now
+	t.Add(lentilmux.ConfigAppendEffect{Record: lentilmux.ConfigRecord{
+		ID: fmt.Sprintf("snapshot-%s-%d", t.Self.Name, taken.Revision), Who: t.Self.Name, Snapshot: &taken,
+	}})
+}
+
+// lowestPeer reports whether the node has the lowest name of the entry VMs
+// heard within the time silence.
+func lowestPeer(t *table.Tables, now time.Time, silence time.Duration) bool {
+	for i := range t.Peers.Rows {
+		p := &t.Peers.Rows[i]
+		if p.Name < t.Self.Name && now.Sub(p.HeardAt) < silence {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/system/expire.go
@@ -0,0 +1,50 @@
+package system
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// Expire refuses requests that waited too long. It reads and writes Requests.
+// Those that are with traffic end there by their own deadlines.
+type Expire struct{}
+
+// Run implements [System].
+func (s *Expire) Run(t *table.Tables, now time.Time) {
+	for i := len(t.Requests.Rows) - 1; i >= 0; i-- {
+		if i >= len(t.Requests.Rows) {
+			continue // settling one request removed others
+		}
+		r := &t.Requests.Rows[i]
+		if r.State == table.RequestRunning {
+			continue
+		}
+		if refusal := s.expired(t, now, r); refusal != nil {
+			refuse(t, now, r, *refusal)
+			continue
+		}
+		t.WakeAt(r.Request.Deadline)
+		if r.State == table.RequestClaiming {
+			t.WakeAt(r.QueuedAt.Add(t.Limits.ClaimTimeout))
+		}
+	}
+}
+
+// expired returns why a waiting request ends now, or nil.
+func (s *Expire) expired(t *table.Tables, now time.Time, r *table.Request) *lentilmux.Refusal {
+	late := !now.Before(r.Request.Deadline)
+	var refusal lentilmux.Refusal
+	switch {
+	case late && r.State == table.RequestJoined:
+		refusal = unknown(lentilmux.ReasonKeyRunning, time.Second, "the first request with this key still runs; send the key again for its answer")
+	case late:
+		refusal = notRun(lentilmux.ReasonDeadline, time.Second, "waited %s in state %s", now.Sub(r.ArrivedAt).Round(time.Millisecond), r.State)
+	case r.State == table.RequestClaiming && now.Sub(r.QueuedAt) >= t.Limits.ClaimTimeout:
+		refusal = notRun(lentilmux.ReasonLogUnavailable, t.Limits.ClaimTimeout, "the log did not confirm the key in time")
+	default:
+		return nil
+	}
+	return &refusal
+}
--- /dev/null
+++ b/system/finish.go
@@ -0,0 +1,71 @@
+package system
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// Finish ends requests that traffic has finished and those that operators
+// stop. It writes Requests, Calls and the counts of Upstreams and Workspaces.
+type Finish struct{}
+
+// Run implements [System].
+func (s *Finish) Run(t *table.Tables, now time.Time) {
+	for _, done := range t.Events.Done {
+		s.done(t, now, done)
+	}
+	for _, stop := range t.Events.Stops {
+		s.stop(t, now, stop)
+	}
+}
+
+// done ends a request with the outcome that traffic saw.
+func (s *Finish) done(t *table.Tables, now time.Time, done lentilmux.RequestDoneMsg) {
+	r := t.Requests.Find(string(done.Request))
+	if r == nil {
+		return
+	}
+	outcome := done.Outcome
+	if outcome == lentilmux.OutcomeNotRun && r.Ran {
+		outcome = lentilmux.OutcomeUnknown
+	}
+	if outcome == lentilmux.OutcomeAnswered {
+		s.clear(t, r)
+	}
+	if done.Reason != "" {
+		t.Decide(now, lentilmux.Decision{
+			What: "end", Subject: string(done.Request), Chosen: outcome.String(), Reason: string(done.Reason),
+		})
+	}
+	remove(t, now, r, outcome, done.Reply)
+}
+
+// clear forgets the failures of the upstreams that answered.
+func (s *Finish) clear(t *table.Tables, r *table.Request) {
+	for _, name := range r.Upstreams {
+		if u := t.Upstreams.Find(name); u != nil {
+			u.Failures = 0
+		}
+	}
+}
+
+// stop ends a request for an operator. One that is with traffic is canceled
+// there, which answers its caller.
+func (s *Finish) stop(t *table.Tables, now time.Time, stop table.StopEvent) {
+	r := t.Requests.Find(string(stop.Request))
+	if r == nil {
+		t.Answer(stop.Ticket, lentilmux.CommandAnswer{
+			Known: true, Revision: t.Self.Revision, Detail: "no such request at this entry VM",
+		})
+		return
+	}
+	t.Decide(now, lentilmux.Decision{What: "stop", Subject: string(stop.Request), Chosen: "stopped", Reason: "an operator's command"})
+	if r.State == table.RequestRunning {
+		t.Add(lentilmux.CancelEffect{Request: stop.Request, Reason: lentilmux.ReasonStopped})
+	} else {
+		refuse(t, now, r, notRun(lentilmux.ReasonStopped, 0, "an operator stopped the request"))
+	}
+	t.Answer(stop.Ticket, lentilmux.CommandAnswer{Accepted: true, Known: true, Revision: t.Self.Revision, Detail: "stopped"})
+}
--- /dev/null
+++ b/system/health.go
@@ -0,0 +1,177 @@
+package system
+
+import (
+	"slices"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// probeFailures is the number of failed signs in a row after which a live
+// upstream is ejected all the same.
+const probeFailures = 4
+
+// ejectedShare is the largest part of a pipeline's or service's upstreams that
+// weak signs may eject.
+const ejectedShare = 0.3
+
+// Health joins the signs of failure into one judgement per upstream. It reads
+// failures, load reports and probes and writes the health of Upstreams.
+//
+// A failed step or report alone never ejects: it starts a probe over a new
+// connection. A dead probe ejects at once and aborts what runs there and may be
+// repeated; a live one shows that only a connection was lost. Repeated
+// failures with live probes eject too, but only up to a ceiling.
+type Health struct{}
+
+// Run implements [System].
+func (s *Health) Run(t *table.Tables, now time.Time) {
+	for _, failure := range t.Events.Failures {
+		s.failed(t, now, failure)
+	}
+	for _, load := range t.Events.Loads {
+		s.load(t, now, load)
+	}
+	for _, probe := range t.Events.Probes {
+		s.probed(t, now, probe)
+	}
+	for i := range t.Upstreams.Rows {
+		s.reprobe(t, now, &t.Upstreams.Rows[i])
+	}
+}
+
+// failed takes a failed attempt as a sign against the upstream of its stage.
+func (s *Health) failed(t *table.Tables, now time.Time, failure table.Failure) {
+	r := t.Requests.Find(string(failure.Request))
+	if r == nil || r.Epoch != failure.Epoch || failure.Stage >= len(r.Upstreams) {
+		return
+	}
+	u := t.Upstreams.Find(r.Upstreams[failure.Stage])
+	if u == nil || failure.Kind == lentilmux.FailureRefused || failure.Kind == lentilmux.FailureAborted {
+		return
+	}
+	u.Failures++
+	s.probe(t, now, u)
+}
+
+// load takes a report in. A missing one is a sign of failure.
+func (s *Health) load(t *table.Tables, now time.Time, load lentilmux.LoadMsg) {
+	u := t.Upstreams.Find(load.Upstream)
+	if u == nil {
+		return
+	}
+	if load.Err != nil {
+		u.Failures++
+		s.probe(t, now, u)
+		return
+	}
+	report := load.Report
+	if report.Held != u.Report.Held || report.Layers != u.Report.Layers || report.Model != u.Report.Model {
+		t.Stages.Stale = true
+		t.WakeAt(now)
+		t.Decide(now, lentilmux.Decision{
+			What: "held_range", Subject: u.Spec.Name, Chosen: heldText(report), Reason: "reported by the engine",
+		})
+	}
+	u.Report = report
+	u.ReportedAt = now
+	u.ReportLeaving = report.Leaving
+}
+
+func heldText(report lentilmux.LoadReport) string {
+	if !report.Held {
+		return "none"
+	}
+	return report.Model + " " + rangeText(report.Layers)
+}
+
+// probe checks an upstream over a new connection, unless that is under way.
+func (s *Health) probe(t *table.Tables, now time.Time, u *table.Upstream) {
+	if u.Probing {
+		return
+	}
+	u.Probing = true
+	u.ProbedAt = now
+	t.Add(lentilmux.ProbeEffect{Upstream: u.Spec.Name, Kind: u.Spec.Kind, Addr: u.Spec.Addr})
+}
+
+// probed judges an upstream by the result of a probe.
+func (s *Health) probed(t *table.Tables, now time.Time, probe lentilmux.ProbeMsg) {
+	u := t.Upstreams.Find(probe.Upstream)
+	if u == nil {
+		return
+	}
+	u.Probing = false
+	switch {
+	case !probe.Alive:
+		s.eject(t, now, u, "dead on a new connection")
+		s.abort(t, u)
+	case !u.EjectedUntil.IsZero():
+		s.restore(t, now, u)
+	case u.Failures >= probeFailures && s.underCeiling(t, now, u):
+		s.eject(t, now, u, "repeated failures, though alive")
+	}
+}
+
+// eject takes an upstream out, each time for longer.
+func (s *Health) eject(t *table.Tables, now time.Time, u *table.Upstream, reason string) {
+	if u.EjectedUntil.IsZero() {
+		u.EjectedAt = now
+		t.Decide(now, lentilmux.Decision{What: "eject", Subject: u.Spec.Name, Chosen: "no_new_work", Reason: reason})
+	}
+	period := min(t.Limits.EjectBase<<min(u.Ejections, 8), t.Limits.EjectMost)
+	u.Ejections++
+	u.EjectedUntil = now.Add(period)
+	t.WakeAt(u.EjectedUntil)
+}
+
+// restore takes an upstream back; it starts slowly.
+func (s *Health) restore(t *table.Tables, now time.Time, u *table.Upstream) {
+	t.Decide(now, lentilmux.Decision{What: "restore", Subject: u.Spec.Name, Chosen: "slow_start", Reason: "alive on a new connection"})
+	u.EjectedUntil = time.Time{}
+	u.EjectedAt = time.Time{}
+	u.Ejections = 0
+	u.Failures = 0
+	u.BackAt = now
+}
+
+// reprobe probes an ejected upstream when its period ends, so that no
+// caller's request has to try it.
+func (s *Health) reprobe(t *table.Tables, now time.Time, u *table.Upstream) {
+	if u.EjectedUntil.IsZero() {
+		return
+	}
+	if now.Before(u.EjectedUntil) {
+		t.WakeAt(u.EjectedUntil)
+		return
+	}
+	s.probe(t, now, u)
+}
+
+// abort ends the attempts at a dead upstream that may be repeated.
+func (s *Health) abort(t *table.Tables, u *table.Upstream) {
+	for i := range t.Requests.Rows {
+		r := &t.Requests.Rows[i]
+		if r.State == table.RequestRunning && slices.Contains(r.Upstreams, u.Spec.Name) && repeatable(t, r) {
+			t.Add(lentilmux.AbortEffect{Request: r.Request.ID, Epoch: r.Epoch})
+		}
+	}
+}
+
+// underCeiling reports whether one more upstream may be ejected on weak signs.
+func (s *Health) underCeiling(t *table.Tables, now time.Time, u *table.Upstream) bool {
+	user := userOf(t, u.Spec.Name)
+	all, ejected := 0, 1
+	for i := range t.Upstreams.Rows {
+		other := &t.Upstreams.Rows[i]
+		if userOf(t, other.Spec.Name) != user {
+			continue
+		}
+		all++
+		if now.Before(other.EjectedUntil) {
+			ejected++
+		}
+	}
+	return float64(ejected) <= ejectedShare*float64(all)
+}
--- /dev/null
+++ b/system/lifecycle.go
@@ -0,0 +1,139 @@
+package system
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// setState moves a request to a state and keeps its workspace's counts.
+func setState(t *table.Tables, r *table.Request, state table.RequestState) {
+	countState(t, r, -1)
+	r.State = state
+	countState(t, r, 1)
+}
+
+// countState adds sign to the workspace's count for the request's state.
+func countState(t *table.Tables, r *table.Request, sign int) {
+	w := t.Workspaces.Find(r.Request.Workspace)
+	if w == nil {
+		return
+	}
+	if r.State == table.RequestRunning {
+		w.Running += sign
+		return
+	}
+	w.Queued += sign
+}
+
+// enqueue puts a request behind the queue, or before it if it ran already.
+func enqueue(t *table.Tables, now time.Time, r *table.Request) {
+	setState(t, r, table.RequestQueued)
+	r.QueuedAt = now
+	if r.Attempts > 0 {
+		t.Queue.IDs = slices.Insert(t.Queue.IDs, 0, r.Request.ID)
+		return
+	}
+	t.Queue.IDs = append(t.Queue.IDs, r.Request.ID)
+}
+
+// occupy counts the request's attempt at its upstreams sign times.
+func occupy(t *table.Tables, r *table.Request, sign int) {
+	trial := isTrial(r)
+	for _, name := range r.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u == nil {
+			continue
+		}
+		u.InFlight += sign
+		if trial {
+			u.Trials += sign
+		}
+	}
+}
+
+// release ends the request's running attempt, if there is one.
+func release(t *table.Tables, r *table.Request) {
+	occupy(t, r, -1)
+	r.Upstreams = nil
+}
+
+// remove ends a request: it frees what it uses and closes the keys it holds.
+func remove(t *table.Tables, now time.Time, r *table.Request, outcome lentilmux.Outcome, reply lentilmux.ServiceReply) {
+	release(t, r)
+	countState(t, r, -1)
+	if r.State == table.RequestClaiming {
+		abandon(t, r)
+	}
+	request := *r
+	t.Requests.Remove(string(r.Request.ID))
+	for _, key := range request.Held {
+		closeCall(t, now, key, outcome, reply)
+	}
+}
+
+// refuse answers the request's asker with a refusal and removes the request.
+func refuse(t *table.Tables, now time.Time, r *table.Request, refusal lentilmux.Refusal) {
+	if r.Ran && refusal.Outcome == lentilmux.OutcomeNotRun {
+		refusal.Outcome = lentilmux.OutcomeUnknown
+	}
+	t.Answer(r.Ticket, lentilmux.RefusalAnswer{Refusal: refusal})
+	decideRefusal(t, now, r.Request, refusal)
+	remove(t, now, r, refusal.Outcome, lentilmux.ServiceReply{})
+}
+
+// decideRefusal writes the decision line of a refusal.
+func decideRefusal(t *table.Tables, now time.Time, request lentilmux.Request, refusal lentilmux.Refusal) {
+	if w := t.Workspaces.Find(request.Workspace); w != nil {
+		w.Refused++
+	}
+	t.Decide(now, lentilmux.Decision{
+		What: "refuse", Subject: string(request.ID), Chosen: string(refusal.Reason),
+		Reason:     refusal.Detail,
+		Considered: []string{"workspace " + request.Workspace, "outcome " + refusal.Outcome.String()},
+	})
+}
+
+// notRun returns a refusal of work that no upstream saw.
+func notRun(reason lentilmux.Reason, retryAfter time.Duration, format string, args ...any) lentilmux.Refusal {
+	return lentilmux.Refusal{
+		Outcome: lentilmux.OutcomeNotRun, Reason: reason,
+		Detail: fmt.Sprintf(format, args...), RetryAfter: retryAfter,
+	}
+}
+
+// unknown returns a refusal of work that an upstream may have acted on.
+func unknown(reason lentilmux.Reason, retryAfter time.Duration, format string, args ...any) lentilmux.Refusal {
+	refusal := notRun(reason, retryAfter, format, args...)
+	refusal.Outcome = lentilmux.OutcomeUnknown
+	return refusal
+}
+
+// rangeText returns the range as decisions show it.
+func rangeText(l lentilmux.LayerRange) string {
+	return strconv.Itoa(l.First) + "-" + strconv.Itoa(l.Last)
+}
+
+// fingerprintText returns the fingerprint as keys and queries show it.
+func fingerprintText(f lentilmux.Fingerprint) string {
+	return strconv.FormatUint(uint64(f), 16)
+}
+
+// trialPrefix begins the keys under which suspects are tried once more.
+const trialPrefix = "trial/"
+
+// callKey returns the key of a request in the table of calls.
+func callKey(r lentilmux.Request) string { return "call/" + r.Workspace + "/" + r.Key }
+
+// trialKey returns the key under which a suspect is tried.
+func trialKey(r lentilmux.Request) string { return trialPrefix + fingerprintText(r.Fingerprint) }
+
+// isTrial reports whether the request runs as the trial of a suspect.
+func isTrial(r *table.Request) bool {
+	return slices.ContainsFunc(r.Held, func(key string) bool { return strings.HasPrefix(key, trialPrefix) })
+}
--- /dev/null
+++ b/system/membership.go
@@ -0,0 +1,178 @@
+package system
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// Membership joins the platform's lagging list with what peers tell. It reads
+// the lists and digests that arrived and writes VMs, Peers, the marks of
+// leaving and the peers' counts in Upstreams and Workspaces.
+type Membership struct{}
+
+// Run implements [System].
+func (s *Membership) Run(t *table.Tables, now time.Time) {
+	for _, list := range t.Events.Lists {
+		s.list(t, now, list.VMs)
+	}
+	for _, event := range t.Events.Digests {
+		s.digest(t, now, event)
+	}
+	for _, name := range t.Events.SilentPeers {
+		if p := t.Peers.Find(name); p != nil && p.SilentSince.IsZero() {
+			p.SilentSince = now
+		}
+	}
+	s.forget(t, now)
+	s.markLeaving(t, now)
+}
+
+// list replaces what was listed. An upstream that was listed once and is no
+// longer is treated as leaving.
+func (s *Membership) list(t *table.Tables, now time.Time, vms []lentilmux.ListedVM) {
+	for _, vm := range vms {
+		t.VMs.Put(table.VM{Listed: vm, SeenAt: now})
+		switch vm.Role {
+		case lentilmux.RoleUpstream:
+			if u := t.Upstreams.Find(vm.Name); u != nil {
+				u.Listed = true
+			}
+		case lentilmux.RoleEntry:
+			s.listPeer(t, vm)
+		}
+	}
+	for i := len(t.VMs.Rows) - 1; i >= 0; i-- {
+		if !t.VMs.Rows[i].SeenAt.Equal(now) {
+			t.VMs.Remove(t.VMs.Rows[i].Listed.Name)
+		}
+	}
+	for i := range t.Upstreams.Rows {
+		u := &t.Upstreams.Rows[i]
+		vm := t.VMs.Find(u.Spec.Name)
+		u.ListLeaving = (vm == nil && u.Listed) || (vm != nil && vm.Listed.Leaving)
+	}
+}
+
+func (s *Membership) listPeer(t *table.Tables, vm lentilmux.ListedVM) {
+	if vm.Name == t.Self.Name {
+		return
+	}
+	if p := t.Peers.Find(vm.Name); p != nil {
+		p.Addr, p.Leaving = vm.Addr, vm.Leaving
+		return
+	}
+	t.Peers.Put(table.Peer{Name: vm.Name, Addr: vm.Addr, Leaving: vm.Leaving})
+}
+
+// digest takes a peer's digest in and answers with the node's own.
+func (s *Membership) digest(t *table.Tables, now time.Time, event table.DigestEvent) {
+	d := event.Digest
+	t.Answer(event.Ticket, lentilmux.DigestAnswer{Digest: digest(t)})
+	if d.VM == t.Self.Name {
+		return
+	}
+	t.Self.Contact = now
+	p := t.Peers.Find(d.VM)
+	if p == nil {
+		p = t.Peers.Put(table.Peer{Name: d.VM})
+	}
+	count(t, &p.Digest, -1)
+	p.Addr, p.Digest, p.HeardAt, p.SilentSince = d.Addr, d, now, time.Time{}
+	if event.RTT > 0 {
+		p.RTT = event.RTT
+	}
+	count(t, &p.Digest, 1)
+	for _, name := range d.Leaving {
+		if u := t.Upstreams.Find(name); u != nil {
+			u.PeerLeavingAt = now
+		}
+	}
+	if d.Revision > t.Self.Revision {
+		s.catchUp(t, now, p)
+	}
+}
+
+// catchUp asks a peer that is ahead for its configuration if the log does not
+// bring it.
+func (s *Membership) catchUp(t *table.Tables, now time.Time, p *table.Peer) {
+	if t.Streams.Config.Healthy() || now.Sub(t.Backlog.AskedAt) < fetchEvery {
+		return
+	}
+	t.Backlog.AskedAt = now
+	t.Add(lentilmux.FetchSnapshotEffect{VM: p.Name, Addr: p.Addr})
+}
+
+// count adds a digest's counts sign times to Upstreams and Workspaces.
+func count(t *table.Tables, d *lentilmux.Digest, sign int) {
+	for _, c := range d.InFlight {
+		if u := t.Upstreams.Find(c.Upstream); u != nil {
+			u.PeerInFlight = max(0, u.PeerInFlight+sign*c.Count)
+		}
+	}
+	for _, usage := range d.Usage {
+		if w := t.Workspaces.Find(usage.Workspace); w != nil {
+			w.PeerRunning = max(0, w.PeerRunning+sign*usage.Running)
+		}
+	}
+}
+
+// forget drops the counts of peers that fell silent, and peers that are
+// neither listed nor heard.
+func (s *Membership) forget(t *table.Tables, now time.Time) {
+	for i := len(t.Peers.Rows) - 1; i >= 0; i-- {
+		p := &t.Peers.Rows[i]
+		if now.Sub(p.HeardAt) < t.Limits.SilentLog {
+			continue
+		}
+		count(t, &p.Digest, -1)
+		p.Digest.InFlight, p.Digest.Usage = nil, nil
+		if t.VMs.Find(p.Name) == nil && now.Sub(p.HeardAt) >= t.Limits.OwnerTimeout {
+			t.Peers.Remove(p.Name)
+		}
+	}
+}
+
+// markLeaving sets the marks from evidence that is fresh.
+func (s *Membership) markLeaving(t *table.Tables, now time.Time) {
+	for i := range t.Upstreams.Rows {
+		u := &t.Upstreams.Rows[i]
+		own := u.ListLeaving || u.ReportLeaving
+		told := !u.PeerLeavingAt.IsZero() && now.Sub(u.PeerLeavingAt) < t.Limits.LeavingFor
+		leaving := own || told
+		if leaving && !u.Leaving {
+			reason := "the list or its own word"
+			if !own {
+				reason = "a peer's word"
+			}
+			t.Decide(now, lentilmux.Decision{What: "leaving", Subject: u.Spec.Name, Chosen: "no_new_work", Reason: reason})
+		}
+		u.Leaving = leaving
+	}
+}
+
+// digest returns the node's own digest. It names upstreams that the node
+// itself has seen leaving, never what it only heard.
+func digest(t *table.Tables) lentilmux.Digest {
+	d := lentilmux.Digest{
+		VM: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
+		Revision: t.Self.Revision, Draining: t.Self.Draining(),
+	}
+	for i := range t.Upstreams.Rows {
+		u := &t.Upstreams.Rows[i]
+		if u.ListLeaving || u.ReportLeaving {
+			d.Leaving = append(d.Leaving, u.Spec.Name)
+		}
+		if u.InFlight > 0 {
+			d.InFlight = append(d.InFlight, lentilmux.UpstreamCount{Upstream: u.Spec.Name, Count: u.InFlight})
+		}
+	}
+	for i := range t.Workspaces.Rows {
+		w := &t.Workspaces.Rows[i]
+		if w.Running+w.Queued > 0 {
+			d.Usage = append(d.Usage, lentilmux.WorkspaceUsage{Workspace: w.Spec.Name, Running: w.Running, Queued: w.Queued})
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/system/place.go
@@ -0,0 +1,147 @@
+package system
+
+import (
+	"sort"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/placement"
+	"lentilmux.example/lentilmux/table"
+)
+
+// Place decides which layers each engine should hold and finds which stages
+// exist. It reads Pipelines, Services and Upstreams and writes the orders of
+// Upstreams, the rows of Stages and the replicas of Services. It does nothing
+// until the configuration or a held range changed.
+//
+// The desired ranges follow from the configuration alone, so all VMs desire
+// the same. The stages follow from what the engines report to hold, so a route
+// never counts on a range that is still being loaded.
+type Place struct {
+	Placement lentilmux.Placement
+}
+
+// Run implements [System].
+func (s *Place) Run(t *table.Tables, now time.Time) {
+	if !t.Stages.Stale {
+		return
+	}
+	t.Stages.Stale = false
+	if t.Stages.Desired != t.Self.Revision {
+		t.Stages.Desired = t.Self.Revision
+		s.desire(t, now)
+	}
+	t.Stages.Rows = t.Stages.Rows[:0]
+	for i := range t.Pipelines.Rows {
+		s.find(t, &t.Pipelines.Rows[i])
+	}
+	for i := range t.Services.Rows {
+		service := &t.Services.Rows[i]
+		service.Replicas = rowNumbers(t, service.Spec.Upstreams)
+	}
+}
+
+// desire sets the order of every engine.
+func (s *Place) desire(t *table.Tables, now time.Time) {
+	for i := range t.Upstreams.Rows {
+		t.Upstreams.Rows[i].Order = lentilmux.Order{}
+	}
+	for i := range t.Pipelines.Rows {
+		spec := &t.Pipelines.Rows[i].Spec
+		nodes, fence := s.nodes(t, spec)
+		stages := s.Placement.Place(spec.Layers, nodes)
+		if len(stages) == 0 {
+			t.Decide(now, lentilmux.Decision{
+				What: "placement", Subject: spec.Name, Chosen: "none", Reason: "its upstreams cannot hold the model",
+			})
+			continue
+		}
+		for _, stage := range stages {
+			t.Decide(now, lentilmux.Decision{
+				What: "placement", Subject: spec.Name, Chosen: rangeText(stage.Layers),
+				Reason: "balanced by rate", Considered: stage.Upstreams,
+			})
+			for _, name := range stage.Upstreams {
+				t.Upstreams.Find(name).Order = lentilmux.Order{Model: spec.Model, Layers: stage.Layers, Fence: fence}
+			}
+		}
+	}
+}
+
+// nodes returns the engines that a pipeline may use and the fencing number of
+// a placement over them: the last revision that changed any of them.
+func (s *Place) nodes(t *table.Tables, spec *lentilmux.PipelineSpec) (nodes []lentilmux.PlacementNode, fence lentilmux.Revision) {
+	fence = spec.Revision
+	for _, name := range spec.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u == nil {
+			continue
+		}
+		fence = max(fence, u.Spec.Revision)
+		if u.Spec.Excluded {
+			continue
+		}
+		nodes = append(nodes, lentilmux.PlacementNode{
+			Upstream: name, Zone: u.Spec.Zone, Layers: u.Spec.Layers, Rate: u.Spec.Rate,
+		})
+	}
+	return nodes, fence
+}
+
+// find adds the stages that the pipeline's engines hold, by first layer, and
+// sets the pipeline's bound.
+func (s *Place) find(t *table.Tables, p *table.Pipeline) {
+	p.First = len(t.Stages.Rows)
+	var holds []placement.Hold
+	for _, row := range rowNumbers(t, p.Spec.Upstreams) {
+		u := &t.Upstreams.Rows[row]
+		if !u.Report.Held || u.Report.Model != p.Spec.Model {
+			continue
+		}
+		holds = append(holds, placement.Hold{Layers: u.Report.Layers, Rate: u.Spec.Rate})
+		addReplica(t, p, u.Report.Layers, row)
+	}
+	own := t.Stages.Rows[p.First:]
+	p.Count = len(own)
+	p.Bound = placement.Bound(p.Spec.Layers, holds)
+	sort.Slice(own, func(i, j int) bool {
+		if own[i].Layers.First != own[j].Layers.First {
+			return own[i].Layers.First < own[j].Layers.First
+		}
+		return own[i].Layers.Last > own[j].Layers.Last
+	})
+	markReach(own, p.Spec.Layers)
+}
+
+// addReplica adds an upstream's row to the stage of its range.
+func addReplica(t *table.Tables, p *table.Pipeline, layers lentilmux.LayerRange, row int) {
+	for i := p.First; i < len(t.Stages.Rows); i++ {
+		if t.Stages.Rows[i].Layers == layers {
+			t.Stages.Rows[i].Replicas = append(t.Stages.Rows[i].Replicas, row)
+			return
+		}
+	}
+	t.Stages.Rows = append(t.Stages.Rows, table.Stage{Pipeline: p.Spec.Name, Layers: layers, Replicas: []int{row}})
+}
+
+// markReach marks the stages from which the last layer can be reached. The
+// stages are sorted by first layer.
+func markReach(stages []table.Stage, layers int) {
+	for i := len(stages) - 1; i >= 0; i-- {
+		next := stages[i].Layers.Last + 1
+		stages[i].Reach = next == layers
+		for j := i + 1; j < len(stages) && !stages[i].Reach; j++ {
+			stages[i].Reach = stages[j].Reach && stages[j].Layers.First == next
+		}
+	}
+}
+
+// rowNumbers returns the row numbers of the named upstreams that exist.
+func rowNumbers(t *table.Tables, names []string) (rows []int) {
+	for _, name := range names {
+		if row, ok := t.Upstreams.Row(name); ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/system/reconcile.go
@@ -0,0 +1,156 @@
+package system
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+const (
+	// orderEvery is the time after which an order that has no effect is sent
+	// again.
+	orderEvery = 2 * time.Second
+	// freshLog is the longest silence of the log after which a node still
+	// sends orders. It is shorter than any time after which another node
+	// takes the sending over.
+	freshLog = 2 * time.Second
+	// stuckFor is the time after which an engine changes its range although
+	// no other holds it.
+	stuckFor = 5 * time.Second
+)
+
+// Reconcile brings engines to the ranges that the placement desires and asks
+// for their load reports. It reads Pipelines and Upstreams and writes the times
+// of orders and reports.
+//
+// Orders state a desired range, so sending one twice does no harm, and carry
+// the revision that decided it as fencing number. The entry VM with the lowest
+// name sends them, and only if it has just read the log, so that one that was
+// paused brings its configuration up to date first. An engine that ignores the
+// number and obeys an old order is ordered anew, and meanwhile refuses steps
+// for layers that it does not hold.
+type Reconcile struct{}
+
+// Run implements [System].
+func (s *Reconcile) Run(t *table.Tables, now time.Time) {
+	for _, ended := range t.Events.Orders {
+		s.ended(t, now, ended)
+	}
+	s.askLoads(t, now)
+	if !s.sends(t, now) {
+		return
+	}
+	for i := range t.Pipelines.Rows {
+		s.pipeline(t, now, &t.Pipelines.Rows[i])
+	}
+}
+
+// ended writes how an order ended.
+func (s *Reconcile) ended(t *table.Tables, now time.Time, msg lentilmux.OrderMsg) {
+	chosen, reason := "accepted", "ordered "+rangeText(msg.Order.Layers)
+	if msg.Err != nil {
+		chosen, reason = "failed", msg.Err.Error()
+	}
+	t.Decide(now, lentilmux.Decision{What: "order_result", Subject: msg.Upstream, Chosen: chosen, Reason: reason})
+}
+
+// askLoads asks each engine for its report when the last is old enough.
+func (s *Reconcile) askLoads(t *table.Tables, now time.Time) {
+	for i := range t.Upstreams.Rows {
+		u := &t.Upstreams.Rows[i]
+		if u.Spec.Kind != lentilmux.KindEngine {
+			continue
+		}
+		if due := u.AskedAt.Add(t.Limits.LoadEvery); now.Before(due) {
+			t.WakeAt(due)
+			continue
+		}
+		u.AskedAt = now
+		t.Add(lentilmux.LoadEffect{Upstream: u.Spec.Name, Addr: u.Spec.Addr})
+		t.WakeAt(now.Add(t.Limits.LoadEvery))
+	}
+}
+
+// sends reports whether this node sends the orders.
+func (s *Reconcile) sends(t *table.Tables, now time.Time) bool {
+	return t.Self.Joined &&
+		t.Streams.Config.CaughtUp &&
+		now.Sub(t.Streams.Config.ReadAt) < freshLog &&
+		lowestPeer(t, now, t.Limits.OwnerTimeout)
+}
+
+// pipeline orders the engines of one pipeline that hold another range than
+// desired. One that serves is ordered only while others can do its part.
+func (s *Reconcile) pipeline(t *table.Tables, now time.Time, p *table.Pipeline) {
+	waiting, moving := 0, 0
+	for _, name := range p.Spec.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u == nil || u.Order.Layers.Len() < 1 || u.ReportedAt.IsZero() || satisfied(u) {
+			continue
+		}
+		if now.Sub(u.OrderedAt) < orderEvery {
+			moving++
+			continue
+		}
+		if u.Report.Held && !s.spare(t, p, u) && !s.stuck(p, now) {
+			waiting++
+			continue
+		}
+		moving++
+		s.order(t, now, u)
+	}
+	if waiting == 0 || moving > 0 {
+		p.StuckAt = time.Time{}
+		return
+	}
+	if p.StuckAt.IsZero() {
+		p.StuckAt = now
+	}
+	t.WakeAt(p.StuckAt.Add(stuckFor))
+}
+
+// satisfied reports whether the engine holds what is desired.
+func satisfied(u *table.Upstream) bool {
+	return u.Report.Held && u.Report.Model == u.Order.Model && u.Report.Layers == u.Order.Layers
+}
+
+// spare reports whether the pipeline can do without the engine's range, or has
+// another engine that holds the same.
+func (s *Reconcile) spare(t *table.Tables, p *table.Pipeline, u *table.Upstream) bool {
+	for i := p.First; i < p.First+p.Count; i++ {
+		stage := &t.Stages.Rows[i]
+		if stage.Layers != u.Report.Layers {
+			continue
+		}
+		return !stage.Reach || s.others(t, stage, u) > 0
+	}
+	return true
+}
+
+// others counts the stage's other engines that were not ordered away.
+func (s *Reconcile) others(t *table.Tables, stage *table.Stage, u *table.Upstream) (count int) {
+	for _, row := range stage.Replicas {
+		other := &t.Upstreams.Rows[row]
+		if other != u && (satisfied(other) || other.OrderedAt.Before(other.ReportedAt.Add(-orderEvery))) {
+			count++
+		}
+	}
+	return count
+}
+
+// stuck reports whether no engine of the pipeline could change its range for
+// so long that one has to go first.
+func (s *Reconcile) stuck(p *table.Pipeline, now time.Time) bool {
+	return !p.StuckAt.IsZero() && now.Sub(p.StuckAt) >= stuckFor
+}
+
+func (s *Reconcile) order(t *table.Tables, now time.Time, u *table.Upstream) {
+	u.OrderedAt = now
+	t.Decide(now, lentilmux.Decision{
+		What: "order", Subject: u.Spec.Name, Chosen: u.Order.Model + " " + rangeText(u.Order.Layers),
+		Reason: "holds " + heldText(u.Report),
+	})
+	t.Add(lentilmux.OrderEffect{Upstream: u.Spec.Name, Addr: u.Spec.Addr, Order: u.Order})
+	t.WakeAt(now.Add(orderEvery))
+}
--- /dev/null
+++ b/system/retry.go
@@ -0,0 +1,90 @@
+package system
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// Retry decides whether a failed attempt is followed by another. It reads the
+// failures that arrived and writes Requests and the retry budget.
+//
+// Work that an upstream may have acted on runs again only if it is idempotent.
+// A retry because an upstream ended is free, since each end causes at most one
+// for each request it had; any other takes from a budget that grows with the
+// arrivals, so that retries never amplify an overload.
+type Retry struct{}
+
+// Run implements [System].
+func (s *Retry) Run(t *table.Tables, now time.Time) {
+	for _, failure := range t.Events.Failures {
+		s.decide(t, now, failure)
+	}
+}
+
+func (s *Retry) decide(t *table.Tables, now time.Time, failure table.Failure) {
+	r := t.Requests.Find(string(failure.Request))
+	if r == nil || r.State != table.RequestRunning || r.Epoch != failure.Epoch {
+		gone := unknown(lentilmux.ReasonCanceled, 0, "the request is no longer served")
+		t.Answer(failure.Ticket, lentilmux.RefusalAnswer{Refusal: gone})
+		return
+	}
+	upstream := ""
+	if failure.Stage < len(r.Upstreams) {
+		upstream = r.Upstreams[failure.Stage]
+		r.Failed = append(r.Failed, upstream)
+	}
+	r.Ticket = failure.Ticket
+	r.Ran = r.Ran || acted(failure.Kind)
+	release(t, r)
+	if refusal := s.forbid(t, now, r, failure.Kind); refusal != nil {
+		refuse(t, now, r, *refusal)
+		return
+	}
+	t.Decide(now, lentilmux.Decision{
+		What: "retry", Subject: string(r.Request.ID), Chosen: "again",
+		Reason: failure.Kind.String() + " at " + upstream,
+	})
+	proceed(t, now, r)
+}
+
+// acted reports whether the upstream may have acted on the attempt.
+func acted(kind lentilmux.FailureKind) bool {
+	return kind != lentilmux.FailureRefused && kind != lentilmux.FailureDial
+}
+
+// forbid returns why there is no further attempt, or nil and takes its cost
+// from the budget.
+func (s *Retry) forbid(t *table.Tables, now time.Time, r *table.Request, kind lentilmux.FailureKind) *lentilmux.Refusal {
+	suspect := t.Suspects.Find(fingerprintText(r.Request.Fingerprint))
+	var refusal lentilmux.Refusal
+	switch {
+	case r.Ran && !repeatable(t, r):
+		refusal = unknown(lentilmux.ReasonUpstreamFailed, 0, "the upstream failed (%s) and may have run the call", kind)
+	case suspect != nil && quarantined(t, suspect):
+		refusal = unknown(lentilmux.ReasonQuarantined, t.Limits.QuarantineFor, "the request crashed %d upstreams", len(suspect.Upstreams))
+	case r.Attempts >= t.Limits.AttemptsMost:
+		refusal = notRun(lentilmux.ReasonUpstreamFailed, time.Second, "%d attempts failed, the last by %s", r.Attempts, kind)
+	case !now.Before(r.Request.Deadline):
+		refusal = notRun(lentilmux.ReasonDeadline, 0, "the deadline passed after %d attempts", r.Attempts)
+	case !s.pay(t, kind):
+		refusal = notRun(lentilmux.ReasonRetryBudget, time.Second, "too many attempts fail to try again")
+	default:
+		return nil
+	}
+	return &refusal
+}
+
+// pay takes a retry from the budget, if its kind costs one and one is left.
+func (s *Retry) pay(t *table.Tables, kind lentilmux.FailureKind) bool {
+	switch kind {
+	case lentilmux.FailureDial, lentilmux.FailureCrash, lentilmux.FailureAborted:
+		return true
+	}
+	if t.Self.RetryTokens < 1 {
+		return false
+	}
+	t.Self.RetryTokens--
+	return true
+}
--- /dev/null
+++ b/system/snapshot.go
@@ -0,0 +1,85 @@
+package system
+
+import (
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+// appliedMost is how many record IDs a snapshot carries.
+const appliedMost = 512
+
+// snapshot returns the configuration in force.
+func snapshot(t *table.Tables) lentilmux.Snapshot {
+	s := lentilmux.Snapshot{Revision: t.Self.Revision}
+	for i := range t.Upstreams.Rows {
+		s.Upstreams = append(s.Upstreams, t.Upstreams.Rows[i].Spec)
+	}
+	for i := range t.Pipelines.Rows {
+		s.Pipelines = append(s.Pipelines, t.Pipelines.Rows[i].Spec)
+	}
+	for i := range t.Services.Rows {
+		s.Services = append(s.Services, t.Services.Rows[i].Spec)
+	}
+	for i := range t.Workspaces.Rows {
+		s.Workspaces = append(s.Workspaces, t.Workspaces.Rows[i].Spec)
+	}
+	rows := t.History.Rows
+	for _, row := range rows[max(0, len(rows)-appliedMost):] {
+		s.Applied = append(s.Applied, row.ID)
+	}
+	return s
+}
+
+// install puts a newer snapshot in force in place of the whole configuration.
+// It keeps what is known of the state of entities that stay.
+func install(t *table.Tables, s lentilmux.Snapshot) {
+	kept := make(map[string]bool)
+	for _, spec := range s.Upstreams {
+		putUpstream(t, spec)
+		kept["upstream "+spec.Name] = true
+	}
+	for _, spec := range s.Pipelines {
+		t.Pipelines.Put(table.Pipeline{Spec: spec})
+		kept["pipeline "+spec.Name] = true
+	}
+	for _, spec := range s.Services {
+		t.Services.Put(table.Service{Spec: spec})
+		kept["service "+spec.Name] = true
+	}
+	for _, spec := range s.Workspaces {
+		putWorkspace(t, spec)
+		kept["workspace "+spec.Name] = true
+	}
+	removeOthers(t, kept)
+	for _, id := range s.Applied {
+		if !t.History.Applied(id) {
+			t.History.Add(table.HistoryRow{ID: id, Revision: s.Revision, Accepted: true, Detail: "from a snapshot"})
+		}
+	}
+	t.Self.Revision = s.Revision
+	t.Stages.Stale = true
+}
+
+// removeOthers removes all entities that are not kept.
+func removeOthers(t *table.Tables, kept map[string]bool) {
+	for i := len(t.Upstreams.Rows) - 1; i >= 0; i-- {
+		if name := t.Upstreams.Rows[i].Spec.Name; !kept["upstream "+name] {
+			t.Upstreams.Remove(name)
+		}
+	}
+	for i := len(t.Pipelines.Rows) - 1; i >= 0; i-- {
+		if name := t.Pipelines.Rows[i].Spec.Name; !kept["pipeline "+name] {
+			t.Pipelines.Remove(name)
+		}
+	}
+	for i := len(t.Services.Rows) - 1; i >= 0; i-- {
+		if name := t.Services.Rows[i].Spec.Name; !kept["service "+name] {
+			t.Services.Remove(name)
+		}
+	}
+	for i := len(t.Workspaces.Rows) - 1; i >= 0; i-- {
+		if name := t.Workspaces.Rows[i].Spec.Name; !kept["workspace "+name] {
+			t.Workspaces.Remove(name)
+		}
+	}
+}
