Add the traffic side: one package for each peer

Cause: bytes and connections belong to traffic goroutines, one package for each peer that is spoken to: engines, plain services, the log, the list of VMs, other entry VMs, operators and callers. They translate between wire formats and the root package's types and decide nothing.

--- /dev/null
+++ b/caller/errors.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Reasons for requests that this package refuses by itself.
+const (
+	reasonInvalid  lentilmux.Reason = "invalid_request"
+	reasonTooLarge lentilmux.Reason = "body_too_large"
+	reasonNotFound lentilmux.Reason = "not_found"
+	reasonInternal lentilmux.Reason = "internal_error"
+)
+
+// statusCodes maps reasons to HTTP status codes. Reasons that are missing have
+// 503.
+var statusCodes = map[lentilmux.Reason]int{
+	reasonInvalid:                    http.StatusBadRequest,
+	reasonTooLarge:                   http.StatusRequestEntityTooLarge,
+	reasonNotFound:                   http.StatusNotFound,
+	reasonInternal:                   http.StatusInternalServerError,
+	lentilmux.ReasonUnknownWorkspace: http.StatusNotFound,
+	lentilmux.ReasonUnknownModel:     http.StatusNotFound,
+	lentilmux.ReasonUnknownService:   http.StatusNotFound,
+	lentilmux.ReasonNotAllowed:       http.StatusForbidden,
+	lentilmux.ReasonQueueFull:        http.StatusTooManyRequests,
+	lentilmux.ReasonOverloaded:       http.StatusTooManyRequests,
+	lentilmux.ReasonDeadline:         http.StatusGatewayTimeout,
+	lentilmux.ReasonStopped:          http.StatusConflict,
+	lentilmux.ReasonKeyRequired:      http.StatusPreconditionRequired,
+	lentilmux.ReasonKeyInvalid:       http.StatusBadRequest,
+	lentilmux.ReasonKeyExpired:       http.StatusBadRequest,
+	lentilmux.ReasonKeyReused:        http.StatusUnprocessableEntity,
+	lentilmux.ReasonKeyRunning:       http.StatusConflict,
+	lentilmux.ReasonOwnerLost:        http.StatusConflict,
+	lentilmux.ReasonAnswerTooLarge:   http.StatusConflict,
+	lentilmux.ReasonUpstreamFailed:   http.StatusBadGateway,
+	lentilmux.ReasonQuarantined:      http.StatusUnprocessableEntity,
+}
+
+// badRequest returns the refusal of a request that was not understood.
+func badRequest(reason lentilmux.Reason, format string, args ...any) *lentilmux.Refusal {
+	return &lentilmux.Refusal{Outcome: lentilmux.OutcomeNotRun, Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// errorReply is the body of an error.
+type errorReply struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type         lentilmux.Reason `json:"type"`
+	Message      string           `json:"message"`
+	Outcome      string           `json:"outcome"`
+	RetryAfterMs int64            `json:"retry_after_ms,omitempty"`
+}
+
+// refusalOf returns the refusal behind an error.
+func refusalOf(err error) *lentilmux.Refusal {
+	var refusal *lentilmux.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &lentilmux.Refusal{Reason: reasonInternal, Detail: err.Error()}
+}
+
+// detailOf returns the body of a refusal.
+func detailOf(refusal *lentilmux.Refusal) errorReply {
+	return errorReply{Error: errorDetail{
+		Type: refusal.Reason, Message: refusal.Detail, Outcome: refusal.Outcome.String(),
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+	}}
+}
+
+// writeError answers with an error that says whether the work ran.
+func writeError(w http.ResponseWriter, err error) {
+	refusal := refusalOf(err)
+	if refusal.RetryAfter > 0 {
+		seconds := math.Ceil(float64(refusal.RetryAfter) / float64(time.Second))
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	code, ok := statusCodes[refusal.Reason]
+	if !ok {
+		code = http.StatusServiceUnavailable
+	}
+	writeJSON(w, code, detailOf(refusal))
+}
+
+// writeJSON answers with a value. A caller that went away cannot be told.
+func writeJSON(w http.ResponseWriter, code int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/service/runner.go
@@ -0,0 +1,171 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Asker is the part of [lentilmux.Node] that traffic uses.
+type Asker interface {
+	Send(ctx context.Context, msg lentilmux.Msg) (err error)
+	Ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error)
+}
+
+// doneTimeout bounds the report of a call's end, which is made even when its
+// caller is gone.
+const doneTimeout = 5 * time.Second
+
+const (
+	errAborted = errors.ConstError("attempt aborted")
+	errStopped = errors.ConstError("call stopped by an operator")
+)
+
+// Runner drives calls to plain services. A call that may not repeat is sent to
+// a second upstream only if no byte of it reached the first.
+type Runner struct {
+	node    Asker
+	service lentilmux.Service
+
+	mu      sync.Mutex
+	running map[lentilmux.RequestID]*attempt
+}
+
+// attempt is what [Runner.Abort] and [Runner.Cancel] can end.
+type attempt struct {
+	epoch lentilmux.Epoch
+	end   context.CancelCauseFunc
+}
+
+// NewRunner returns a runner that asks node for routes and reaches services
+// through service.
+func NewRunner(node Asker, service lentilmux.Service) *Runner {
+	return &Runner{node: node, service: service, running: make(map[lentilmux.RequestID]*attempt)}
+}
+
+// Run serves a request for a plain service. A [*lentilmux.Refusal] tells what is
+// known of the work if there is no reply.
+//
+// A call with a key that may not repeat is seen through to its end even if its
+// caller goes away, so that a resend can be given its reply.
+func (r *Runner) Run(ctx context.Context, request lentilmux.Request, call lentilmux.ServiceCall) (reply lentilmux.ServiceReply, err error) {
+	answer, err := r.node.Ask(ctx, lentilmux.RequestMsg{Request: request})
+	if err != nil {
+		r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled})
+		return lentilmux.ServiceReply{}, &lentilmux.Refusal{Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
+	}
+	for {
+		switch a := answer.(type) {
+		case lentilmux.RememberedAnswer:
+			return a.Reply, nil
+		case lentilmux.RefusalAnswer:
+			return lentilmux.ServiceReply{}, &a.Refusal
+		case lentilmux.RouteAnswer:
+			reply, kind, err := r.attempt(ctx, a.Route, request, call)
+			if err == nil {
+				r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeAnswered, Reply: reply})
+				return reply, nil
+			}
+			if errors.Is(err, errStopped) {
+				r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonStopped})
+				return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonStopped, Detail: "an operator stopped the call while it ran"}
+			}
+			answer, err = r.failed(a.Route, kind)
+			if err != nil {
+				return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonDraining, Detail: "this entry VM has stopped"}
+			}
+		default:
+			return lentilmux.ServiceReply{}, errors.Errorf("unexpected answer %T", answer)
+		}
+	}
+}
+
+// failed reports a failed attempt and returns what the node decides.
+func (r *Runner) failed(route lentilmux.Route, kind lentilmux.FailureKind) (answer lentilmux.Answer, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
+	defer cancel()
+	return r.node.Ask(ctx, lentilmux.AttemptFailedMsg{Request: route.Request, Epoch: route.Epoch, Kind: kind})
+}
+
+// attempt sends the call to the route's upstream.
+func (r *Runner) attempt(ctx context.Context, route lentilmux.Route, request lentilmux.Request, call lentilmux.ServiceCall) (reply lentilmux.ServiceReply, kind lentilmux.FailureKind, err error) {
+	if request.Key != "" {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	r.enter(route, end)
+	defer r.leave(route.Request)
+	if err := ctx.Err(); err != nil {
+		return lentilmux.ServiceReply{}, lentilmux.FailureDial, err
+	}
+	reply, err = r.service.Call(ctx, route.Stages[0].Addr, call)
+	if err == nil {
+		return reply, 0, nil
+	}
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errStopped) {
+		return lentilmux.ServiceReply{}, 0, errStopped
+	}
+	kind = kindOf(err)
+	if errors.Is(cause, errAborted) && kind != lentilmux.FailureDial {
+		kind = lentilmux.FailureAborted
+	}
+	return lentilmux.ServiceReply{}, kind, err
+}
+
+// kindOf returns the kind of a failed call.
+func kindOf(err error) lentilmux.FailureKind {
+	var stepError *lentilmux.StepError
+	if errors.As(err, &stepError) {
+		return stepError.Kind
+	}
+	return lentilmux.FailureProtocol
+}
+
+// done reports the end of a call, even if its context has ended.
+func (r *Runner) done(msg lentilmux.RequestDoneMsg) {
+	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
+	defer cancel()
+	// The only errors are a stopped node and one that is hung; neither can
+	// be told.
+	_ = r.node.Send(ctx, msg)
+}
+
+func (r *Runner) enter(route lentilmux.Route, end context.CancelCauseFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[route.Request] = &attempt{epoch: route.Epoch, end: end}
+}
+
+func (r *Runner) leave(request lentilmux.RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, request)
+}
+
+// Abort ends the attempt of a call if it is still in the epoch.
+func (r *Runner) Abort(request lentilmux.RequestID, epoch lentilmux.Epoch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a, ok := r.running[request]; ok && a.epoch == epoch {
+		a.end(errAborted)
+	}
+}
+
+// Cancel ends a call for an operator. It reports whether it was running.
+func (r *Runner) Cancel(request lentilmux.RequestID) (found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a, ok := r.running[request]
+	if ok {
+		a.end(errStopped)
+	}
+	return ok
+}
