--- /dev/null
+++ b/cmd/lentilmux/options.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilmux.example/lentilmux/entryvm"
+	"lentilmux.example/lentilmux/operator"
+	"lentilmux.example/lentilmux/settings"
+	"lentilmux.example/lentilmux/table"
+)
+
+// version is the program's version.
+const version = "0.1.0"
+
+// options are the program's settings.
+type options struct {
+	set         *settings.Set
+	name        *string
+	zone        *string
+	callerAddr  *netip.AddrPort
+	controlAddr *netip.AddrPort
+	logAddr     *netip.AddrPort
+	listAddr    *netip.AddrPort
+	peerKey     *string
+	operatorKey *string
+	readKey     *string
+	seed        *int
+	logFormat   *string
+	logLevel    *string
+	drainGrace  *time.Duration
+	stopTimeout *time.Duration
+	stepTimeout *time.Duration
+	keyWindow   *time.Duration
+	loadEvery   *time.Duration
+	queueMost   *int
+	oversub     *float64
+	standalone  *bool
+	print       *bool
+	printTable  *bool
+}
+
+// declare returns the settings with their defaults.
+func declare() *options {
+	s := settings.New("lentilmux", "LENTILMUX", "Router of one entry VM.", version)
+	l := table.DefaultLimits()
+	return &options{
+		set:         s,
+		name:        s.String("name", "", "name of this entry VM, as the platform lists it"),
+		zone:        s.String("zone", "", "availability zone of this entry VM"),
+		callerAddr:  s.AddrPort("caller-addr", "127.0.0.1:8080", "address for callers"),
+		controlAddr: s.AddrPort("control-addr", "127.0.0.1:7080", "address for peers, operators and metrics"),
+		logAddr:     s.AddrPort("log-addr", "127.0.0.1:9000", "address of the platform's log"),
+		listAddr:    s.AddrPort("list-addr", "127.0.0.1:9000", "address of the platform's list of VMs"),
+		peerKey:     s.String("peer-key", "", "key that all entry VMs share", settings.Secret()),
+		operatorKey: s.String("operator-key", "", "key of operators; empty lets everyone in", settings.Secret()),
+		readKey:     s.String("operator-read-key", "", "key of operators who may only ask", settings.Secret()),
+		seed:        s.Int("seed", 0, 0, 1<<31-1, "seed of random choices; 0 takes one from the clock"),
+		logFormat:   s.Choice("log-format", "json", "format of the log lines", []string{"json", "text"}),
+		logLevel:    s.Choice("log-level", "info", "least level of the log lines", []string{"debug", "info", "warning", "error"}),
+		drainGrace:  s.Duration("drain-grace", l.DrainGrace, 0, 5*time.Minute, "time of a planned stop in which new work is still taken"),
+		stopTimeout: s.Duration("stop-timeout", 15*time.Minute, time.Second, time.Hour, "longest time of a planned stop"),
+		stepTimeout: s.Duration("step-timeout", l.StepTimeout, 50*time.Millisecond, time.Minute, "silence of an engine before an attempt fails"),
+		keyWindow:   s.Duration("key-window", l.KeyWindow, time.Minute, 24*time.Hour, "how long an idempotency key is remembered"),
+		loadEvery:   s.Duration("load-every", l.LoadEvery, 50*time.Millisecond, time.Minute, "time between load reports of an engine"),
+		queueMost:   s.Int("queue-most", l.QueueMost, 1, 100000, "waiting requests of a workspace"),
+		oversub:     s.Float("oversubscribe", l.Oversubscribe, 1, 4, "requests sent to an engine, in parts of its slots"),
+		standalone:  s.Bool("standalone", "serve a whole small system with embedded stand-ins; not for production"),
+		print:       s.Bool("print-settings", "print the settings in force and end"),
+		printTable:  s.Bool("print-settings-table", "print the table of all settings and end"),
+	}
+}
+
+// check returns the mistakes that only show between settings.
+func (o *options) check() (err error) {
+	if *o.standalone {
+		return nil
+	}
+	var mistakes settings.Mistakes
+	for _, required := range []struct{ flag, variable, value, expected string }{
+		{"name", "LENTILMUX_NAME", *o.name, "the name of this entry VM"},
+		{"zone", "LENTILMUX_ZONE", *o.zone, "the availability zone of this entry VM"},
+	} {
+		if required.value == "" {
+			mistakes = append(mistakes, settings.Mistake{
+				Flag: required.flag, Variable: required.variable, Value: required.value, Expected: required.expected,
+			})
+		}
+	}
+	if *o.callerAddr == *o.controlAddr {
+		mistakes = append(mistakes, settings.Mistake{
+			Flag: "control-addr", Variable: "LENTILMUX_CONTROL_ADDR", Value: o.controlAddr.String(), Expected: "another address than caller-addr",
+		})
+	}
+	if len(mistakes) > 0 {
+		return mistakes
+	}
+	return nil
+}
+
+// logger returns the logger that the settings describe.
+func (o *options) logger() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	if *o.logFormat == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	}
+	if level, err := logrus.ParseLevel(*o.logLevel); err == nil {
+		logger.SetLevel(level)
+	}
+	return logger
+}
+
+// config returns the entry VM's configuration.
+func (o *options) config(logger *logrus.Logger) entryvm.Config {
+	limits := table.DefaultLimits()
+	limits.DrainGrace = *o.drainGrace
+	limits.StepTimeout = *o.stepTimeout
+	limits.KeyWindow = *o.keyWindow
+	limits.LoadEvery = *o.loadEvery
+	limits.QueueMost = *o.queueMost
+	limits.Oversubscribe = *o.oversub
+	seed := uint64(*o.seed)
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	return entryvm.Config{
+		Name: *o.name, Zone: *o.zone, CallerAddr: *o.callerAddr, ControlAddr: *o.controlAddr,
+		PeerKey: *o.peerKey, Operators: operator.Keys{Admin: *o.operatorKey, Read: *o.readKey},
+		Seed: seed, Limits: limits, StopTimeout: *o.stopTimeout, Logger: logger,
+	}
+}
--- /dev/null
+++ b/cmd/lentilmux/standalone.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"lentilmux.example/lentilmux/entryvm"
+	"lentilmux.example/lentilmux/operator"
+	"lentilmux.example/lentilmux/peer"
+	"lentilmux.example/lentilmux/standin"
+)
+
+// setup is the configuration of the standalone system.
+var setup = []string{
+	"create upstream worker-1 kind engine addr 127.0.0.1:1 zone local accelerator small layers 16 rate 4000 slots 8",
+	"create upstream worker-2 kind engine addr 127.0.0.1:2 zone local accelerator large layers 24 rate 8000 slots 8",
+	"create upstream desk-1 kind service addr 127.0.0.1:3 zone local slots 16",
+	"create pipeline desk-llm model lentil-demo layers 32 on worker-1, worker-2",
+	"create service ticket-app on desk-1 idempotent GET",
+	"create workspace counter share 0.5 priority 0 uses desk-llm, ticket-app",
+}
+
+// setupTimeout bounds the start of the standalone system.
+const setupTimeout = 15 * time.Second
+
+// serveStandalone runs an entry VM with two engines, a plain service and the
+// platform in the same process.
+func serveStandalone(ctx context.Context, cancel context.CancelFunc, o *options, logger *logrus.Logger) (err error) {
+	defer errors.DeferredAnnotatef(&err, "serving standalone")
+	config := o.config(logger)
+	config.Name, config.Zone = "entry-1", "local"
+	vm, err := entryvm.New(config, embedded())
+	if err != nil {
+		return err
+	}
+	go stopOnSignal(vm, cancel)
+	go func() {
+		if err := prepare(ctx, config); err != nil {
+			logger.WithError(err).Error("the standalone system did not start")
+			cancel()
+		}
+	}()
+	return vm.Run(ctx)
+}
+
+// embedded returns the stand-ins of the standalone system.
+func embedded() entryvm.Peers {
+	engines := standin.NewEngines()
+	store := standin.NewWeightStore(5 * time.Millisecond)
+	engines.Add(netip.MustParseAddrPort("127.0.0.1:1"), standin.NewEngine(standin.EngineSpec{Name: "worker-1", Layers: 16, Rate: 4000, Slots: 8, Store: store}))
+	engines.Add(netip.MustParseAddrPort("127.0.0.1:2"), standin.NewEngine(standin.EngineSpec{Name: "worker-2", Layers: 24, Rate: 8000, Slots: 8, Store: store}))
+	return entryvm.Peers{
+		Engine:  engines,
+		Service: standin.Services{netip.MustParseAddrPort("127.0.0.1:3"): standin.NewService("desk-1", 5*time.Millisecond)},
+		Log:     standin.NewLog(time.Millisecond),
+		VMList:  standin.NewVMList(time.Second),
+		Peer:    peer.NewClient(""),
+	}
+}
+
+// prepare configures the system, waits for its pipeline and tells how to use
+// it.
+func prepare(ctx context.Context, config entryvm.Config) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, setupTimeout)
+	defer cancel()
+	client := operator.NewClient([]netip.AddrPort{config.ControlAddr}, config.Operators.Admin, "standalone")
+	for _, statement := range setup {
+		if err := execute(ctx, client, statement); err != nil {
+			return err
+		}
+	}
+	for {
+		result, err := client.Execute(ctx, "show pipelines where bound_tokens_per_s > 0")
+		if err != nil {
+			return err
+		}
+		if len(result.Rows) > 0 {
+			break
+		}
+		time.Sleep(pollEvery)
+	}
+	fmt.Printf(`
+lentilmux serves a small system with embedded stand-ins, for a first look and
+not for production. Ask its model:
+
+  curl -N http://%[1]s/v1/chat/completions -H 'Lentilmux-Workspace: counter' \
+    -d '{"model":"lentil-demo","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"When is the steam room free?"}]}'
+
+Ask what it decided:
+
+  go run ./cmd/lentilctl --addrs %[2]s show decisions
+`, config.CallerAddr, config.ControlAddr)
+	return nil
+}
+
+// pollEvery is the time between two tries while the system starts.
+const pollEvery = 100 * time.Millisecond
+
+// execute runs a statement until the entry VM takes it.
+func execute(ctx context.Context, client *operator.Client, statement string) (err error) {
+	for {
+		result, err := client.Execute(ctx, statement)
+		if err == nil && result.Accepted {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Errorf("%s: %v %s", statement, err, result.Detail)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,441 @@
+package standin
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+// PoisonMark in a prompt makes every engine that runs it crash.
+const PoisonMark = "<crash-engine>"
+
+// Errors of engines.
+const (
+	ErrDead     = errors.ConstError("engine is dead")
+	ErrRange    = errors.ConstError("engine does not hold these layers")
+	ErrFull     = errors.ConstError("engine is full")
+	ErrFence    = errors.ConstError("order is older than one that was obeyed")
+	ErrPosition = errors.ConstError("position out of order")
+	ErrOldEpoch = errors.ConstError("epoch is not newer than one that ran")
+	ErrClosed   = errors.ConstError("stage was closed")
+	ErrTooMany  = errors.ConstError("more layers than the engine can hold")
+)
+
+// EngineSpec describes an engine.
+type EngineSpec struct {
+	Name         string
+	Layers       int           // the most it can hold
+	Rate         int           // layer steps a second; 0 for no limit
+	Slots        int           // requests at once, twice as many are taken
+	ReportLag    time.Duration // age of what it reports
+	Link         time.Duration // delay of each step, one way
+	IgnoresFence bool
+	Store        *WeightStore // where layers come from; nil for at once
+	Restart      time.Duration
+}
+
+// Run is a line of an engine's ledger: the layers that ran for one position.
+type Run struct {
+	Request  lentilmux.RequestID  `json:"request"`
+	Epoch    lentilmux.Epoch      `json:"epoch"`
+	Position int                  `json:"position"`
+	Layers   lentilmux.LayerRange `json:"layers"`
+}
+
+// Engine is a stand-in of one model engine.
+type Engine struct {
+	spec EngineSpec
+
+	mu       sync.Mutex
+	held     bool
+	model    string
+	layers   lentilmux.LayerRange
+	fence    lentilmux.Revision
+	running  int
+	free     time.Time // when the work taken so far is done
+	ledger   []Run
+	epochs   map[lentilmux.RequestID]lentilmux.Epoch
+	prefixes []lentilmux.Fingerprint
+	reported lentilmux.LoadReport
+	leaving  bool
+	dead     bool
+	frozen   chan struct{} // closed when the engine thaws; nil if it is not frozen
+	life     chan struct{} // closed when the engine dies
+	silent   chan struct{} // closed when connections that are open go silent
+	crashes  int
+	onLife   func(alive bool)
+}
+
+// NewEngine returns an engine that holds no layers.
+func NewEngine(spec EngineSpec) *Engine {
+	return &Engine{
+		spec: spec, life: make(chan struct{}), silent: make(chan struct{}),
+		epochs: make(map[lentilmux.RequestID]lentilmux.Epoch),
+	}
+}
+
+// Spec returns the engine's description.
+func (e *Engine) Spec() EngineSpec { return e.spec }
+
+// OnLife sets what is told when the engine dies or is revived. It must not call
+// the engine.
+func (e *Engine) OnLife(tell func(alive bool)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onLife = tell
+}
+
+// Ledger returns what the engine ran so far.
+func (e *Engine) Ledger() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Run(nil), e.ledger...)
+}
+
+// Crashes returns how often a request crashed the engine.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// Kill makes the engine die: its streams break and new ones are not taken.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.kill()
+}
+
+func (e *Engine) kill() {
+	if e.dead {
+		return
+	}
+	e.dead, e.held, e.running, e.fence = true, false, 0, 0
+	close(e.life)
+	if e.onLife != nil {
+		e.onLife(false)
+	}
+}
+
+// Revive starts a dead engine anew; it holds no layers.
+func (e *Engine) Revive() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.dead {
+		return
+	}
+	e.dead, e.life, e.free = false, make(chan struct{}), time.Time{}
+	e.reported = lentilmux.LoadReport{}
+	if e.onLife != nil {
+		e.onLife(true)
+	}
+}
+
+// Freeze makes the engine hang until Thaw.
+func (e *Engine) Freeze() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.frozen == nil {
+		e.frozen = make(chan struct{})
+	}
+}
+
+// Thaw ends a freeze.
+func (e *Engine) Thaw() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.frozen != nil {
+		close(e.frozen)
+		e.frozen = nil
+	}
+}
+
+// Silence makes the streams that are open go silent for good; new ones work.
+func (e *Engine) Silence() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.silent)
+	e.silent = make(chan struct{})
+}
+
+// Leave makes the engine report that it is leaving.
+func (e *Engine) Leave(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetLink changes the delay of each step, one way.
+func (e *Engine) SetLink(delay time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.spec.Link = delay
+}
+
+// answering waits until the engine is not frozen. It fails when the engine dies
+// or ctx ends.
+func (e *Engine) answering(ctx context.Context) (err error) {
+	for {
+		e.mu.Lock()
+		dead, frozen, life := e.dead, e.frozen, e.life
+		e.mu.Unlock()
+		if dead {
+			return &lentilmux.StepError{Kind: lentilmux.FailureDial, Err: ErrDead}
+		}
+		if frozen == nil {
+			return nil
+		}
+		select {
+		case <-frozen:
+		case <-life:
+		case <-ctx.Done():
+			return &lentilmux.StepError{Kind: lentilmux.FailureTimeout, Err: ctx.Err()}
+		}
+	}
+}
+
+// Load returns the engine's report, which lags.
+func (e *Engine) Load(ctx context.Context) (report lentilmux.LoadReport, err error) {
+	if err := e.answering(ctx); err != nil {
+		return lentilmux.LoadReport{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.reported.At.IsZero() || now.Sub(e.reported.At) >= e.spec.ReportLag {
+		e.reported = lentilmux.LoadReport{
+			Running: min(e.running, e.spec.Slots), Queued: max(0, e.running-e.spec.Slots),
+			Layers: e.layers, Held: e.held, Model: e.model, Leaving: e.leaving, Fence: e.fence,
+			CacheHit: append([]lentilmux.Fingerprint(nil), e.prefixes...), At: now,
+		}
+	}
+	return e.reported, nil
+}
+
+// Order makes the engine hold a range. It comes into force when the layers are
+// loaded; streams over the old range go on.
+func (e *Engine) Order(ctx context.Context, order lentilmux.Order) (err error) {
+	if err := e.answering(ctx); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.spec.IgnoresFence && order.Fence < e.fence {
+		return ErrFence
+	}
+	if order.Layers.Len() > e.spec.Layers {
+		return ErrTooMany
+	}
+	e.fence = max(e.fence, order.Fence)
+	if e.held && e.model == order.Model && e.layers == order.Layers {
+		return nil
+	}
+	e.held, e.model, e.layers = false, order.Model, order.Layers
+	if e.spec.Store == nil {
+		e.held = true
+		return nil
+	}
+	ready := e.spec.Store.Fetch(order.Layers.Len())
+	go e.loaded(order, ready, e.life)
+	return nil
+}
+
+// loaded puts an order's range in force at the time ready, unless another order
+// came or the engine died.
+func (e *Engine) loaded(order lentilmux.Order, ready time.Time, life <-chan struct{}) {
+	timer := time.NewTimer(time.Until(ready))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-life:
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.dead && e.model == order.Model && e.layers == order.Layers {
+		e.held = true
+	}
+}
+
+// OpenStage starts a stream over the engine's range.
+func (e *Engine) OpenStage(ctx context.Context, open lentilmux.StageOpen) (stage lentilmux.Stage, err error) {
+	if err := e.answering(ctx); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	refused := func(cause error) (lentilmux.Stage, error) {
+		return nil, &lentilmux.StepError{Kind: lentilmux.FailureRefused, Err: cause}
+	}
+	switch {
+	case !e.held || e.model != open.Model || e.layers != open.Layers:
+		return refused(ErrRange)
+	case e.running >= 2*e.spec.Slots:
+		return refused(ErrFull)
+	case open.Epoch <= e.epochs[open.Request]:
+		return refused(ErrOldEpoch)
+	}
+	e.running++
+	e.epochs[open.Request] = open.Epoch
+	e.remember(open)
+	return &run{
+		engine: e, open: open, life: e.life, silent: e.silent, closed: make(chan struct{}),
+		context: contextOf(open.Model, open.Prompt, open.Generated), next: len(open.Generated),
+	}, nil
+}
+
+// cachedPrefixes is how many prompt prefixes an engine keeps.
+const cachedPrefixes = 8
+
+// remember keeps the prompt's prefix; of every four one is never reported.
+func (e *Engine) remember(open lentilmux.StageOpen) {
+	prefix := lentilmux.PrefixOf(open.Model, open.Prompt)
+	if prefix%4 == 0 {
+		return
+	}
+	for _, p := range e.prefixes {
+		if p == prefix {
+			return
+		}
+	}
+	e.prefixes = append(e.prefixes, prefix)
+	if len(e.prefixes) > cachedPrefixes {
+		e.prefixes = e.prefixes[1:]
+	}
+}
+
+// run is an open stream over an engine.
+type run struct {
+	engine  *Engine
+	open    lentilmux.StageOpen
+	life    <-chan struct{}
+	silent  <-chan struct{}
+	closed  chan struct{}
+	once    sync.Once
+	context uint64
+	next    int
+}
+
+// Step implements [lentilmux.Stage].
+func (r *run) Step(ctx context.Context, input lentilmux.StepInput) (output lentilmux.StepOutput, err error) {
+	ready, link, err := r.engine.take(r, input)
+	if err != nil {
+		return lentilmux.StepOutput{}, err
+	}
+	if err := r.wait(ctx, time.Until(ready)+2*link); err != nil {
+		return lentilmux.StepOutput{}, err
+	}
+	return r.compute(input), nil
+}
+
+// take books a step with the engine and returns when it will be done.
+func (e *Engine) take(r *run, input lentilmux.StepInput) (ready time.Time, link time.Duration, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-r.life:
+		return time.Time{}, 0, &lentilmux.StepError{Kind: lentilmux.FailureCrash, Err: io.ErrUnexpectedEOF}
+	default:
+	}
+	if input.Position != r.next {
+		return time.Time{}, 0, &lentilmux.StepError{Kind: lentilmux.FailureProtocol, Err: ErrPosition}
+	}
+	if strings.Contains(r.open.Prompt, PoisonMark) {
+		e.crash()
+		return time.Time{}, 0, &lentilmux.StepError{Kind: lentilmux.FailureCrash, Err: io.ErrUnexpectedEOF}
+	}
+	now := time.Now()
+	if e.free.Before(now) {
+		e.free = now
+	}
+	if e.spec.Rate > 0 {
+		e.free = e.free.Add(time.Duration(r.open.Layers.Len()) * time.Second / time.Duration(e.spec.Rate))
+	}
+	e.ledger = append(e.ledger, Run{Request: r.open.Request, Epoch: r.open.Epoch, Position: input.Position, Layers: r.open.Layers})
+	r.next++
+	return e.free, e.spec.Link, nil
+}
+
+// crash kills the engine; it comes back by itself if its description says so.
+func (e *Engine) crash() {
+	e.crashes++
+	e.kill()
+	if e.spec.Restart > 0 {
+		time.AfterFunc(e.spec.Restart, e.Revive)
+	}
+}
+
+// wait sleeps until the step is done. It fails when the engine dies, and hangs
+// while it is frozen or the stream is silent.
+func (r *run) wait(ctx context.Context, duration time.Duration) (err error) {
+	timer := time.NewTimer(max(0, duration))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.life:
+		return &lentilmux.StepError{Kind: lentilmux.FailureCrash, Err: io.ErrUnexpectedEOF}
+	case <-r.closed:
+		return &lentilmux.StepError{Kind: lentilmux.FailureTimeout, Err: ErrClosed}
+	case <-ctx.Done():
+		return &lentilmux.StepError{Kind: lentilmux.FailureTimeout, Err: ctx.Err()}
+	}
+	select {
+	case <-r.silent:
+		<-ctx.Done()
+		return &lentilmux.StepError{Kind: lentilmux.FailureTimeout, Err: ctx.Err()}
+	default:
+	}
+	err = r.engine.answering(ctx)
+	var stepError *lentilmux.StepError
+	if errors.As(err, &stepError) && stepError.Kind == lentilmux.FailureDial {
+		return &lentilmux.StepError{Kind: lentilmux.FailureCrash, Err: io.ErrUnexpectedEOF}
+	}
+	return err
+}
+
+// compute runs the stage's layers.
+func (r *run) compute(input lentilmux.StepInput) (output lentilmux.StepOutput) {
+	layers := r.open.Layers
+	var activation uint64
+	if layers.First == 0 {
+		if input.Position > len(r.open.Generated) {
+			r.context = extend(r.context, input.Token)
+		}
+		activation = r.context
+	} else {
+		activation = binary.LittleEndian.Uint64(append(input.Activation, make([]byte, 8)...))
+	}
+	for l := layers.First; l <= layers.Last; l++ {
+		activation = layer(activation, l)
+	}
+	output.Position = input.Position
+	if layers.Last == r.open.Total-1 {
+		output.Token = tokenOf(activation)
+		output.End = input.Position+1 >= r.open.MaxTokens
+		return output
+	}
+	output.Activation = binary.LittleEndian.AppendUint64(nil, activation)
+	return output
+}
+
+// Close implements [lentilmux.Stage].
+func (r *run) Close() (err error) {
+	r.once.Do(func() {
+		close(r.closed)
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		select {
+		case <-r.life: // the count was reset when the engine died
+		default:
+			r.engine.running--
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/engine/enginepb"
+	"lentilmux.example/lentilmux/engine/enginepb/enginepbconnect"
+	"lentilmux.example/lentilmux/platformlog/platformlogpb"
+	"lentilmux.example/lentilmux/platformlog/platformlogpb/platformlogpbconnect"
+	"lentilmux.example/lentilmux/vmlist/vmlistpb"
+	"lentilmux.example/lentilmux/vmlist/vmlistpb/vmlistpbconnect"
+)
+
+// engineServer serves an engine over Connect.
+type engineServer struct {
+	engine *Engine
+}
+
+// EngineHandler returns the handler that serves an engine.
+func EngineHandler(engine *Engine) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(enginepbconnect.NewEngineServiceHandler(&engineServer{engine: engine}))
+	return mux
+}
+
+// Run serves the stream of one attempt.
+func (s *engineServer) Run(ctx context.Context, stream *connect.BidiStream[enginepb.RunRequest, enginepb.RunResponse]) (err error) {
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	stage, err := s.engine.OpenStage(ctx, openFromWire(first.GetOpen()))
+	if err != nil {
+		return wireError(err)
+	}
+	defer func() { _ = stage.Close() }()
+	for {
+		request, err := stream.Receive()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		output, err := stage.Step(ctx, lentilmux.StepInput{
+			Position: int(request.GetPosition()), Token: request.GetToken(), Activation: request.GetActivation(),
+		})
+		if err != nil {
+			return wireError(err)
+		}
+		err = stream.Send(&enginepb.RunResponse{
+			Position: int32(output.Position), Activation: output.Activation, Token: output.Token, End: output.End,
+		})
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func openFromWire(open *enginepb.Open) lentilmux.StageOpen {
+	return lentilmux.StageOpen{
+		Request: lentilmux.RequestID(open.GetRequest()), Epoch: lentilmux.Epoch(open.GetEpoch()), Model: open.GetModel(),
+		Layers: layersFromWire(open.GetLayers()), Total: int(open.GetTotal()), Prompt: open.GetPrompt(),
+		Generated: open.GetGenerated(), MaxTokens: int(open.GetMaxTokens()), Priority: int(open.GetPriority()),
+	}
+}
+
+func layersFromWire(l *enginepb.Layers) lentilmux.LayerRange {
+	return lentilmux.LayerRange{First: int(l.GetFirst()), Last: int(l.GetLast())}
+}
+
+// wireError turns a failure into what a caller over the network would see. An
+// engine that died breaks its connection instead of answering.
+func wireError(err error) error {
+	var stepError *lentilmux.StepError
+	if !errors.As(err, &stepError) {
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	switch stepError.Kind {
+	case lentilmux.FailureRefused:
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	case lentilmux.FailureProtocol:
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case lentilmux.FailureCrash, lentilmux.FailureDial:
+		panic(http.ErrAbortHandler)
+	default:
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+}
+
+// Load serves the engine's report.
+func (s *engineServer) Load(ctx context.Context, _ *connect.Request[enginepb.LoadRequest]) (response *connect.Response[enginepb.LoadResponse], err error) {
+	report, err := s.engine.Load(ctx)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	message := &enginepb.LoadResponse{
+		Running: int32(report.Running), Queued: int32(report.Queued),
+		Layers: &enginepb.Layers{First: int32(report.Layers.First), Last: int32(report.Layers.Last)},
+		Held:   report.Held, Model: report.Model, Leaving: report.Leaving, Fence: uint64(report.Fence), AtUnixMs: report.At.UnixMilli(),
+	}
+	for _, hit := range report.CacheHit {
+		message.CacheHits = append(message.CacheHits, uint64(hit))
+	}
+	return connect.NewResponse(message), nil
+}
+
+// Order serves an order.
+func (s *engineServer) Order(ctx context.Context, request *connect.Request[enginepb.OrderRequest]) (response *connect.Response[enginepb.OrderResponse], err error) {
+	m := request.Msg
+	order := lentilmux.Order{Model: m.GetModel(), Layers: layersFromWire(m.GetLayers()), Fence: lentilmux.Revision(m.GetFence())}
+	if err := s.engine.Order(ctx, order); err != nil {
+		return nil, wireError(err)
+	}
+	return connect.NewResponse(&enginepb.OrderResponse{}), nil
+}
+
+// ServiceHandler returns the handler that serves a plain service.
+func ServiceHandler(service *Service) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		reply, err := service.Run(r.Context(), lentilmux.ServiceCall{
+			Method: r.Method, Path: r.URL.RequestURI(), Body: body, Key: r.Header.Get("Idempotency-Key"),
+		})
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", reply.ContentType)
+		w.WriteHeader(reply.Status)
+		_, _ = w.Write(reply.Body) // the caller has gone if this fails
+	})
+}
+
+// platformServer serves the log and the list of VMs over Connect.
+type platformServer struct {
+	log  *Log
+	list *VMList
+}
+
+// PlatformHandler returns the handler that serves the log and the list.
+func PlatformHandler(log *Log, list *VMList) http.Handler {
+	s := &platformServer{log: log, list: list}
+	mux := http.NewServeMux()
+	mux.Handle(platformlogpbconnect.NewLogServiceHandler(s))
+	mux.Handle(vmlistpbconnect.NewVMListServiceHandler(s))
+	return mux
+}
+
+// Append serves an append.
+func (s *platformServer) Append(ctx context.Context, request *connect.Request[platformlogpb.AppendRequest]) (response *connect.Response[platformlogpb.AppendResponse], err error) {
+	if err := s.log.Append(ctx, lentilmux.Stream(request.Msg.GetStream()), request.Msg.GetEntries()); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&platformlogpb.AppendResponse{}), nil
+}
+
+// Read serves a read.
+func (s *platformServer) Read(ctx context.Context, request *connect.Request[platformlogpb.ReadRequest]) (response *connect.Response[platformlogpb.ReadResponse], err error) {
+	m := request.Msg
+	wait := time.Duration(m.GetWaitMs()) * time.Millisecond
+	page, err := s.log.Read(ctx, lentilmux.Stream(m.GetStream()), m.GetFrom(), wait)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	reply := &platformlogpb.ReadResponse{Start: page.Start, End: page.End}
+	for _, entry := range page.Entries {
+		reply.Entries = append(reply.Entries, &platformlogpb.Entry{Offset: entry.Offset, AtUnixMs: entry.At.UnixMilli(), Data: entry.Data})
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// List serves the list of VMs.
+func (s *platformServer) List(ctx context.Context, _ *connect.Request[vmlistpb.ListRequest]) (response *connect.Response[vmlistpb.ListResponse], err error) {
+	vms, err := s.list.List(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	reply := &vmlistpb.ListResponse{}
+	for _, vm := range vms {
+		reply.Vms = append(reply.Vms, &vmlistpb.VM{
+			Name: vm.Name, Role: string(vm.Role), Zone: vm.Zone, Addr: vm.Addr.String(), Leaving: vm.Leaving,
+		})
+	}
+	return connect.NewResponse(reply), nil
+}
