Prove the promises on small clusters, and repair a log that lost records

Cause: a test that truncates the log and starts a VM anew saw a booking run twice: the new VM had no way to know that intents were lost. Digests now carry how far the calls were read and since when all of them are known; a joiner is behind until it has met them, and keys older than that are refused as unknown.

Ruled out: refusing commands until an operator mends the log (safe, but no change could be made until somebody does), and padding the log with empty records (its offsets are the platform's business).

Also: a refusal of a resent key says unknown unless this VM can vouch for it, and a node starts with a small retry budget.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -39,6 +39,9 @@
 	WorkspaceHeader = "Lentilmux-Workspace"
 	// TimeoutHeader gives the time for the whole answer in milliseconds.
 	TimeoutHeader = "Lentilmux-Timeout-Ms"
+	// AttemptHeader counts the requests with one idempotency key, from 1. The
+	// first can be told that it did not run even when the log is down.
+	AttemptHeader = "Lentilmux-Attempt"
 	// RequestHeader names the request in the answer.
 	RequestHeader = "Lentilmux-Request"
 )
@@ -176,6 +179,7 @@
 	request.Deadline = time.Now().Add(timeout)
 	if key := r.Header.Get(service.KeyHeader); key != "" {
 		request.Key = key
+		request.First = r.Header.Get(AttemptHeader) == "1"
 		request.Born, err = bornAt(key)
 	}
 	return request, err
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -41,7 +41,7 @@
 	lentilmux.ReasonKeyExpired:       http.StatusBadRequest,
 	lentilmux.ReasonKeyReused:        http.StatusUnprocessableEntity,
 	lentilmux.ReasonKeyRunning:       http.StatusConflict,
-	lentilmux.ReasonOwnerLost:        http.StatusConflict,
+	lentilmux.ReasonOutcomeUnknown:   http.StatusConflict,
 	lentilmux.ReasonAnswerTooLarge:   http.StatusConflict,
 	lentilmux.ReasonUpstreamFailed:   http.StatusBadGateway,
 	lentilmux.ReasonQuarantined:      http.StatusUnprocessableEntity,
--- a/cmd/lentilmux/standalone.go
+++ b/cmd/lentilmux/standalone.go
@@ -114,4 +114,3 @@
 		time.Sleep(pollEvery)
 	}
 }
-
--- a/config.go
+++ b/config.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Revision is the log offset of the last configuration record in force, plus
-// one, so that 0 means none.
+// Revision counts the configuration records in force. It is the offset of the
+// last of them plus one, and plus what the log has lost, so that it only rises.
 type Revision uint64
 
 // UpstreamKind says what an upstream serves.
@@ -110,6 +110,7 @@
 // Snapshot is the whole configuration at a revision.
 type Snapshot struct {
 	Revision   Revision        `json:"revision"`
+	Shift      uint64          `json:"shift"` // revision less the offset read next
 	Upstreams  []UpstreamSpec  `json:"upstreams"`
 	Pipelines  []PipelineSpec  `json:"pipelines"`
 	Services   []ServiceSpec   `json:"services"`
--- a/outcome.go
+++ b/outcome.go
@@ -53,7 +53,7 @@
 	ReasonKeyReused        Reason = "idempotency_key_reused"
 	ReasonKeyRunning       Reason = "idempotency_key_running"
 	ReasonLogUnavailable   Reason = "log_unavailable"
-	ReasonOwnerLost        Reason = "owner_lost"
+	ReasonOutcomeUnknown   Reason = "outcome_unknown"
 	ReasonAnswerTooLarge   Reason = "answer_not_kept"
 	ReasonUpstreamFailed   Reason = "upstream_failed"
 	ReasonQuarantined      Reason = "quarantined"
--- a/peer.go
+++ b/peer.go
@@ -21,6 +21,8 @@
 	Addr        netip.AddrPort
 	Incarnation string
 	Revision    Revision
+	CallsNext   uint64    // the offset of the calls stream that is read next
+	CallsSince  time.Time // since when all calls are known; zero for all
 	Draining    bool
 	Leaving     []string        // upstreams seen to be leaving
 	InFlight    []UpstreamCount // own work in flight, upstreams with any
--- a/platformlog/tailer.go
+++ b/platformlog/tailer.go
@@ -45,7 +45,8 @@
 }
 
 // tail reads one stream. A page that ends before the offset asked for is
-// handed on too, since it shows that the log is shorter than it was.
+// handed on too, since it shows that the log is shorter than it was; reading
+// goes on at its end.
 func (t *Tailer) tail(ctx context.Context, stream lentilmux.Stream, decode func(lentilmux.LogPage) lentilmux.Msg) {
 	var next uint64
 	for ctx.Err() == nil {
@@ -63,9 +64,7 @@
 		if count := len(page.Entries); count > 0 {
 			next = page.Entries[count-1].Offset + 1
 		}
-		if page.End < next {
-			sleep(ctx, retryWait)
-		}
+		next = min(next, page.End)
 	}
 }
 
--- a/request.go
+++ b/request.go
@@ -16,12 +16,13 @@
 type Request struct {
 	ID          RequestID
 	Workspace   string
-	Model       string // the model asked for, or empty
-	Service     string // the plain service asked for, or empty
-	Method      string // of a call to a plain service
-	Credential  string // hash of the credential that the caller showed
-	Key         string // the caller's idempotency key, or empty
-	Born        time.Time
+	Model       string    // the model asked for, or empty
+	Service     string    // the plain service asked for, or empty
+	Method      string    // of a call to a plain service
+	Credential  string    // hash of the credential that the caller showed
+	Key         string    // the caller's idempotency key, or empty
+	Born        time.Time // when the key was made
+	First       bool      // whether the caller says that it sends the key for the first time
 	Fingerprint Fingerprint
 	Prefix      Fingerprint // of the prompt's beginning, for cache affinity
 	Tokens      int         // the most tokens the answer may have
--- a/system/arrive.go
+++ b/system/arrive.go
@@ -29,8 +29,9 @@
 		refusal = s.checkKey(t, now, request)
 	}
 	if refusal != nil {
-		t.Answer(arrival.Ticket, lentilmux.RefusalAnswer{Refusal: *refusal})
-		decideRefusal(t, now, request, *refusal)
+		vouched := vouch(request, *refusal)
+		t.Answer(arrival.Ticket, lentilmux.RefusalAnswer{Refusal: vouched})
+		decideRefusal(t, now, request, vouched)
 		return
 	}
 	t.Self.RetryTokens = min(t.Self.RetryTokens+t.Limits.RetryShare, t.Limits.RetryMost)
--- a/system/claim.go
+++ b/system/claim.go
@@ -44,7 +44,6 @@
 	row := &t.Streams.Calls
 	s.noteGap(t, now, page)
 	row.Seen = true
-	row.Regressed = page.End < row.Next
 	row.End = page.End
 	row.ReadAt = now
 	row.FailedAt = time.Time{}
@@ -68,12 +67,13 @@
 func (s *Claim) noteGap(t *table.Tables, now time.Time, page lentilmux.CallPageMsg) {
 	row := &t.Streams.Calls
 	switch {
-	case page.End < row.Next && !row.Regressed:
-		row.KnownSince = now
+	case page.End < row.Next:
 		t.Decide(now, lentilmux.Decision{
 			What: "calls_log", Subject: "calls", Chosen: "refuse_older_keys",
 			Reason: fmt.Sprintf("log ends at %d before offset %d", page.End, row.Next),
 		})
+		row.Next = page.End
+		row.KnownSince = now
 	case page.Start > row.Next:
 		row.Next = page.Start
 		row.KnownSince = now
@@ -262,7 +262,7 @@
 	case call.Fingerprint != r.Request.Fingerprint:
 		refuse(t, now, r, notRun(lentilmux.ReasonKeyReused, 0, "the key was used with another request"))
 	case call.State == table.CallUnknown:
-		refuse(t, now, r, unknown(lentilmux.ReasonOwnerLost, 0, "a request with this key was started and its outcome is not known"))
+		refuse(t, now, r, unknown(lentilmux.ReasonOutcomeUnknown, 0, "a request with this key was started and its outcome is not known"))
 	case call.Truncated:
 		refuse(t, now, r, lentilmux.Refusal{
 			Outcome: lentilmux.OutcomeAnswered, Reason: lentilmux.ReasonAnswerTooLarge,
--- a/system/configure.go
+++ b/system/configure.go
@@ -13,6 +13,9 @@
 	appendEvery = 500 * time.Millisecond
 	// fetchEvery is the time between two requests for a peer's snapshot.
 	fetchEvery = 500 * time.Millisecond
+	// repairAfter is how long a log must have been shorter than the
+	// configuration in force before a snapshot is published into it.
+	repairAfter = 5 * time.Second
 )
 
 // Configure keeps the configuration in force equal to the log's. It reads the
@@ -42,28 +45,33 @@
 	}
 	s.pending(t, now)
 	s.publish(t, now)
+	s.repair(t, now)
 	for _, ticket := range t.Events.SnapshotAsks {
 		t.Answer(ticket, lentilmux.SnapshotAnswer{Snapshot: snapshot(t)})
 	}
 }
 
-// read takes a page of the log into the backlog.
+// read takes a page of the log into the backlog. A log that ends before what
+// is in force has lost records; the configuration in force stays.
 func (s *Configure) read(t *table.Tables, now time.Time, page lentilmux.ConfigPageMsg) {
 	row := &t.Streams.Config
-	regressed := page.End < uint64(t.Self.Revision)
-	if regressed && !row.Regressed {
+	regressed := page.End < row.Next
+	if regressed && row.Regressed.IsZero() {
+		row.Regressed = now
 		t.Decide(now, lentilmux.Decision{
 			What: "config_log", Subject: "config", Chosen: "keep",
-			Reason: fmt.Sprintf("log ends at %d before revision %d", page.End, t.Self.Revision),
+			Reason: fmt.Sprintf("log ends at %d before offset %d", page.End, row.Next),
 		})
 	}
-	row.Regressed = regressed
+	if !regressed {
+		row.Regressed = time.Time{}
+	}
 	row.Seen = true
 	row.End = page.End
 	row.ReadAt = now
 	row.FailedAt = time.Time{}
 	t.Self.Contact = now
-	if len(t.Backlog.Entries) == 0 && len(page.Entries) == 0 && page.Start > uint64(t.Self.Revision) {
+	if len(t.Backlog.Entries) == 0 && len(page.Entries) == 0 && page.Start > row.Next {
 		s.fetch(t, now)
 	}
 	t.Backlog.Entries = append(t.Backlog.Entries, page.Entries...)
@@ -72,13 +80,17 @@
 // advance applies what the backlog allows, in log order. Over a gap it looks
 // for a snapshot in the backlog, and else asks a peer.
 func (s *Configure) advance(t *table.Tables, now time.Time) {
+	row := &t.Streams.Config
 	entries := t.Backlog.Entries
 	for len(entries) > 0 {
 		entry := entries[0]
-		switch next := uint64(t.Self.Revision); {
-		case entry.Offset < next:
+		switch {
+		case s.rebases(t, entry):
+			s.rebase(t, now, entry)
 			entries = entries[1:]
-		case entry.Offset == next:
+		case entry.Offset < row.Next:
+			entries = entries[1:]
+		case entry.Offset == row.Next:
 			s.apply(t, now, entry)
 			entries = entries[1:]
 		default:
@@ -90,17 +102,41 @@
 		}
 	}
 	t.Backlog.Entries = nil
-	if row := &t.Streams.Config; row.Seen && uint64(t.Self.Revision) >= row.End {
+	if row.Seen && row.Next >= row.End && row.Regressed.IsZero() {
 		row.CaughtUp = true
 	}
 }
 
+// rebases reports whether the entry is a snapshot of a higher revision than its
+// place in the log gives it, which only happens after the log lost records.
+func (s *Configure) rebases(t *table.Tables, entry lentilmux.ConfigEntry) bool {
+	snapshot := entry.Record.Snapshot
+	return snapshot != nil &&
+		uint64(snapshot.Revision) > entry.Offset+t.Streams.Config.Shift &&
+		snapshot.Revision >= t.Self.Revision
+}
+
+// rebase goes on from a snapshot that was published after the log lost records:
+// revisions rise from its own on.
+func (s *Configure) rebase(t *table.Tables, now time.Time, entry lentilmux.ConfigEntry) {
+	s.offer(t, now, *entry.Record.Snapshot)
+	row := &t.Streams.Config
+	row.Shift = uint64(entry.Record.Snapshot.Revision) - entry.Offset
+	row.Next = entry.Offset
+	row.Regressed = time.Time{}
+	t.Decide(now, lentilmux.Decision{
+		What: "config_log", Subject: "config", Chosen: "rebase",
+		Reason: fmt.Sprintf("snapshot of revision %d at offset %d", entry.Record.Snapshot.Revision, entry.Offset),
+	})
+	s.apply(t, now, entry)
+}
+
 // bridge installs the first snapshot among entries that reaches the first of
 // them. It reports whether there was one.
 func (s *Configure) bridge(t *table.Tables, now time.Time, entries []lentilmux.ConfigEntry) bool {
 	for _, entry := range entries {
 		snapshot := entry.Record.Snapshot
-		if snapshot != nil && uint64(snapshot.Revision) >= entries[0].Offset {
+		if snapshot != nil && uint64(snapshot.Revision) >= entries[0].Offset+snapshot.Shift {
 			s.offer(t, now, *snapshot)
 			return true
 		}
@@ -143,7 +179,8 @@
 
 // apply decides one record and counts it, whatever the verdict.
 func (s *Configure) apply(t *table.Tables, now time.Time, entry lentilmux.ConfigEntry) {
-	t.Self.Revision = lentilmux.Revision(entry.Offset + 1)
+	t.Streams.Config.Next = entry.Offset + 1
+	t.Self.Revision = lentilmux.Revision(entry.Offset + 1 + t.Streams.Config.Shift)
 	record := entry.Record
 	if record.Snapshot != nil {
 		t.History.SinceSnapshot = 0
@@ -225,7 +262,7 @@
 		t.Answer(event.Ticket, lentilmux.CommandAnswer{
 			Accepted: true, Known: true, Revision: t.Self.Revision, Detail: "would be accepted; nothing was changed",
 		})
-	case row.Regressed:
+	case !row.Regressed.IsZero():
 		refuse("the log is shorter than the configuration in force; nothing was changed")
 	case !row.Healthy() || !t.Self.Joined:
 		refuse("the log is not available; nothing was changed")
@@ -259,6 +296,36 @@
 	}
 }
 
+// repair publishes a snapshot after the log lost records, so that commands can
+// be taken again. The VM with the lowest name among those with the highest
+// revision does it.
+func (s *Configure) repair(t *table.Tables, now time.Time) {
+	row := &t.Streams.Config
+	if row.Regressed.IsZero() || !row.FailedAt.IsZero() || !t.Self.Joined {
+		return
+	}
+	if due := row.Regressed.Add(repairAfter); now.Before(due) {
+		t.WakeAt(due)
+		return
+	}
+	for i := range t.Peers.Rows {
+		p := &t.Peers.Rows[i]
+		ahead := p.Digest.Revision > t.Self.Revision || (p.Digest.Revision == t.Self.Revision && p.Name < t.Self.Name)
+		if ahead && now.Sub(p.HeardAt) < t.Limits.OwnerTimeout {
+			return
+		}
+	}
+	row.Regressed = now
+	s.append(t, snapshot(t))
+}
+
+// append appends a snapshot to the log.
+func (s *Configure) append(t *table.Tables, taken lentilmux.Snapshot) {
+	t.Add(lentilmux.ConfigAppendEffect{Record: lentilmux.ConfigRecord{
+		ID: fmt.Sprintf("snapshot-%s-%d", t.Self.Name, taken.Revision), Who: t.Self.Name, Snapshot: &taken,
+	}})
+}
+
 // publish appends a snapshot before the log's retention can take the records
 // that it replaces. The VM with the lowest name does it.
 func (s *Configure) publish(t *table.Tables, now time.Time) {
@@ -275,12 +342,9 @@
 	if !lowestPeer(t, now, t.Limits.OwnerTimeout) {
 		return
 	}
-	taken := snapshot(t)
 	t.History.SinceSnapshot = 0
 	t.History.SnapshotAt = now
-	t.Add(lentilmux.ConfigAppendEffect{Record: lentilmux.ConfigRecord{
-		ID: fmt.Sprintf("snapshot-%s-%d", t.Self.Name, taken.Revision), Who: t.Self.Name, Snapshot: &taken,
-	}})
+	s.append(t, snapshot(t))
 }
 
 // lowestPeer reports whether the node has the lowest name of the entry VMs
--- a/system/lifecycle.go
+++ b/system/lifecycle.go
@@ -79,12 +79,33 @@
 
 // refuse answers the request's asker with a refusal and removes the request.
 func refuse(t *table.Tables, now time.Time, r *table.Request, refusal lentilmux.Refusal) {
-	if r.Ran && refusal.Outcome == lentilmux.OutcomeNotRun {
-		refusal.Outcome = lentilmux.OutcomeUnknown
+	own := refusal.Outcome
+	if r.Ran && own == lentilmux.OutcomeNotRun {
+		own = lentilmux.OutcomeUnknown
+	}
+	refusal.Outcome = own
+	if !slices.Contains(r.Held, callKey(r.Request)) {
+		refusal = vouch(r.Request, refusal)
 	}
 	t.Answer(r.Ticket, lentilmux.RefusalAnswer{Refusal: refusal})
 	decideRefusal(t, now, r.Request, refusal)
-	remove(t, now, r, refusal.Outcome, lentilmux.ServiceReply{})
+	remove(t, now, r, own, lentilmux.ServiceReply{})
+}
+
+// vouch turns "not run" into "unknown" for a key that the node does not hold
+// and that was sent before: the earlier request may have run at another entry
+// VM. A key that was used with another request is known from the log.
+func vouch(request lentilmux.Request, refusal lentilmux.Refusal) lentilmux.Refusal {
+	if request.Key == "" || request.First || refusal.Outcome != lentilmux.OutcomeNotRun {
+		return refusal
+	}
+	switch refusal.Reason {
+	case lentilmux.ReasonKeyReused, lentilmux.ReasonKeyInvalid:
+		return refusal
+	}
+	refusal.Outcome = lentilmux.OutcomeUnknown
+	refusal.Detail += "; an earlier request with this key may have run"
+	return refusal
 }
 
 // decideRefusal writes the decision line of a refusal.
--- a/system/membership.go
+++ b/system/membership.go
@@ -89,6 +89,9 @@
 			u.PeerLeavingAt = now
 		}
 	}
+	if d.CallsSince.After(t.Streams.Calls.KnownSince) {
+		t.Streams.Calls.KnownSince = d.CallsSince
+	}
 	if d.Revision > t.Self.Revision {
 		s.catchUp(t, now, p)
 	}
@@ -158,6 +161,7 @@
 	d := lentilmux.Digest{
 		VM: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
 		Revision: t.Self.Revision, Draining: t.Self.Draining(),
+		CallsNext: t.Streams.Calls.Next, CallsSince: t.Streams.Calls.KnownSince,
 	}
 	for i := range t.Upstreams.Rows {
 		u := &t.Upstreams.Rows[i]
--- a/system/place.go
+++ b/system/place.go
@@ -44,7 +44,9 @@
 // desire sets the order of every engine.
 func (s *Place) desire(t *table.Tables, now time.Time) {
 	for i := range t.Upstreams.Rows {
-		t.Upstreams.Rows[i].Order = lentilmux.Order{}
+		if u := &t.Upstreams.Rows[i]; userOf(t, u.Spec.Name) == "" || u.Spec.Excluded {
+			u.Order = lentilmux.Order{}
+		}
 	}
 	for i := range t.Pipelines.Rows {
 		spec := &t.Pipelines.Rows[i].Spec
@@ -54,20 +56,30 @@
 			t.Decide(now, lentilmux.Decision{
 				What: "placement", Subject: spec.Name, Chosen: "none", Reason: "its upstreams cannot hold the model",
 			})
-			continue
 		}
 		for _, stage := range stages {
-			t.Decide(now, lentilmux.Decision{
-				What: "placement", Subject: spec.Name, Chosen: rangeText(stage.Layers),
-				Reason: "balanced by rate", Considered: stage.Upstreams,
-			})
-			for _, name := range stage.Upstreams {
-				t.Upstreams.Find(name).Order = lentilmux.Order{Model: spec.Model, Layers: stage.Layers, Fence: fence}
-			}
+			s.desireStage(t, now, spec, stage, fence)
 		}
 	}
 }
 
+// desireStage sets the orders of one stage's engines. It writes a decision if
+// any of them changes its range.
+func (s *Place) desireStage(t *table.Tables, now time.Time, spec *lentilmux.PipelineSpec, stage lentilmux.PlacedStage, fence lentilmux.Revision) {
+	changed := false
+	for _, name := range stage.Upstreams {
+		u := t.Upstreams.Find(name)
+		changed = changed || u.Order.Model != spec.Model || u.Order.Layers != stage.Layers
+		u.Order = lentilmux.Order{Model: spec.Model, Layers: stage.Layers, Fence: fence}
+	}
+	if changed {
+		t.Decide(now, lentilmux.Decision{
+			What: "placement", Subject: spec.Name, Chosen: rangeText(stage.Layers),
+			Reason: "balanced by rate", Considered: stage.Upstreams,
+		})
+	}
+}
+
 // nodes returns the engines that a pipeline may use and the fencing number of
 // a placement over them: the last revision that changed any of them.
 func (s *Place) nodes(t *table.Tables, spec *lentilmux.PipelineSpec) (nodes []lentilmux.PlacementNode, fence lentilmux.Revision) {
--- a/system/readiness.go
+++ b/system/readiness.go
@@ -65,6 +65,9 @@
 		if p.Digest.Revision > t.Self.Revision {
 			return fmt.Sprintf("peer %s has revision %d in force", p.Name, p.Digest.Revision)
 		}
+		if t.Streams.Calls.Healthy() && p.Digest.CallsNext > t.Streams.Calls.Next {
+			return fmt.Sprintf("peer %s has read the calls up to %d", p.Name, p.Digest.CallsNext)
+		}
 	}
 	return ""
 }
--- /dev/null
+++ b/system/scenario_test.go
@@ -0,0 +1,367 @@
+package system_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/operator"
+	"lentilmux.example/lentilmux/system"
+	"lentilmux.example/lentilmux/table"
+)
+
+// TestScenarios runs every file of timed events below testdata and compares the
+// decisions and effects with its golden file. A line of a scenario is a time
+// since the start, an event and its fields:
+//
+//	100ms arrive r1 workspace=counter model=lentil deadline=1s
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.scenario")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".scenario")
+		t.Run(name, func(t *testing.T) {
+			goldie.New(t).Assert(t, name, []byte(play(t, file)))
+		})
+	}
+}
+
+// scenario is one node under a script.
+type scenario struct {
+	tables   *table.Tables
+	schedule *system.Schedule
+	start    time.Time
+	due      time.Time // of the next tick
+	tickets  map[lentilmux.Ticket]string
+	last     lentilmux.Ticket
+	offset   uint64
+	calls    uint64
+	out      strings.Builder
+}
+
+// play runs a scenario and returns what the node did.
+func play(t *testing.T, file string) string {
+	t.Helper()
+	s := newScenario()
+	s.file(t, file)
+	return s.out.String()
+}
+
+// file plays the lines of a file. The line "include setup" plays the common
+// beginning without printing it.
+func (s *scenario) file(t *testing.T, file string) {
+	t.Helper()
+	source, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = source.Close() }()
+	scanner := bufio.NewScanner(source)
+	for scanner.Scan() {
+		line := strings.TrimSpace(scanner.Text())
+		switch {
+		case line == "" || strings.HasPrefix(line, "#"):
+		case line == "include setup":
+			s.file(t, "testdata/setup.part")
+			s.out.Reset()
+		default:
+			if err := s.line(line); err != nil {
+				t.Fatalf("%s: %q: %v", file, line, err)
+			}
+		}
+	}
+}
+
+func newScenario() *scenario {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tables := table.New(table.Self{
+		Name: "entry-1", Zone: "kochi", Addr: netip.MustParseAddrPort("127.0.0.1:7001"), Incarnation: "one", StartedAt: start,
+	})
+	return &scenario{
+		tables: tables, schedule: system.New(tables), start: start, due: start, tickets: make(map[lentilmux.Ticket]string),
+	}
+}
+
+// line plays one line of the script.
+func (s *scenario) line(line string) (err error) {
+	words := strings.Fields(line)
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return err
+	}
+	s.runUntil(s.start.Add(at))
+	fmt.Fprintf(&s.out, "> %s\n", line)
+	fields := make(map[string]string)
+	for _, word := range words[2:] {
+		if name, value, ok := strings.Cut(word, "="); ok {
+			fields[name] = value
+		}
+	}
+	msg, err := s.message(words, fields, s.start.Add(at))
+	if err != nil || msg == nil {
+		return err
+	}
+	s.tick(s.start.Add(at), msg, strings.Join(words[1:3], " "))
+	return nil
+}
+
+// runUntil ticks at the times that the model asks for.
+func (s *scenario) runUntil(until time.Time) {
+	for s.due.Before(until) {
+		now := s.due
+		effects, due := s.schedule.Tick(now, nil)
+		s.print(now, effects)
+		s.due = due
+		if !due.After(now) {
+			s.due = now.Add(time.Millisecond)
+		}
+	}
+}
+
+// tick hands one message to the model, with a ticket named after it.
+func (s *scenario) tick(now time.Time, msg lentilmux.Msg, name string) {
+	s.last++
+	s.tickets[s.last] = name
+	effects, due := s.schedule.Tick(now, []lentilmux.Envelope{{Msg: msg, Ticket: s.last}})
+	s.print(now, effects)
+	s.due = due
+}
+
+// message turns a line into a message.
+func (s *scenario) message(words []string, fields map[string]string, now time.Time) (msg lentilmux.Msg, err error) {
+	switch words[1] {
+	case "config":
+		return s.config(strings.Join(words[2:], " "))
+	case "log":
+		return s.log(words[2], fields)
+	case "call":
+		return s.call(fields, now)
+	case "arrive":
+		return s.arrive(words[2], fields, now)
+	case "fail":
+		return s.fail(words[2], fields)
+	case "done":
+		return lentilmux.RequestDoneMsg{Request: lentilmux.RequestID(words[2]), Outcome: outcomes[fields["outcome"]], Reply: lentilmux.ServiceReply{Status: 200}}, nil
+	case "load":
+		return s.load(words[2], fields)
+	case "probe":
+		return lentilmux.ProbeMsg{Upstream: words[2], Alive: fields["alive"] == "true"}, nil
+	case "digest":
+		return s.digest(words[2], fields)
+	case "list":
+		return lentilmux.VMListMsg{VMs: listed(words[2:])}, nil
+	case "stop":
+		return lentilmux.StopMsg{Request: lentilmux.RequestID(words[2])}, nil
+	case "drain":
+		return lentilmux.DrainMsg{}, nil
+	case "wait":
+		return nil, nil
+	default:
+		return nil, fmt.Errorf("unknown event %q", words[1])
+	}
+}
+
+var outcomes = map[string]lentilmux.Outcome{
+	"answered": lentilmux.OutcomeAnswered, "not_run": lentilmux.OutcomeNotRun, "unknown": lentilmux.OutcomeUnknown,
+}
+
+var kinds = map[string]lentilmux.FailureKind{
+	"refused": lentilmux.FailureRefused, "dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash,
+	"timeout": lentilmux.FailureTimeout, "aborted": lentilmux.FailureAborted,
+}
+
+// config puts a statement into the log and reads it back.
+func (s *scenario) config(text string) (msg lentilmux.Msg, err error) {
+	who := "operator"
+	statement, err := operator.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	command, err := operator.Build(text, statement, lentilmux.Snapshot{})
+	if err != nil {
+		return nil, err
+	}
+	record := lentilmux.ConfigRecord{ID: fmt.Sprintf("c%d", s.offset), Who: who, Text: text, Command: &command}
+	s.offset++
+	return lentilmux.ConfigPageMsg{End: s.offset, Entries: []lentilmux.ConfigEntry{{Offset: s.offset - 1, Record: record}}}, nil
+}
+
+// log makes an empty page, a failure or a shorter log.
+func (s *scenario) log(what string, fields map[string]string) (msg lentilmux.Msg, err error) {
+	end, _ := strconv.ParseUint(fields["end"], 10, 64)
+	start, _ := strconv.ParseUint(fields["start"], 10, 64)
+	switch what {
+	case "config":
+		return lentilmux.ConfigPageMsg{Start: start, End: end}, nil
+	case "calls":
+		return lentilmux.CallPageMsg{Start: start, End: end}, nil
+	case "config_failed":
+		return lentilmux.LogFailedMsg{Stream: lentilmux.StreamConfig, Err: os.ErrDeadlineExceeded}, nil
+	case "calls_failed":
+		return lentilmux.LogFailedMsg{Stream: lentilmux.StreamCalls, Err: os.ErrDeadlineExceeded}, nil
+	default:
+		return nil, fmt.Errorf("unknown log event %q", what)
+	}
+}
+
+// call brings one record of the calls stream.
+func (s *scenario) call(fields map[string]string, now time.Time) (msg lentilmux.Msg, err error) {
+	record := lentilmux.CallRecord{
+		Kind: lentilmux.CallRecordKind(fields["kind"]), ID: fields["id"], VM: fields["vm"], Incarnation: fields["incarnation"],
+		Key: fields["key"], Born: now, Outcome: outcomes[fields["outcome"]], Upstream: fields["upstream"], Status: 200,
+	}
+	if print := fields["fingerprint"]; print != "" {
+		number, err := strconv.ParseUint(print, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		record.Fingerprint = lentilmux.Fingerprint(number)
+	}
+	s.calls++
+	return lentilmux.CallPageMsg{End: s.calls, Entries: []lentilmux.CallEntry{{Offset: s.calls - 1, At: now, Record: record}}}, nil
+}
+
+func (s *scenario) arrive(id string, fields map[string]string, now time.Time) (msg lentilmux.Msg, err error) {
+	deadline := 10 * time.Second
+	if text := fields["deadline"]; text != "" {
+		if deadline, err = time.ParseDuration(text); err != nil {
+			return nil, err
+		}
+	}
+	request := lentilmux.Request{
+		ID: lentilmux.RequestID(id), Workspace: fields["workspace"], Model: fields["model"], Service: fields["service"],
+		Method: fields["method"], Key: fields["key"], First: fields["attempt"] == "1", Deadline: now.Add(deadline), Fingerprint: 7,
+	}
+	if request.Key != "" {
+		request.Born = now
+		if age := fields["age"]; age != "" {
+			old, err := time.ParseDuration(age)
+			if err != nil {
+				return nil, err
+			}
+			request.Born = now.Add(-old)
+		}
+	}
+	if print := fields["fingerprint"]; print != "" {
+		number, err := strconv.ParseUint(print, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		request.Fingerprint = lentilmux.Fingerprint(number)
+	}
+	return lentilmux.RequestMsg{Request: request}, nil
+}
+
+func (s *scenario) fail(id string, fields map[string]string) (msg lentilmux.Msg, err error) {
+	epoch, err := strconv.Atoi(fields["epoch"])
+	if err != nil {
+		return nil, err
+	}
+	stage, _ := strconv.Atoi(fields["stage"])
+	return lentilmux.AttemptFailedMsg{
+		Request: lentilmux.RequestID(id), Epoch: lentilmux.Epoch(epoch), Stage: stage, Kind: kinds[fields["kind"]],
+	}, nil
+}
+
+func (s *scenario) load(name string, fields map[string]string) (msg lentilmux.Msg, err error) {
+	if fields["error"] != "" {
+		return lentilmux.LoadMsg{Upstream: name, Err: os.ErrDeadlineExceeded}, nil
+	}
+	report := lentilmux.LoadReport{Model: fields["model"], Leaving: fields["leaving"] == "true"}
+	if first, last, ok := strings.Cut(fields["holds"], "-"); ok {
+		report.Held = true
+		if report.Layers.First, err = strconv.Atoi(first); err != nil {
+			return nil, err
+		}
+		if report.Layers.Last, err = strconv.Atoi(last); err != nil {
+			return nil, err
+		}
+	}
+	return lentilmux.LoadMsg{Upstream: name, Report: report}, nil
+}
+
+func (s *scenario) digest(name string, fields map[string]string) (msg lentilmux.Msg, err error) {
+	revision, _ := strconv.ParseUint(fields["revision"], 10, 64)
+	digest := lentilmux.Digest{
+		VM: name, Zone: "thrissur", Addr: netip.MustParseAddrPort("127.0.0.1:7002"), Incarnation: fields["incarnation"],
+		Revision: lentilmux.Revision(revision),
+	}
+	if leaving := fields["leaving"]; leaving != "" {
+		digest.Leaving = strings.Split(leaving, ",")
+	}
+	return lentilmux.DigestMsg{Digest: digest, RTT: time.Millisecond}, nil
+}
+
+// listed turns words such as entry-2=entry or worker-1=leaving into a list.
+func listed(words []string) (vms []lentilmux.ListedVM) {
+	for _, word := range words {
+		name, what, _ := strings.Cut(word, "=")
+		vm := lentilmux.ListedVM{Name: name, Role: lentilmux.RoleUpstream, Leaving: what == "leaving"}
+		if what == "entry" {
+			vm.Role, vm.Addr = lentilmux.RoleEntry, netip.MustParseAddrPort("127.0.0.1:7002")
+		}
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// print writes the effects that a reader of the story needs.
+func (s *scenario) print(now time.Time, effects []lentilmux.Effect) {
+	for _, effect := range effects {
+		if text := s.describe(effect); text != "" {
+			fmt.Fprintf(&s.out, "  %s %s\n", now.Sub(s.start), text)
+		}
+	}
+}
+
+func (s *scenario) describe(effect lentilmux.Effect) string {
+	switch x := effect.(type) {
+	case lentilmux.DecisionEffect:
+		d := x.Decision
+		return fmt.Sprintf("%s %s: %s (%s) %v", d.What, d.Subject, d.Chosen, d.Reason, d.Considered)
+	case lentilmux.AnswerEffect:
+		return s.describeAnswer(s.tickets[x.Ticket], x.Answer)
+	case lentilmux.CallAppendEffect:
+		return fmt.Sprintf("append %s %s key=%s outcome=%s", x.Record.Kind, x.Record.ID, x.Record.Key, x.Record.Outcome)
+	case lentilmux.OrderEffect:
+		return fmt.Sprintf("send order %s %d-%d fence %d", x.Upstream, x.Order.Layers.First, x.Order.Layers.Last, x.Order.Fence)
+	case lentilmux.ProbeEffect:
+		return "send probe " + x.Upstream
+	case lentilmux.AbortEffect:
+		return fmt.Sprintf("abort %s epoch %d", x.Request, x.Epoch)
+	case lentilmux.CancelEffect:
+		return fmt.Sprintf("cancel %s (%s)", x.Request, x.Reason)
+	case lentilmux.FetchSnapshotEffect:
+		return "fetch snapshot from " + x.VM
+	default:
+		return "" // digests and load reports tell nothing here
+	}
+}
+
+func (s *scenario) describeAnswer(asker string, answer lentilmux.Answer) string {
+	switch a := answer.(type) {
+	case lentilmux.RouteAnswer:
+		return fmt.Sprintf("answer [%s]: route epoch %d", asker, a.Route.Epoch)
+	case lentilmux.RefusalAnswer:
+		return fmt.Sprintf("answer [%s]: refused %s, %s, retry after %s", asker, a.Refusal.Reason, a.Refusal.Outcome, a.Refusal.RetryAfter)
+	case lentilmux.RememberedAnswer:
+		return fmt.Sprintf("answer [%s]: remembered, status %d", asker, a.Reply.Status)
+	case lentilmux.CommandAnswer:
+		return fmt.Sprintf("answer [%s]: accepted %t, known %t, %s", asker, a.Accepted, a.Known, a.Detail)
+	case lentilmux.DrainedAnswer:
+		return fmt.Sprintf("answer [%s]: drained", asker)
+	default:
+		return ""
+	}
+}
--- a/system/snapshot.go
+++ b/system/snapshot.go
@@ -10,7 +10,7 @@
 
 // snapshot returns the configuration in force.
 func snapshot(t *table.Tables) lentilmux.Snapshot {
-	s := lentilmux.Snapshot{Revision: t.Self.Revision}
+	s := lentilmux.Snapshot{Revision: t.Self.Revision, Shift: t.Streams.Config.Shift}
 	for i := range t.Upstreams.Rows {
 		s.Upstreams = append(s.Upstreams, t.Upstreams.Rows[i].Spec)
 	}
@@ -57,6 +57,8 @@
 		}
 	}
 	t.Self.Revision = s.Revision
+	t.Streams.Config.Shift = s.Shift
+	t.Streams.Config.Next = uint64(s.Revision) - s.Shift
 	t.Stages.Stale = true
 }
 
--- a/system/system.go
+++ b/system/system.go
@@ -39,6 +39,7 @@
 type Schedule struct {
 	tables    *table.Tables
 	intake    intake
+	first     []System
 	systems   []System
 	dispatch  lentilmux.Dispatch
 	placement lentilmux.Placement
@@ -63,6 +64,11 @@
 	return func(s *Schedule) { s.admission = a }
 }
 
+// WithSystem adds a system that runs before all others.
+func WithSystem(system System) Option {
+	return func(s *Schedule) { s.first = append(s.first, system) }
+}
+
 // New returns a schedule of all systems over the tables t.
 func New(t *table.Tables, options ...Option) *Schedule {
 	s := &Schedule{
@@ -74,7 +80,8 @@
 	for _, option := range options {
 		option(s)
 	}
-	s.systems = []System{
+	t.Self.RetryTokens = t.Limits.RetryFirst
+	s.systems = append(s.first,
 		&Configure{},
 		&Place{Placement: s.placement},
 		&Membership{},
@@ -90,7 +97,7 @@
 		&Gossip{},
 		&Readiness{},
 		&Answer{},
-	}
+	)
 	return s
 }
 
--- a/system/views.go
+++ b/system/views.go
@@ -230,16 +230,16 @@
 }
 
 func streamRows(t *table.Tables, _ time.Time) (rows [][]string) {
-	row := func(name lentilmux.Stream, next uint64, s *table.StreamRow) {
+	row := func(name lentilmux.Stream, s *table.StreamRow) {
 		known := "-"
 		if !s.KnownSince.IsZero() {
 			known = s.KnownSince.UTC().Format(time.RFC3339Nano)
 		}
 		rows = append(rows, []string{
-			string(name), fmt.Sprint(next), fmt.Sprint(s.End), fmt.Sprint(s.Healthy()), fmt.Sprint(s.Regressed), known,
+			string(name), fmt.Sprint(s.Next), fmt.Sprint(s.End), fmt.Sprint(s.Healthy()), fmt.Sprint(!s.Regressed.IsZero()), known,
 		})
 	}
-	row(lentilmux.StreamConfig, uint64(t.Self.Revision), &t.Streams.Config)
-	row(lentilmux.StreamCalls, t.Streams.Calls.Next, &t.Streams.Calls)
+	row(lentilmux.StreamConfig, &t.Streams.Config)
+	row(lentilmux.StreamCalls, &t.Streams.Calls)
 	return rows
 }
--- a/table/limits.go
+++ b/table/limits.go
@@ -21,6 +21,7 @@
 	QueueMost      int           // queued requests a workspace
 	RetryShare     float64       // retries allowed for each arrival
 	RetryMost      float64       // retries saved up at most
+	RetryFirst     float64       // retries that a node starts with
 	AttemptsMost   int           // attempts a request
 	CrashesMost    int           // upstreams one fingerprint may crash
 	QuarantineFor  time.Duration
@@ -51,6 +52,7 @@
 		QueueMost:      512,
 		RetryShare:     0.1,
 		RetryMost:      50,
+		RetryFirst:     10,
 		AttemptsMost:   5,
 		CrashesMost:    2,
 		QuarantineFor:  10 * time.Minute,
