Carry the whole bound under overload: fill engines by speed, refuse early

Change: an engine's capacity is its speed times the gap between tokens that is aimed at; a request is refused on arrival, or when its turn comes, if the pace of answers tells that it cannot finish in time.

Ruled out: more slots for all alike (it only moved the queue into the slow engines), and retrying refused opens (five attempts were used up in 10 ms; a busy upstream now rests for 100 ms and the request goes back to the queue).

--- a/cmd/lentilmux/options.go
+++ b/cmd/lentilmux/options.go
@@ -37,7 +37,7 @@
 	keyWindow   *time.Duration
 	loadEvery   *time.Duration
 	queueMost   *int
-	oversub     *float64
+	tokenGap    *time.Duration
 	standalone  *bool
 	print       *bool
 	printTable  *bool
@@ -67,7 +67,7 @@
 		keyWindow:   s.Duration("key-window", l.KeyWindow, time.Minute, 24*time.Hour, "how long an idempotency key is remembered"),
 		loadEvery:   s.Duration("load-every", l.LoadEvery, 50*time.Millisecond, time.Minute, "time between load reports of an engine"),
 		queueMost:   s.Int("queue-most", l.QueueMost, 1, 100000, "waiting requests of a workspace"),
-		oversub:     s.Float("oversubscribe", l.Oversubscribe, 1, 4, "requests sent to an engine, in parts of its slots"),
+		tokenGap:    s.Duration("token-gap", l.TokenGap, time.Millisecond, time.Minute, "time between tokens of an answer up to which engines are filled"),
 		standalone:  s.Bool("standalone", "serve a whole small system with embedded stand-ins; not for production"),
 		print:       s.Bool("print-settings", "print the settings in force and end"),
 		printTable:  s.Bool("print-settings-table", "print the table of all settings and end"),
@@ -122,7 +122,7 @@
 	limits.KeyWindow = *o.keyWindow
 	limits.LoadEvery = *o.loadEvery
 	limits.QueueMost = *o.queueMost
-	limits.Oversubscribe = *o.oversub
+	limits.TokenGap = *o.tokenGap
 	seed := uint64(*o.seed)
 	if seed == 0 {
 		seed = uint64(time.Now().UnixNano())
--- a/cmd/lentilstand/main.go
+++ b/cmd/lentilstand/main.go
@@ -44,7 +44,7 @@
 	zones        *[]string
 	layers       *[]string
 	rates        *[]string
-	slots        *int
+	slots        *[]string
 	reportLag    *time.Duration
 	listLag      *time.Duration
 	appendDelay  *time.Duration
@@ -67,7 +67,7 @@
 		zones:        s.Strings("zones", "kochi,thrissur,kozhikode", "availability zones, given out in turn"),
 		layers:       s.Strings("layers", "16,24", "most layers of an engine, given out in turn"),
 		rates:        s.Strings("rates", "4000,8000", "layer steps a second of an engine, given out in turn"),
-		slots:        s.Int("slots", 8, 1, 1000, "requests at once of an engine"),
+		slots:        s.Strings("slots", "8", "requests at once of an engine, given out in turn"),
 		reportLag:    s.Duration("report-lag", 300*time.Millisecond, 0, time.Minute, "age of what engines report"),
 		listLag:      s.Duration("list-lag", time.Second, 0, time.Minute, "lag of the list of VMs"),
 		appendDelay:  s.Duration("append-delay", 2*time.Millisecond, 0, time.Minute, "time of an append to the log"),
@@ -168,11 +168,15 @@
 	if err != nil {
 		return err
 	}
+	slots, err := inTurn(*o.slots, i)
+	if err != nil {
+		return err
+	}
 	name := fmt.Sprintf("%s%d", *o.enginePrefix, i+1)
 	addr := following(*o.engineAddr, i)
 	zone := (*o.zones)[i%len(*o.zones)]
 	engine := standin.NewEngine(standin.EngineSpec{
-		Name: name, Layers: layers, Rate: rate, Slots: *o.slots, ReportLag: *o.reportLag, Link: *o.link,
+		Name: name, Layers: layers, Rate: rate, Slots: slots, ReportLag: *o.reportLag, Link: *o.link,
 		IgnoresFence: *o.ignoreFence, Store: store, Restart: *o.restart,
 	})
 	host := standin.NewHost(addr, standin.EngineHandler(engine))
@@ -181,7 +185,7 @@
 	s.add(name, host, lentilmux.ListedVM{Name: name, Role: lentilmux.RoleUpstream, Zone: zone, Addr: addr})
 	s.statements = append(s.statements, fmt.Sprintf(
 		"create upstream %s kind engine addr %s zone %s accelerator kind-%d layers %d rate %d slots %d",
-		name, addr, zone, i%len(*o.rates)+1, layers, rate, *o.slots))
+		name, addr, zone, i%len(*o.rates)+1, layers, rate, slots))
 	return nil
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -19,7 +19,7 @@
 
 const (
 	// zoneCost is added to the score of an upstream in another availability
-	// zone, in parts of its slots.
+	// zone, in parts of its capacity.
 	zoneCost = 0.15
 	// cacheGain is taken off the score of an upstream that may hold the
 	// prompt's prefix. It is bounded so that a busy upstream loses anyway.
@@ -60,14 +60,14 @@
 	return a
 }
 
-// score estimates how busy a candidate is, in parts of its slots. What the VMs
+// score estimates how busy a candidate is, in parts of its capacity. What the VMs
 // know they sent counts whole; a report counts less the older it is.
 func score(c *lentilmux.Candidate) float64 {
 	known := float64(c.InFlight)
 	if excess := float64(c.Reported) - known; excess > 0 {
 		known += excess / (1 + c.Age.Seconds()/reportFade)
 	}
-	s := (known + 1) / float64(c.Slots)
+	s := (known + 1) / c.Capacity
 	if c.Warmth > 0 && c.Warmth < 1 {
 		s /= c.Warmth
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -235,6 +235,7 @@
 
 // Close implements [lentilmux.Stage].
 func (s *stageStream) Close() (err error) {
+	err = s.stream.CloseRequest()
 	s.cancel()
 	// The receiver may wait to hand over one last reply.
 	go func() {
@@ -242,7 +243,7 @@
 			continue
 		}
 	}()
-	return nil
+	return err
 }
 
 // failure sorts an error of the stream into a kind.
--- a/engine/relay.go
+++ b/engine/relay.go
@@ -82,7 +82,7 @@
 	answer, err := r.node.Ask(ctx, lentilmux.RequestMsg{Request: request})
 	if err != nil {
 		r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled})
-		return Result{}, ended(ctx, lentilmux.OutcomeNotRun)
+		return Result{}, ended(ctx, request.UnsentOutcome())
 	}
 	var generated []string
 	for {
@@ -170,12 +170,15 @@
 	if failed != nil {
 		return generated, unlessAborted(attemptCtx, failed)
 	}
+	progress := r.newProgress(route.Request)
+	defer func() { progress.report(ctx) }()
 	for {
 		output, failed := step(attemptCtx, route, stages, generated)
 		if failed != nil {
 			return generated, unlessAborted(attemptCtx, failed)
 		}
 		generated = append(generated, output.Token)
+		progress.token(ctx)
 		if err := emit(output.Token); err != nil {
 			cancel(err)
 			return generated, &failure{kind: lentilmux.FailureTimeout}
--- a/entryvm/cluster_test.go
+++ b/entryvm/cluster_test.go
@@ -48,10 +48,17 @@
 	limits   table.Limits
 }
 
-// member is one entry VM of a cluster.
+// member is one entry VM of a cluster through all its incarnations.
 type member struct {
-	name   string
-	addr   netip.AddrPort
+	name string
+	addr netip.AddrPort
+
+	mu  sync.Mutex
+	now life
+}
+
+// life is one incarnation of a member; its vm is nil once it was killed.
+type life struct {
 	vm     *entryvm.VM
 	gate   *gate
 	cancel context.CancelFunc
@@ -59,7 +66,27 @@
 	ctx    context.Context
 }
 
-func (m *member) alive() bool { return m.vm != nil }
+// life returns the present incarnation.
+func (m *member) life() life {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+func (m *member) alive() bool { return m.life().vm != nil }
+
+// ask asks the present incarnation's node. It returns nil if there is none.
+func (m *member) ask(msg lentilmux.Msg) lentilmux.Answer {
+	now := m.life()
+	if now.vm == nil {
+		return nil
+	}
+	answer, err := now.vm.Node().Ask(now.ctx, msg)
+	if err != nil {
+		return nil
+	}
+	return answer
+}
 
 // gate holds up all that passes it while it is shut, as a paused VM does.
 type gate struct {
@@ -84,6 +111,13 @@
 	}
 }
 
+// paused reports whether the gate is shut.
+func (g *gate) paused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shut != nil
+}
+
 func (g *gate) pass() {
 	g.mu.Lock()
 	shut := g.shut
@@ -254,36 +288,41 @@
 
 // start runs a member as a new incarnation.
 func (c *cluster) start(m *member) {
-	m.gate = &gate{}
-	l := &link{cluster: c, gate: m.gate, addr: m.addr}
+	now := life{gate: &gate{}, done: make(chan struct{})}
+	l := &link{cluster: c, gate: now.gate, addr: m.addr}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	vm, err := entryvm.New(entryvm.Config{
 		Name: m.name, Zone: "kochi", ControlAddr: m.addr, Seed: 1, Limits: c.limits, Logger: logger,
-		Options: []system.Option{system.WithSystem(m.gate)},
+		Options: []system.Option{system.WithSystem(now.gate)},
 	}, entryvm.Peers{Engine: c.engines, Service: l, Log: l, VMList: c.list, Peer: l})
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	m.vm = vm
-	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.done = make(chan struct{})
+	now.vm = vm
+	now.ctx, now.cancel = context.WithCancel(context.Background())
 	c.network.set(m.addr, vm.Node())
-	go func(done chan struct{}, ctx context.Context) {
-		defer close(done)
-		vm.RunNode(ctx)
-	}(m.done, m.ctx)
+	m.mu.Lock()
+	m.now = now
+	m.mu.Unlock()
+	go func() {
+		defer close(now.done)
+		vm.RunNode(now.ctx)
+	}()
 }
 
 // kill ends a member at once, with all requests that it serves.
 func (c *cluster) kill(m *member) {
-	if !m.alive() {
+	now := m.life()
+	if now.vm == nil {
 		return
 	}
 	c.network.set(m.addr, nil)
-	m.cancel()
-	m.gate.resume()
-	m.vm = nil
+	now.cancel()
+	now.gate.resume()
+	m.mu.Lock()
+	m.now.vm = nil
+	m.mu.Unlock()
 }
 
 // stopAll ends everything, so that the bubble can end.
@@ -296,7 +335,7 @@
 	}
 	for _, m := range c.vms {
 		c.kill(m)
-		<-m.done
+		<-m.life().done
 	}
 }
 
@@ -334,22 +373,16 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	reply, err := m.vm.Node().Ask(m.ctx, lentilmux.CommandMsg{
+	answer, _ = m.ask(lentilmux.CommandMsg{
 		ID: id, Who: "test", Text: text, Command: command, Deadline: time.Now().Add(5 * time.Second),
-	})
-	if err != nil {
-		return lentilmux.CommandAnswer{}
-	}
-	return reply.(lentilmux.CommandAnswer)
+	}).(lentilmux.CommandAnswer)
+	return answer
 }
 
 // snapshot returns the configuration that a member has in force.
 func (c *cluster) snapshot(m *member) lentilmux.Snapshot {
-	answer, err := m.vm.Node().Ask(m.ctx, lentilmux.SnapshotAskMsg{})
-	if err != nil {
-		return lentilmux.Snapshot{}
-	}
-	return answer.(lentilmux.SnapshotAnswer).Snapshot
+	answer, _ := m.ask(lentilmux.SnapshotAskMsg{}).(lentilmux.SnapshotAnswer)
+	return answer.Snapshot
 }
 
 // response is what a caller got.
@@ -364,19 +397,19 @@
 
 // do sends a request to a member and returns what its caller gets.
 func (c *cluster) do(m *member, request *http.Request, timeout time.Duration) (r response) {
-	vm, ctx, paused := m.vm, m.ctx, m.gate
-	if vm == nil {
+	now := m.life()
+	if now.vm == nil {
 		return response{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+5*time.Second)
+	ctx, cancel := context.WithTimeout(now.ctx, timeout+5*time.Second)
 	defer cancel()
 	request.Header.Set(caller.WorkspaceHeader, "counter")
 	request.Header.Set(caller.TimeoutHeader, fmt.Sprint(timeout.Milliseconds()))
 	recorder := httptest.NewRecorder()
-	paused.pass()
-	vm.Handler().ServeHTTP(recorder, request.WithContext(ctx))
-	paused.pass()
-	if m.vm != vm {
+	now.gate.pass()
+	now.vm.Handler().ServeHTTP(recorder, request.WithContext(ctx))
+	now.gate.pass()
+	if m.life().vm != now.vm {
 		return response{} // its connection broke with the VM
 	}
 	return parse(recorder)
--- a/entryvm/promises_test.go
+++ b/entryvm/promises_test.go
@@ -134,13 +134,13 @@
 		first := make(chan response, 1)
 		go func() { first <- c.book(c.vms[0], key, "refund", true, 5*time.Second) }()
 		time.Sleep(3 * time.Millisecond)
-		c.vms[0].gate.pause()
+		c.vms[0].life().gate.pause()
 		time.Sleep(30 * time.Second)
 		resend := c.book(c.vms[1], key, "refund", false, 5*time.Second)
 		if resend.Outcome == "not_run" && c.runsOf(key) > 0 {
 			t.Errorf("the resend was told %+v, but the refund ran", resend)
 		}
-		c.vms[0].gate.resume()
+		c.vms[0].life().gate.resume()
 		r := <-first
 		time.Sleep(5 * time.Second)
 		if n := c.runsOf(key); n > 1 {
@@ -262,9 +262,7 @@
 			}()
 		}
 		time.Sleep(time.Second)
-		if _, err := c.vms[0].vm.Node().Ask(c.vms[0].ctx, lentilmux.DrainMsg{}); err != nil {
-			t.Fatal(err)
-		}
+		go c.vms[0].ask(lentilmux.DrainMsg{})
 		for range 20 {
 			if r := <-replies; r.Text != expected("long", 400) {
 				t.Errorf("a planned stop cut off a request: %s %s", r.Outcome, r.Reason)
--- a/policy.go
+++ b/policy.go
@@ -8,7 +8,7 @@
 	SameZone bool
 	Cached   bool          // whether a cache event named the request's prefix
 	InFlight int           // own and, as last heard, other VMs' requests
-	Slots    int           // requests at once
+	Capacity float64       // requests in flight that keep it busy
 	Reported int           // running and queued as last reported
 	Age      time.Duration // of the report
 	Warmth   float64       // 0 to 1, below 1 for an upstream just back
--- a/request.go
+++ b/request.go
@@ -29,6 +29,16 @@
 	Deadline    time.Time
 }
 
+// UnsentOutcome returns what is known of the work when this entry VM sent the
+// request to no upstream and does not hold its key. If the key was sent before,
+// the earlier request may have run at another entry VM.
+func (r *Request) UnsentOutcome() Outcome {
+	if r.Key == "" || r.First {
+		return OutcomeNotRun
+	}
+	return OutcomeUnknown
+}
+
 // RequestMsg asks for a route. The answer is a [RouteAnswer], a
 // [RememberedAnswer] or a [RefusalAnswer].
 type RequestMsg struct {
@@ -55,10 +65,11 @@
 	Tokens  int
 }
 
-// ProgressMsg reports a gap between tokens, which traffic samples.
+// ProgressMsg reports that an answer got further tokens, every few of them.
 type ProgressMsg struct {
-	Upstream string
-	Took     time.Duration
+	Request RequestID
+	Tokens  int           // since the last report
+	Took    time.Duration // for these tokens
 }
 
 // Route is the decision where an attempt runs.
--- a/service/runner.go
+++ b/service/runner.go
@@ -56,7 +56,7 @@
 	answer, err := r.node.Ask(ctx, lentilmux.RequestMsg{Request: request})
 	if err != nil {
 		r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled})
-		return lentilmux.ServiceReply{}, &lentilmux.Refusal{Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
+		return lentilmux.ServiceReply{}, &lentilmux.Refusal{Outcome: request.UnsentOutcome(), Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
 	}
 	for {
 		switch a := answer.(type) {
--- a/system/arrive.go
+++ b/system/arrive.go
@@ -40,6 +40,11 @@
 	}
 	r := t.Requests.Put(row)
 	countState(t, r, 1)
+	wait := expectedWait(t, t.Workspaces.Find(request.Workspace), target)
+	if !inTime(t, now, r, wait) {
+		refuse(t, now, r, notRun(lentilmux.ReasonOverloaded, max(wait, time.Second), "would wait %s and then not finish in time", wait.Round(time.Millisecond)))
+		return
+	}
 	proceed(t, now, r)
 }
 
--- a/system/assign.go
+++ b/system/assign.go
@@ -40,6 +40,10 @@
 			return
 		}
 		r := t.Requests.Find(string(s.oldest[s.Admission.Next(s.loads)]))
+		if !inTime(t, now, r, 0) {
+			refuse(t, now, r, notRun(lentilmux.ReasonDeadline, time.Second, "would not finish in time after waiting %s", now.Sub(r.ArrivedAt).Round(time.Millisecond)))
+			continue
+		}
 		if s.choose(t, now, r) {
 			s.send(t, now, r)
 			continue
@@ -62,7 +66,7 @@
 	s.loads, s.oldest = s.loads[:0], s.oldest[:0]
 	for _, id := range t.Queue.IDs {
 		r := t.Requests.Find(string(id))
-		if r.State != table.RequestQueued || slices.Contains(full, r.Pipeline) {
+		if r == nil || r.State != table.RequestQueued || slices.Contains(full, r.Pipeline) {
 			continue
 		}
 		name := r.Request.Workspace
@@ -123,8 +127,8 @@
 	trial := isTrial(r)
 	for _, row := range replicas {
 		u := &t.Upstreams.Rows[row]
-		slots := float64(u.Spec.Slots) * t.Limits.Oversubscribe
-		if !u.Open(now) || float64(u.InFlight+u.PeerInFlight) >= slots {
+		capacity := capacityOf(t, u)
+		if !u.Open(now) || float64(u.InFlight+u.PeerInFlight) >= capacity {
 			continue
 		}
 		if slices.Contains(avoid, u.Spec.Name) || (trial && u.Trials > 0) {
@@ -136,7 +140,7 @@
 			SameZone: u.Spec.Zone == t.Self.Zone,
 			Cached:   slices.Contains(u.Report.CacheHit, r.Request.Prefix),
 			InFlight: u.InFlight + u.PeerInFlight,
-			Slots:    u.Spec.Slots,
+			Capacity: capacity,
 			Reported: u.Report.Running + u.Report.Queued,
 			Age:      now.Sub(u.ReportedAt),
 			Warmth:   warmth(t, now, u),
@@ -144,6 +148,21 @@
 	}
 }
 
+// capacityOf returns how many requests in flight keep an upstream busy. For an
+// engine that is its speed in tokens times the gap between tokens of an answer
+// that is aimed at, since each answer in flight asks for a token once in a gap;
+// engines of unlike speed so get unlike numbers of requests. More would only
+// wait longer.
+func capacityOf(t *table.Tables, u *table.Upstream) float64 {
+	slots := float64(u.Spec.Slots)
+	length := u.Report.Layers.Len()
+	if u.Spec.Kind != lentilmux.KindEngine || length < 1 {
+		return slots
+	}
+	tokens := float64(u.Spec.Rate) / float64(length)
+	return min(slots, max(1, tokens*t.Limits.TokenGap.Seconds()))
+}
+
 // warmth returns how much of its part an upstream takes: all, or less in the
 // first moments after it came back.
 func warmth(t *table.Tables, now time.Time, u *table.Upstream) float64 {
--- a/system/configure.go
+++ b/system/configure.go
@@ -191,7 +191,8 @@
 		record.ID = fmt.Sprintf("offset-%d", entry.Offset)
 		t.Streams.Config.Outdated = t.Streams.Config.Outdated || entry.Newer
 	}
-	if t.History.Applied(record.ID) {
+	if row := t.History.Find(record.ID); row != nil {
+		s.acknowledge(t, *row)
 		return
 	}
 	t.History.SinceSnapshot++
@@ -243,7 +244,8 @@
 	}
 }
 
-// submit appends a command to the log unless it can be decided at once.
+// submit appends a command to the log, whose order decides it. A dry run is
+// decided here, by what this node has in force.
 func (s *Configure) submit(t *table.Tables, now time.Time, event table.CommandEvent) {
 	if row := t.History.Find(event.ID); row != nil {
 		t.Answer(event.Ticket, verdict(*row))
@@ -253,11 +255,9 @@
 		t.Answer(event.Ticket, lentilmux.CommandAnswer{Known: true, Revision: t.Self.Revision, Detail: detail})
 	}
 	row := &t.Streams.Config
-	if err := check(t, event.Command); err != nil {
-		refuse(err.Error())
-		return
-	}
-	switch {
+	switch err := check(t, event.Command); {
+	case event.DryRun && err != nil:
+		refuse("would be refused: " + err.Error())
 	case event.DryRun:
 		t.Answer(event.Ticket, lentilmux.CommandAnswer{
 			Accepted: true, Known: true, Revision: t.Self.Revision, Detail: "would be accepted; nothing was changed",
--- a/system/health.go
+++ b/system/health.go
@@ -48,7 +48,12 @@
 		return
 	}
 	u := t.Upstreams.Find(r.Upstreams[failure.Stage])
-	if u == nil || failure.Kind == lentilmux.FailureRefused || failure.Kind == lentilmux.FailureAborted {
+	if u == nil || failure.Kind == lentilmux.FailureAborted {
+		return
+	}
+	if failure.Kind == lentilmux.FailureRefused {
+		u.BusyUntil = now.Add(t.Limits.BusyFor)
+		t.WakeAt(u.BusyUntil)
 		return
 	}
 	u.Failures++
--- a/system/intake.go
+++ b/system/intake.go
@@ -19,6 +19,8 @@
 		e.Arrivals = append(e.Arrivals, table.Arrival{Ticket: ticket, Request: msg.Request})
 	case lentilmux.AttemptFailedMsg:
 		e.Failures = append(e.Failures, table.Failure{Ticket: ticket, AttemptFailedMsg: msg})
+	case lentilmux.ProgressMsg:
+		e.Progress = append(e.Progress, msg)
 	case lentilmux.RequestDoneMsg:
 		e.Done = append(e.Done, msg)
 	case lentilmux.ConfigPageMsg:
--- a/system/lifecycle.go
+++ b/system/lifecycle.go
@@ -96,7 +96,7 @@
 // and that was sent before: the earlier request may have run at another entry
 // VM. A key that was used with another request is known from the log.
 func vouch(request lentilmux.Request, refusal lentilmux.Refusal) lentilmux.Refusal {
-	if request.Key == "" || request.First || refusal.Outcome != lentilmux.OutcomeNotRun {
+	if refusal.Outcome != lentilmux.OutcomeNotRun || request.UnsentOutcome() == lentilmux.OutcomeNotRun {
 		return refusal
 	}
 	switch refusal.Reason {
--- a/system/retry.go
+++ b/system/retry.go
@@ -11,6 +11,7 @@
 // failures that arrived and writes Requests and the retry budget.
 //
 // Work that an upstream may have acted on runs again only if it is idempotent.
+// Work that an upstream turned away goes back to the queue and is no attempt.
 // A retry because an upstream ended is free, since each end causes at most one
 // for each request it had; any other takes from a budget that grows with the
 // arrivals, so that retries never amplify an overload.
@@ -33,6 +34,10 @@
 	upstream := ""
 	if failure.Stage < len(r.Upstreams) {
 		upstream = r.Upstreams[failure.Stage]
+	}
+	if failure.Kind == lentilmux.FailureRefused {
+		r.Attempts--
+	} else {
 		r.Failed = append(r.Failed, upstream)
 	}
 	r.Ticket = failure.Ticket
@@ -79,7 +84,7 @@
 // pay takes a retry from the budget, if its kind costs one and one is left.
 func (s *Retry) pay(t *table.Tables, kind lentilmux.FailureKind) bool {
 	switch kind {
-	case lentilmux.FailureDial, lentilmux.FailureCrash, lentilmux.FailureAborted:
+	case lentilmux.FailureRefused, lentilmux.FailureDial, lentilmux.FailureCrash, lentilmux.FailureAborted:
 		return true
 	}
 	if t.Self.RetryTokens < 1 {
--- a/system/system.go
+++ b/system/system.go
@@ -86,6 +86,7 @@
 		&Place{Placement: s.placement},
 		&Membership{},
 		&Health{},
+		&Pace{},
 		&Finish{},
 		&Claim{},
 		&Suspect{},
--- a/table/config.go
+++ b/table/config.go
@@ -12,10 +12,20 @@
 	Spec    lentilmux.PipelineSpec
 	First   int
 	Count   int
-	Bound   float64   // tokens a second that its engines can make
+	Bound   float64 // tokens a second that its engines can make
+	Pace    Pace
 	StuckAt time.Time // since when no engine could change its range
 }
 
+// Pace is how fast a pipeline's answers come, as this node sees it.
+type Pace struct {
+	TokenTime time.Duration // for one token of one answer, averaged
+	Rate      float64       // tokens a second of all own answers, averaged
+	Count     int           // tokens since CountedAt
+	CountedAt time.Time
+	SeenAt    time.Time // of the last report
+}
+
 // Stage is one range of layers of a pipeline. Replicas are row numbers of
 // [Upstreams].
 type Stage struct {
--- a/table/events.go
+++ b/table/events.go
@@ -42,6 +42,7 @@
 type Events struct {
 	Arrivals     []Arrival
 	Failures     []Failure
+	Progress     []lentilmux.ProgressMsg
 	Done         []lentilmux.RequestDoneMsg
 	ConfigPages  []lentilmux.ConfigPageMsg
 	CallPages    []lentilmux.CallPageMsg
--- a/table/limits.go
+++ b/table/limits.go
@@ -17,6 +17,7 @@
 	LeavingFor     time.Duration // how long evidence of leaving holds
 	EjectBase      time.Duration // the first ejection; each further one doubles it
 	EjectMost      time.Duration
+	BusyFor        time.Duration // without new work for an upstream that turned some away
 	SlowStart      time.Duration // until an upstream that came back takes its full part
 	QueueMost      int           // queued requests a workspace
 	RetryShare     float64       // retries allowed for each arrival
@@ -27,9 +28,10 @@
 	QuarantineFor  time.Duration
 	DrainGrace     time.Duration // of a planned stop, in which new work is still taken
 	SnapshotEvery  time.Duration
-	SnapshotAfter  int // records
-	AnswerMost     int // bytes of an answer kept for resends
-	Oversubscribe  float64
+	SnapshotAfter  int           // records
+	AnswerMost     int           // bytes of an answer kept for resends
+	TokenGap       time.Duration // between tokens of an answer, up to which engines are filled
+	Margin         float64       // on the time that an answer is expected to take
 }
 
 // DefaultLimits returns the limits of a deployment of today's size.
@@ -48,6 +50,7 @@
 		LeavingFor:     5 * time.Second,
 		EjectBase:      500 * time.Millisecond,
 		EjectMost:      10 * time.Second,
+		BusyFor:        100 * time.Millisecond,
 		SlowStart:      2 * time.Second,
 		QueueMost:      512,
 		RetryShare:     0.1,
@@ -60,6 +63,7 @@
 		SnapshotEvery:  10 * time.Minute,
 		SnapshotAfter:  256,
 		AnswerMost:     64 << 10,
-		Oversubscribe:  1.5,
+		TokenGap:       80 * time.Millisecond,
+		Margin:         1.2,
 	}
 }
--- a/table/request.go
+++ b/table/request.go
@@ -41,6 +41,7 @@
 	Claiming  string   // the key that it claims or waits for
 	Held      []string // the keys that it holds
 	Attempts  int
+	Tokens    int      // given to the caller, as last reported
 	Failed    []string // upstreams that failed it
 }
 
--- a/table/upstream.go
+++ b/table/upstream.go
@@ -27,6 +27,7 @@
 	EjectedAt    time.Time
 	EjectedUntil time.Time
 	Ejections    int
+	BusyUntil    time.Time // after it turned work away
 	BackAt       time.Time // when it last came back from an ejection
 	ProbedAt     time.Time
 	Probing      bool
@@ -38,7 +39,7 @@
 
 // Open reports whether the upstream may take new work.
 func (u *Upstream) Open(now time.Time) bool {
-	return !u.Leaving && !u.Spec.Draining && !now.Before(u.EjectedUntil)
+	return !u.Leaving && !u.Spec.Draining && !now.Before(u.EjectedUntil) && !now.Before(u.BusyUntil)
 }
 
 // Upstreams is the table of [Upstream] rows.
