Put crashes that come together down to a common cause

Cause: when one availability zone was killed under load (two entry VMs and ten engines), two innocent requests were quarantined: each had lost an engine, and its trial ran into a second one whose death was not noticed yet.

The load command can offer even arrivals, since random ones move a window of half a second by more than five in a hundred.

Ruled out: counting a crash only after the probe, since an engine that restarts within milliseconds would never be counted.

--- a/cmd/lentilload/load.go
+++ b/cmd/lentilload/load.go
@@ -74,7 +74,7 @@
 		time.Sleep(time.Until(next))
 		r := l.draw(number)
 		open.Go(func() { l.serve(ctx, r) })
-		next = next.Add(time.Duration(l.random.ExpFloat64() / *l.options.rate * float64(time.Second)))
+		next = next.Add(l.interval())
 	}
 	ended := make(chan struct{})
 	go func() {
@@ -89,6 +89,15 @@
 	return l.records.report(l.options, l.start, end, bound)
 }
 
+// interval draws the time to the next arrival.
+func (l *load) interval() time.Duration {
+	parts := 1.0
+	if *l.options.arrivals == "poisson" {
+		parts = l.random.ExpFloat64()
+	}
+	return time.Duration(parts / *l.options.rate * float64(time.Second))
+}
+
 // drainMargin is the time beyond a request's deadline after which the load no
 // longer waits for its answer.
 const drainMargin = 5 * time.Second
--- a/cmd/lentilload/report.go
+++ b/cmd/lentilload/report.go
@@ -207,19 +207,33 @@
 	// normal is the part of the goodput that counts as flowing normally.
 	normal = 0.95
 	// steady is the number of buckets over which goodput is averaged.
-	steady = 10
+	steady = 5
+	// dipMost is the number of buckets after a fault in which the dip's deepest
+	// point is looked for.
+	dipMost = 50
 )
 
-// recovery returns the seconds from the fault until goodput, averaged over a
-// second, is back at the normal part of what remains, and -1 if it never is.
+// recovery returns the seconds from the fault until goodput is back at the
+// normal part of what remains: from the deepest point of the dip on, the first
+// window that reaches it, counted to the window's end. It returns 0 if there is
+// no dip and -1 if goodput never comes back.
 func recovery(line []int, fault int, remaining float64) (seconds float64) {
-	if fault <= 0 || fault >= len(line) {
+	if fault < steady || fault+dipMost > len(line) {
 		return -1
 	}
 	want := normal * remaining * mean(line[:fault])
-	for i := fault; i+steady <= len(line); i++ {
-		if mean(line[i:i+steady]) >= want {
-			return float64(i-fault) * bucket.Seconds()
+	deepest := fault + steady
+	for end := deepest; end <= fault+dipMost; end++ {
+		if mean(line[end-steady:end]) < mean(line[deepest-steady:deepest]) {
+			deepest = end
+		}
+	}
+	if mean(line[deepest-steady:deepest]) >= want {
+		return 0
+	}
+	for end := deepest; end <= len(line); end++ {
+		if mean(line[end-steady:end]) >= want {
+			return float64(end-fault) * bucket.Seconds()
 		}
 	}
 	return -1
--- a/system/health.go
+++ b/system/health.go
@@ -51,15 +51,26 @@
 	if u == nil || failure.Kind == lentilmux.FailureAborted {
 		return
 	}
-	if failure.Kind == lentilmux.FailureRefused {
-		u.BusyUntil = now.Add(t.Limits.BusyFor)
-		t.WakeAt(u.BusyUntil)
+	switch failure.Kind {
+	case lentilmux.FailureRefused:
+		s.rest(t, now, u)
 		return
+	case lentilmux.FailureDial:
+		s.rest(t, now, u)
+	case lentilmux.FailureCrash:
+		s.rest(t, now, u)
+		u.CrashedAt = now
 	}
 	u.Failures++
 	s.probe(t, now, u)
 }
 
+// rest keeps new work from an upstream until more is known of it.
+func (s *Health) rest(t *table.Tables, now time.Time, u *table.Upstream) {
+	u.BusyUntil = now.Add(t.Limits.BusyFor)
+	t.WakeAt(u.BusyUntil)
+}
+
 // load takes a report in. A missing one is a sign of failure.
 func (s *Health) load(t *table.Tables, now time.Time, load lentilmux.LoadMsg) {
 	u := t.Upstreams.Find(load.Upstream)
--- a/system/suspect.go
+++ b/system/suspect.go
@@ -10,6 +10,13 @@
 	"lentilmux.example/lentilmux/table"
 )
 
+const (
+	// massFailure is the number of other upstreams that break within
+	// massWindow from which on a crash is put down to a common cause.
+	massFailure = 2
+	massWindow  = 2 * time.Second
+)
+
 // Suspect bounds how many upstreams one kind of request can crash. It reads
 // the failures that arrived and writes Suspects.
 //
@@ -18,6 +25,9 @@
 // request with that fingerprint runs only as a trial, whose key is claimed in
 // the log like that of a keyed call, so that one trial runs at a time in the
 // whole system. At the second crash the fingerprint is quarantined.
+//
+// When several upstreams break at once, as with a rack or an availability zone,
+// no single request is the cause; such crashes are not counted.
 type Suspect struct{}
 
 // Run implements [System].
@@ -41,6 +51,13 @@
 		return
 	}
 	upstream := r.Upstreams[failure.Stage]
+	if others := brokenTogether(t, now, upstream); others >= massFailure {
+		t.Decide(now, lentilmux.Decision{
+			What: "suspect", Subject: fingerprintText(r.Request.Fingerprint), Chosen: "not_counted",
+			Reason: fmt.Sprintf("%d other upstreams broke with %s", others, upstream),
+		})
+		return
+	}
 	t.Self.LastIntent++
 	appendCall(t, now, lentilmux.CallRecord{
 		Kind: lentilmux.CallCrash, ID: fmt.Sprintf("%s-%d", t.Self.Incarnation, t.Self.LastIntent),
@@ -50,6 +67,17 @@
 	noteCrash(t, now, r.Request.Fingerprint, upstream)
 }
 
+// brokenTogether counts the other upstreams that broke just now.
+func brokenTogether(t *table.Tables, now time.Time, upstream string) (count int) {
+	for i := range t.Upstreams.Rows {
+		u := &t.Upstreams.Rows[i]
+		if u.Spec.Name != upstream && !u.CrashedAt.IsZero() && now.Sub(u.CrashedAt) < massWindow {
+			count++
+		}
+	}
+	return count
+}
+
 // noteCrash counts a crashed upstream against a fingerprint.
 func noteCrash(t *table.Tables, now time.Time, fingerprint lentilmux.Fingerprint, upstream string) {
 	key := fingerprintText(fingerprint)
--- a/table/upstream.go
+++ b/table/upstream.go
@@ -23,7 +23,8 @@
 	ReportedAt time.Time
 	AskedAt    time.Time
 
-	Failures     int // since the last success
+	CrashedAt    time.Time // when a connection with work on it last broke
+	Failures     int       // since the last success
 	EjectedAt    time.Time
 	EjectedUntil time.Time
 	Ejections    int
