Place a pipeline anew when engines stay dead, by commands over the log

Cause: after the loss of all engines of a stage nothing could serve until an operator stepped in. The VM with the lowest name now excludes engines that stay dead (2 s if the pipeline is broken, else 10 s) and includes them when they are back, by the commands an operator would use; log order decides races.

Ruled out: moving layers without the log (two VMs would order different ranges), and one command for each engine in turn (each would move the others).

--- a/config.go
+++ b/config.go
@@ -30,7 +30,8 @@
 	Rate        int            `json:"rate,omitempty"`   // layer steps a second
 	Slots       int            `json:"slots"`            // requests at once
 	Draining    bool           `json:"draining,omitempty"`
-	Excluded    bool           `json:"excluded,omitempty"` // left out of placement
+	Excluded    bool           `json:"excluded,omitempty"`  // left out of placement
+	Automatic   bool           `json:"automatic,omitempty"` // excluded by the system, which takes it back too
 }
 
 // PipelineSpec declares a pipeline: a model spread over engines.
@@ -92,6 +93,7 @@
 	Name       string         `json:"name"`
 	Create     bool           `json:"create,omitempty"` // refused if the name is taken
 	IfRevision Revision       `json:"if_revision,omitempty"`
+	Automatic  bool           `json:"automatic,omitempty"` // decided by the system
 	Upstream   *UpstreamSpec  `json:"upstream,omitempty"`
 	Pipeline   *PipelineSpec  `json:"pipeline,omitempty"`
 	Service    *ServiceSpec   `json:"service,omitempty"`
--- a/system/apply.go
+++ b/system/apply.go
@@ -313,7 +313,9 @@
 		u.Spec.Draining = false
 	case lentilmux.VerbExclude:
 		u.Spec.Excluded = true
+		u.Spec.Automatic = c.Automatic
 	case lentilmux.VerbInclude:
 		u.Spec.Excluded = false
+		u.Spec.Automatic = false
 	}
 }
--- a/system/assign.go
+++ b/system/assign.go
@@ -35,7 +35,7 @@
 	}
 	var full []string // targets without capacity
 	for {
-		s.gather(t, full)
+		s.gather(t, now, full)
 		if len(s.loads) == 0 {
 			return
 		}
@@ -62,13 +62,17 @@
 
 // gather lists each workspace that has a queued request for a target that is
 // not full, with the oldest such request.
-func (s *Assign) gather(t *table.Tables, full []string) {
+func (s *Assign) gather(t *table.Tables, now time.Time, full []string) {
 	s.loads, s.oldest = s.loads[:0], s.oldest[:0]
 	for _, id := range t.Queue.IDs {
 		r := t.Requests.Find(string(id))
 		if r == nil || r.State != table.RequestQueued || slices.Contains(full, r.Pipeline) {
 			continue
 		}
+		if now.Before(r.NotBefore) {
+			t.WakeAt(r.NotBefore)
+			continue
+		}
 		name := r.Request.Workspace
 		listed := slices.ContainsFunc(s.loads, func(l lentilmux.WorkspaceLoad) bool { return l.Workspace == name })
 		if listed {
--- a/system/claim.go
+++ b/system/claim.go
@@ -119,6 +119,9 @@
 	case lentilmux.CallOutcome:
 		s.outcome(t, now, record)
 	case lentilmux.CallCrash:
+		if u := t.Upstreams.Find(record.Upstream); u != nil {
+			u.CrashedAt = now
+		}
 		noteCrash(t, now, record.Fingerprint, record.Upstream)
 	}
 }
--- a/system/health.go
+++ b/system/health.go
@@ -85,7 +85,6 @@
 	report := load.Report
 	if report.Held != u.Report.Held || report.Layers != u.Report.Layers || report.Model != u.Report.Model {
 		t.Stages.Stale = true
-		t.WakeAt(now)
 		t.Decide(now, lentilmux.Decision{
 			What: "held_range", Subject: u.Spec.Name, Chosen: heldText(report), Reason: "reported by the engine",
 		})
@@ -134,6 +133,7 @@
 func (s *Health) eject(t *table.Tables, now time.Time, u *table.Upstream, reason string) {
 	if u.EjectedUntil.IsZero() {
 		u.EjectedAt = now
+		t.Stages.Stale = true
 		t.Decide(now, lentilmux.Decision{What: "eject", Subject: u.Spec.Name, Chosen: "no_new_work", Reason: reason})
 	}
 	period := min(t.Limits.EjectBase<<min(u.Ejections, 8), t.Limits.EjectMost)
@@ -145,6 +145,7 @@
 // restore takes an upstream back; it starts slowly.
 func (s *Health) restore(t *table.Tables, now time.Time, u *table.Upstream) {
 	t.Decide(now, lentilmux.Decision{What: "restore", Subject: u.Spec.Name, Chosen: "slow_start", Reason: "alive on a new connection"})
+	t.Stages.Stale = true
 	u.EjectedUntil = time.Time{}
 	u.EjectedAt = time.Time{}
 	u.Ejections = 0
--- a/system/place.go
+++ b/system/place.go
@@ -110,7 +110,9 @@
 		if !u.Report.Held || u.Report.Model != p.Spec.Model {
 			continue
 		}
-		holds = append(holds, placement.Hold{Layers: u.Report.Layers, Rate: u.Spec.Rate})
+		if u.EjectedUntil.IsZero() {
+			holds = append(holds, placement.Hold{Layers: u.Report.Layers, Rate: u.Spec.Rate})
+		}
 		addReplica(t, p, u.Report.Layers, row)
 	}
 	own := t.Stages.Rows[p.First:]
--- a/system/reconcile.go
+++ b/system/reconcile.go
@@ -86,7 +86,7 @@
 	waiting, moving := 0, 0
 	for _, name := range p.Spec.Upstreams {
 		u := t.Upstreams.Find(name)
-		if u == nil || u.Order.Layers.Len() < 1 || u.ReportedAt.IsZero() || satisfied(u) {
+		if u == nil || u.Order.Model == "" || u.ReportedAt.IsZero() || satisfied(u) {
 			continue
 		}
 		if now.Sub(u.OrderedAt) < orderEvery {
@@ -115,9 +115,12 @@
 	return u.Report.Held && u.Report.Model == u.Order.Model && u.Report.Layers == u.Order.Layers
 }
 
-// spare reports whether the pipeline can do without the engine's range, or has
-// another engine that holds the same.
+// spare reports whether the pipeline can do without the engine's range, has
+// another engine that holds the same, or cannot serve anyway.
 func (s *Reconcile) spare(t *table.Tables, p *table.Pipeline, u *table.Upstream) bool {
+	if p.Bound == 0 {
+		return true
+	}
 	for i := p.First; i < p.First+p.Count; i++ {
 		stage := &t.Stages.Rows[i]
 		if stage.Layers != u.Report.Layers {
--- /dev/null
+++ b/system/replace.go
@@ -0,0 +1,108 @@
+package system
+
+import (
+	"fmt"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/table"
+)
+
+const (
+	// worthPlacing is the part of what the live engines could carry below
+	// which a pipeline is placed anew over them.
+	worthPlacing = 0.85
+	// placeEvery is the shortest time between two placements of a pipeline.
+	placeEvery = 10 * time.Second
+)
+
+// Replace takes engines that stay dead out of their pipelines' placement, and
+// back in when they live again, if that lets the pipeline carry more. It reads
+// Pipelines and Upstreams and writes the commands that it appends to the log.
+//
+// The entry VM with the lowest name does it, by the same commands that an
+// operator would use, so that their order in the log decides and the history
+// shows them.
+type Replace struct{}
+
+// Run implements [System].
+func (s *Replace) Run(t *table.Tables, now time.Time) {
+	if !t.Self.Joined || !t.Streams.Config.Healthy() || !lowestPeer(t, now, t.Limits.OwnerTimeout) {
+		return
+	}
+	for i := range t.Pipelines.Rows {
+		p := &t.Pipelines.Rows[i]
+		if now.Sub(p.PlacedAt) >= placeEvery {
+			s.pipeline(t, now, p)
+		}
+	}
+}
+
+// pipeline excludes the engines that are dead for long enough, or else takes
+// back those that it excluded and that live.
+func (s *Replace) pipeline(t *table.Tables, now time.Time, p *table.Pipeline) {
+	patience := t.Limits.ReplaceAfter
+	if p.Bound == 0 {
+		patience = t.Limits.BrokenAfter
+	}
+	if p.Bound < worthPlacing*s.carry(t, p) {
+		s.each(t, now, p, lentilmux.VerbExclude, func(u *table.Upstream) bool {
+			return !u.Spec.Excluded && s.deadFor(t, now, u, patience)
+		})
+		return
+	}
+	s.each(t, now, p, lentilmux.VerbInclude, func(u *table.Upstream) bool {
+		return u.Spec.Excluded && u.Spec.Automatic && u.EjectedUntil.IsZero() &&
+			now.Sub(u.BackAt) >= t.Limits.ReplaceAfter && now.Sub(u.ReportedAt) < t.Limits.ReplaceAfter
+	})
+}
+
+// carry returns the tokens a second that the live engines of a pipeline could
+// make if its layers were spread over them evenly.
+func (s *Replace) carry(t *table.Tables, p *table.Pipeline) float64 {
+	rate := 0
+	for _, name := range p.Spec.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u != nil && !u.Spec.Excluded && u.EjectedUntil.IsZero() && !u.ReportedAt.IsZero() {
+			rate += u.Spec.Rate
+		}
+	}
+	return float64(rate) / float64(p.Spec.Layers)
+}
+
+// deadFor reports whether an engine has been ejected for the time.
+func (s *Replace) deadFor(t *table.Tables, now time.Time, u *table.Upstream, patience time.Duration) bool {
+	if u.EjectedUntil.IsZero() {
+		return false
+	}
+	if due := u.EjectedAt.Add(patience); now.Before(due) {
+		t.WakeAt(due)
+		return false
+	}
+	return true
+}
+
+// each appends a command for each engine that matches.
+func (s *Replace) each(t *table.Tables, now time.Time, p *table.Pipeline, verb lentilmux.Verb, match func(u *table.Upstream) bool) {
+	for _, name := range p.Spec.Upstreams {
+		u := t.Upstreams.Find(name)
+		if u == nil || !match(u) {
+			continue
+		}
+		command := lentilmux.Command{
+			Verb: verb, Entity: lentilmux.EntityUpstream, Name: name, IfRevision: u.Spec.Revision, Automatic: true,
+		}
+		if check(t, command) != nil {
+			continue // the others could not hold the model
+		}
+		p.PlacedAt = now
+		text := fmt.Sprintf("%s upstream %s", verb, name)
+		t.Decide(now, lentilmux.Decision{
+			What: "replace", Subject: p.Spec.Name, Chosen: text,
+			Reason: fmt.Sprintf("bound %.0f tokens/s, live engines could carry %.0f", p.Bound, s.carry(t, p)),
+		})
+		t.Add(lentilmux.ConfigAppendEffect{Record: lentilmux.ConfigRecord{
+			ID: fmt.Sprintf("%s-%s-%d", verb, name, u.Spec.Revision), Who: t.Self.Name, Text: text, Command: &command,
+		}})
+	}
+}
--- a/system/retry.go
+++ b/system/retry.go
@@ -7,6 +7,9 @@
 	"lentilmux.example/lentilmux/table"
 )
 
+// backoffBase is the longest time before the third attempt.
+const backoffBase = 100 * time.Millisecond
+
 // Retry decides whether a failed attempt is followed by another. It reads the
 // failures that arrived and writes Requests and the retry budget.
 //
@@ -26,6 +29,9 @@
 
 func (s *Retry) decide(t *table.Tables, now time.Time, failure table.Failure) {
 	r := t.Requests.Find(string(failure.Request))
+	if r != nil && r.State == table.RequestJudged && r.Epoch == failure.Epoch {
+		return // the verdict answers it
+	}
 	if r == nil || r.State != table.RequestRunning || r.Epoch != failure.Epoch {
 		gone := unknown(lentilmux.ReasonCanceled, 0, "the request is no longer served")
 		t.Answer(failure.Ticket, lentilmux.RefusalAnswer{Refusal: gone})
@@ -51,9 +57,22 @@
 		What: "retry", Subject: string(r.Request.ID), Chosen: "again",
 		Reason: failure.Kind.String() + " at " + upstream,
 	})
+	r.NotBefore = now.Add(backoff(r))
 	proceed(t, now, r)
 }
 
+// backoff returns the time before the next attempt: none before the second,
+// then doubling. Part of it follows from the request's ID, so that requests
+// that failed together do not come back together.
+func backoff(r *table.Request) time.Duration {
+	if r.Attempts < 2 {
+		return 0
+	}
+	period := backoffBase << min(r.Attempts-2, 4)
+	jitter := uint64(lentilmux.FingerprintOf(string(r.Request.ID))) % uint64(period)
+	return period/2 + time.Duration(jitter)/2
+}
+
 // acted reports whether the upstream may have acted on the attempt.
 func acted(kind lentilmux.FailureKind) bool {
 	return kind != lentilmux.FailureRefused && kind != lentilmux.FailureDial
--- a/system/suspect.go
+++ b/system/suspect.go
@@ -15,6 +15,9 @@
 	// massWindow from which on a crash is put down to a common cause.
 	massFailure = 2
 	massWindow  = 2 * time.Second
+	// judgeAfter is the time in which other upstreams that broke together with
+	// one are noticed.
+	judgeAfter = 400 * time.Millisecond
 )
 
 // Suspect bounds how many upstreams one kind of request can crash. It reads
@@ -27,7 +30,8 @@
 // whole system. At the second crash the fingerprint is quarantined.
 //
 // When several upstreams break at once, as with a rack or an availability zone,
-// no single request is the cause; such crashes are not counted.
+// no single request is the cause; such crashes are not counted. A crash that
+// would quarantine is therefore judged a moment later, when that shows.
 type Suspect struct{}
 
 // Run implements [System].
@@ -37,6 +41,7 @@
 			s.crashed(t, now, failure)
 		}
 	}
+	s.judge(t, now)
 	for i := len(t.Suspects.Rows) - 1; i >= 0; i-- {
 		if now.Sub(t.Suspects.Rows[i].At) >= t.Limits.QuarantineFor {
 			t.Suspects.Remove(t.Suspects.Rows[i].Fingerprint)
@@ -44,13 +49,52 @@
 	}
 }
 
-// crashed states in the log that a request's attempt broke an upstream.
+// crashed counts an attempt that broke an upstream, or leaves the verdict for
+// later if it is the one that would quarantine.
 func (s *Suspect) crashed(t *table.Tables, now time.Time, failure table.Failure) {
 	r := t.Requests.Find(string(failure.Request))
-	if r == nil || r.Epoch != failure.Epoch || failure.Stage >= len(r.Upstreams) {
+	if r == nil || r.State != table.RequestRunning || r.Epoch != failure.Epoch || failure.Stage >= len(r.Upstreams) {
 		return
 	}
 	upstream := r.Upstreams[failure.Stage]
+	suspect := t.Suspects.Find(fingerprintText(r.Request.Fingerprint))
+	if suspect == nil || len(suspect.Upstreams)+1 < t.Limits.CrashesMost {
+		s.charge(t, now, r, upstream)
+		return
+	}
+	release(t, r)
+	setState(t, r, table.RequestJudged)
+	r.Ran = true
+	r.Ticket = failure.Ticket
+	r.Failed = append(r.Failed, upstream)
+	r.JudgeAt = now.Add(judgeAfter)
+	t.WakeAt(r.JudgeAt)
+}
+
+// judge gives the verdicts that are due.
+func (s *Suspect) judge(t *table.Tables, now time.Time) {
+	for i := len(t.Requests.Rows) - 1; i >= 0; i-- {
+		if i >= len(t.Requests.Rows) || t.Requests.Rows[i].State != table.RequestJudged {
+			continue
+		}
+		r := &t.Requests.Rows[i]
+		if now.Before(r.JudgeAt) {
+			t.WakeAt(r.JudgeAt)
+			continue
+		}
+		s.charge(t, now, r, r.Failed[len(r.Failed)-1])
+		suspect := t.Suspects.Find(fingerprintText(r.Request.Fingerprint))
+		if suspect != nil && quarantined(t, suspect) {
+			refuse(t, now, r, unknown(lentilmux.ReasonQuarantined, t.Limits.QuarantineFor, "the request crashed %d upstreams", len(suspect.Upstreams)))
+			continue
+		}
+		proceed(t, now, r)
+	}
+}
+
+// charge counts a crash against a request's fingerprint, here and in the log,
+// unless it came together with others.
+func (s *Suspect) charge(t *table.Tables, now time.Time, r *table.Request, upstream string) {
 	if others := brokenTogether(t, now, upstream); others >= massFailure {
 		t.Decide(now, lentilmux.Decision{
 			What: "suspect", Subject: fingerprintText(r.Request.Fingerprint), Chosen: "not_counted",
--- a/system/system.go
+++ b/system/system.go
@@ -83,9 +83,9 @@
 	t.Self.RetryTokens = t.Limits.RetryFirst
 	s.systems = append(s.first,
 		&Configure{},
-		&Place{Placement: s.placement},
 		&Membership{},
 		&Health{},
+		&Place{Placement: s.placement},
 		&Pace{},
 		&Finish{},
 		&Claim{},
@@ -94,6 +94,7 @@
 		&Arrive{},
 		&Expire{},
 		&Assign{Dispatch: s.dispatch, Admission: s.admission},
+		&Replace{},
 		&Reconcile{},
 		&Gossip{},
 		&Readiness{},
--- a/system/views.go
+++ b/system/views.go
@@ -99,7 +99,7 @@
 	for i := range t.Upstreams.Rows {
 		u := &t.Upstreams.Rows[i]
 		desired := "-"
-		if u.Order.Layers.Len() > 0 && u.Order.Model != "" {
+		if u.Order.Model != "" {
 			desired = rangeText(u.Order.Layers)
 		}
 		rows = append(rows, []string{
--- a/table/config.go
+++ b/table/config.go
@@ -9,12 +9,13 @@
 // Pipeline is a configured pipeline. First and Count say which rows of
 // [Stages] are its own.
 type Pipeline struct {
-	Spec    lentilmux.PipelineSpec
-	First   int
-	Count   int
-	Bound   float64 // tokens a second that its engines can make
-	Pace    Pace
-	StuckAt time.Time // since when no engine could change its range
+	Spec     lentilmux.PipelineSpec
+	First    int
+	Count    int
+	Bound    float64 // tokens a second that its engines can make
+	Pace     Pace
+	PlacedAt time.Time // when the system last asked for another placement
+	StuckAt  time.Time // since when no engine could change its range
 }
 
 // Pace is how fast a pipeline's answers come, as this node sees it.
--- a/table/limits.go
+++ b/table/limits.go
@@ -15,6 +15,8 @@
 	ExchangeFanout int           // peers a round
 	LoadEvery      time.Duration // between load reports of one upstream
 	LeavingFor     time.Duration // how long evidence of leaving holds
+	ReplaceAfter   time.Duration // without an engine before its pipeline is placed anew
+	BrokenAfter    time.Duration // the same if the pipeline cannot serve without it
 	EjectBase      time.Duration // the first ejection; each further one doubles it
 	EjectMost      time.Duration
 	BusyFor        time.Duration // without new work for an upstream that turned some away
@@ -48,6 +50,8 @@
 		ExchangeFanout: 3,
 		LoadEvery:      500 * time.Millisecond,
 		LeavingFor:     5 * time.Second,
+		ReplaceAfter:   10 * time.Second,
+		BrokenAfter:    2 * time.Second,
 		EjectBase:      500 * time.Millisecond,
 		EjectMost:      10 * time.Second,
 		BusyFor:        100 * time.Millisecond,
--- a/table/request.go
+++ b/table/request.go
@@ -19,11 +19,14 @@
 	RequestQueued
 	// RequestRunning is with traffic.
 	RequestRunning
+	// RequestJudged waits until it shows whether it crashed an upstream or was
+	// only there when several broke.
+	RequestJudged
 )
 
 // String returns the state as queries show it.
 func (r RequestState) String() string {
-	return [...]string{"claiming", "joined", "queued", "running"}[r]
+	return [...]string{"claiming", "joined", "queued", "running", "judged"}[r]
 }
 
 // Request is a request that is not finished.
@@ -43,6 +46,8 @@
 	Attempts  int
 	Tokens    int      // given to the caller, as last reported
 	Failed    []string // upstreams that failed it
+	JudgeAt   time.Time
+	NotBefore time.Time // of the next attempt
 }
 
 // Requests is the table of [Request] rows.
