Keep an ejected upstream closed until a probe finds it alive

Open compared times; it now asks whether the ejection is over, which only a live probe ends.

Before: route r1: worker-1[0-15] worker-4[16-31], worker-4 dead. After: the route avoids it. Ruled out: longer ejections, which only make the gap rarer.

--- a/system/health.go
+++ b/system/health.go
@@ -124,7 +124,7 @@
 		s.abort(t, u)
 	case !u.EjectedUntil.IsZero():
 		s.restore(t, now, u)
-	case u.Failures >= probeFailures && s.underCeiling(t, now, u):
+	case u.Failures >= probeFailures && s.underCeiling(t, u):
 		s.eject(t, now, u, "repeated failures, though alive")
 	}
 }
@@ -177,7 +177,7 @@
 }
 
 // underCeiling reports whether one more upstream may be ejected on weak signs.
-func (s *Health) underCeiling(t *table.Tables, now time.Time, u *table.Upstream) bool {
+func (s *Health) underCeiling(t *table.Tables, u *table.Upstream) bool {
 	user := userOf(t, u.Spec.Name)
 	all, ejected := 0, 1
 	for i := range t.Upstreams.Rows {
@@ -186,7 +186,7 @@
 			continue
 		}
 		all++
-		if now.Before(other.EjectedUntil) {
+		if !other.EjectedUntil.IsZero() {
 			ejected++
 		}
 	}
--- a/table/upstream.go
+++ b/table/upstream.go
@@ -38,9 +38,10 @@
 	OrderUnsafe bool // whether it ignored an older fencing number
 }
 
-// Open reports whether the upstream may take new work.
+// Open reports whether the upstream may take new work. An ejected one may not
+// until a probe finds it alive.
 func (u *Upstream) Open(now time.Time) bool {
-	return !u.Leaving && !u.Spec.Draining && !now.Before(u.EjectedUntil) && !now.Before(u.BusyUntil)
+	return !u.Leaving && !u.Spec.Draining && u.EjectedUntil.IsZero() && !now.Before(u.BusyUntil)
 }
 
 // Upstreams is the table of [Upstream] rows.
