Let a tick cost what its events cost, not what the fleet's size costs

Cause: at 390 VMs, 2,400 upstreams and 4,100 workspaces an idle tick took 373 us, a request (two ticks) 798 us and a change of configuration 46 ms, since each system scanned its tables on every tick and placement ran for any change.

Change: scans have times at which they are due, orders are placed anew only when upstreams or pipelines change, and a stage offers 16 candidates that begin at a place given by the prompt's prefix, whatever the size of the fleet.

Ruled out: separate indexes for each scan, which every writer would have to keep right.

--- a/system/apply.go
+++ b/system/apply.go
@@ -240,7 +240,9 @@
 
 // apply changes the configuration in t by a command that passed check.
 func apply(t *table.Tables, c lentilmux.Command, revision lentilmux.Revision) {
-	t.Stages.Stale = true
+	if c.Entity != lentilmux.EntityWorkspace {
+		t.Stages.Stale = true
+	}
 	switch c.Verb {
 	case lentilmux.VerbSet:
 		applySet(t, c, revision)
--- a/system/assign.go
+++ b/system/assign.go
@@ -126,10 +126,18 @@
 	return true
 }
 
-// offer adds the replicas that may take r to the candidates.
+// offer adds replicas that may take r to the candidates, up to a number that
+// does not grow with the fleet. It begins at a place that follows from the
+// prompt's prefix, so that requests with one prefix choose among the same
+// engines.
 func (s *Assign) offer(t *table.Tables, now time.Time, r *table.Request, replicas []int, avoid []string) {
 	trial := isTrial(r)
-	for _, row := range replicas {
+	first := int(uint64(r.Request.Prefix) % uint64(max(1, len(replicas))))
+	for i := range replicas {
+		if len(s.candidates) >= t.Limits.Candidates {
+			return
+		}
+		row := replicas[(first+i)%len(replicas)]
 		u := &t.Upstreams.Rows[row]
 		capacity := capacityOf(t, u)
 		if !u.Open(now) || float64(u.InFlight+u.PeerInFlight) >= capacity {
--- /dev/null
+++ b/system/export_test.go
@@ -0,0 +1,17 @@
+package system
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux/table"
+)
+
+// Choose finds a route for r without sending it, for benchmarks.
+func (s *Schedule) Choose(r *table.Request, now time.Time) bool {
+	for _, system := range s.systems {
+		if assign, ok := system.(*Assign); ok {
+			return assign.choose(s.tables, now, r)
+		}
+	}
+	return false
+}
--- a/system/health.go
+++ b/system/health.go
@@ -8,6 +8,9 @@
 	"lentilmux.example/lentilmux/table"
 )
 
+// reprobeEvery is the time between two searches for ejections that run out.
+const reprobeEvery = 50 * time.Millisecond
+
 // probeFailures is the number of failed signs in a row after which a live
 // upstream is ejected all the same.
 const probeFailures = 4
@@ -36,8 +39,10 @@
 	for _, probe := range t.Events.Probes {
 		s.probed(t, now, probe)
 	}
-	for i := range t.Upstreams.Rows {
-		s.reprobe(t, now, &t.Upstreams.Rows[i])
+	if t.Passed(&t.Timers.Reprobe, now, reprobeEvery) {
+		for i := range t.Upstreams.Rows {
+			s.reprobe(t, now, &t.Upstreams.Rows[i])
+		}
 	}
 }
 
@@ -139,7 +144,6 @@
 	period := min(t.Limits.EjectBase<<min(u.Ejections, 8), t.Limits.EjectMost)
 	u.Ejections++
 	u.EjectedUntil = now.Add(period)
-	t.WakeAt(u.EjectedUntil)
 }
 
 // restore takes an upstream back; it starts slowly.
@@ -160,7 +164,6 @@
 		return
 	}
 	if now.Before(u.EjectedUntil) {
-		t.WakeAt(u.EjectedUntil)
 		return
 	}
 	s.probe(t, now, u)
--- a/system/membership.go
+++ b/system/membership.go
@@ -7,6 +7,13 @@
 	"lentilmux.example/lentilmux/table"
 )
 
+const (
+	// peersEvery is the time between two searches for peers that fell silent.
+	peersEvery = 200 * time.Millisecond
+	// leavingEvery is the time between two searches for marks that ran out.
+	leavingEvery = 200 * time.Millisecond
+)
+
 // Membership joins the platform's lagging list with what peers tell. It reads
 // the lists and digests that arrived and writes VMs, Peers, the marks of
 // leaving and the peers' counts in Upstreams and Workspaces.
@@ -25,8 +32,13 @@
 			p.SilentSince = now
 		}
 	}
-	s.forget(t, now)
-	s.markLeaving(t, now)
+	if t.Passed(&t.Timers.Peers, now, peersEvery) {
+		s.forget(t, now)
+	}
+	heard := len(t.Events.Lists)+len(t.Events.Digests)+len(t.Events.Loads) > 0
+	if heard || t.Passed(&t.Timers.Leaving, now, leavingEvery) {
+		s.markLeaving(t, now)
+	}
 }
 
 // list replaces what was listed. An upstream that was listed once and is no
@@ -144,7 +156,10 @@
 		own := u.ListLeaving || u.ReportLeaving
 		told := !u.PeerLeavingAt.IsZero() && now.Sub(u.PeerLeavingAt) < t.Limits.LeavingFor
 		leaving := own || told
-		if leaving && !u.Leaving {
+		if leaving == u.Leaving {
+			continue
+		}
+		if leaving {
 			reason := "the list or its own word"
 			if !own {
 				reason = "a peer's word"
--- a/system/pace.go
+++ b/system/pace.go
@@ -27,6 +27,9 @@
 	for _, progress := range t.Events.Progress {
 		s.progress(t, now, progress)
 	}
+	if !t.Passed(&t.Timers.Pace, now, paceEvery) {
+		return
+	}
 	for i := range t.Pipelines.Rows {
 		pace := &t.Pipelines.Rows[i].Pace
 		s.rate(pace, now)
--- a/system/place.go
+++ b/system/place.go
@@ -43,8 +43,14 @@
 
 // desire sets the order of every engine.
 func (s *Place) desire(t *table.Tables, now time.Time) {
+	used := make(map[string]bool)
+	for i := range t.Pipelines.Rows {
+		for _, name := range t.Pipelines.Rows[i].Spec.Upstreams {
+			used[name] = true
+		}
+	}
 	for i := range t.Upstreams.Rows {
-		if u := &t.Upstreams.Rows[i]; userOf(t, u.Spec.Name) == "" || u.Spec.Excluded {
+		if u := &t.Upstreams.Rows[i]; !used[u.Spec.Name] || u.Spec.Excluded {
 			u.Order = lentilmux.Order{}
 		}
 	}
--- a/system/reconcile.go
+++ b/system/reconcile.go
@@ -8,6 +8,11 @@
 )
 
 const (
+	// loadsEvery is the time between two searches for reports that are due.
+	loadsEvery = 25 * time.Millisecond
+	// reconcileEvery is the time between two looks at the engines' ranges when
+	// none of them reported.
+	reconcileEvery = 250 * time.Millisecond
 	// orderEvery is the time after which an order that has no effect is sent
 	// again.
 	orderEvery = 2 * time.Second
@@ -37,7 +42,13 @@
 	for _, ended := range t.Events.Orders {
 		s.ended(t, now, ended)
 	}
-	s.askLoads(t, now)
+	if t.Passed(&t.Timers.Loads, now, loadsEvery) {
+		s.askLoads(t, now)
+	}
+	changed := len(t.Events.Loads)+len(t.Events.ConfigPages) > 0
+	if !changed && !t.Passed(&t.Timers.Reconcile, now, reconcileEvery) {
+		return
+	}
 	if !s.sends(t, now) {
 		return
 	}
@@ -62,13 +73,11 @@
 		if u.Spec.Kind != lentilmux.KindEngine {
 			continue
 		}
-		if due := u.AskedAt.Add(t.Limits.LoadEvery); now.Before(due) {
-			t.WakeAt(due)
+		if now.Before(u.AskedAt.Add(t.Limits.LoadEvery)) {
 			continue
 		}
 		u.AskedAt = now
 		t.Add(lentilmux.LoadEffect{Upstream: u.Spec.Name, Addr: u.Spec.Addr})
-		t.WakeAt(now.Add(t.Limits.LoadEvery))
 	}
 }
 
@@ -107,7 +116,6 @@
 	if p.StuckAt.IsZero() {
 		p.StuckAt = now
 	}
-	t.WakeAt(p.StuckAt.Add(stuckFor))
 }
 
 // satisfied reports whether the engine holds what is desired.
@@ -155,5 +163,4 @@
 		Reason: "holds " + heldText(u.Report),
 	})
 	t.Add(lentilmux.OrderEffect{Upstream: u.Spec.Name, Addr: u.Spec.Addr, Order: u.Order})
-	t.WakeAt(now.Add(orderEvery))
 }
--- a/system/replace.go
+++ b/system/replace.go
@@ -12,6 +12,8 @@
 	// worthPlacing is the part of what the live engines could carry below
 	// which a pipeline is placed anew over them.
 	worthPlacing = 0.85
+	// replaceEvery is the time between two looks at the pipelines.
+	replaceEvery = 250 * time.Millisecond
 	// placeEvery is the shortest time between two placements of a pipeline.
 	placeEvery = 10 * time.Second
 )
@@ -27,6 +29,9 @@
 
 // Run implements [System].
 func (s *Replace) Run(t *table.Tables, now time.Time) {
+	if !t.Passed(&t.Timers.Replace, now, replaceEvery) {
+		return
+	}
 	if !t.Self.Joined || !t.Streams.Config.Healthy() || !lowestPeer(t, now, t.Limits.OwnerTimeout) {
 		return
 	}
@@ -75,11 +80,7 @@
 	if u.EjectedUntil.IsZero() {
 		return false
 	}
-	if due := u.EjectedAt.Add(patience); now.Before(due) {
-		t.WakeAt(due)
-		return false
-	}
-	return true
+	return now.Sub(u.EjectedAt) >= patience
 }
 
 // each appends a command for each engine that matches.
--- a/table/limits.go
+++ b/table/limits.go
@@ -32,6 +32,7 @@
 	SnapshotEvery  time.Duration
 	SnapshotAfter  int           // records
 	AnswerMost     int           // bytes of an answer kept for resends
+	Candidates     int           // of a stage that the dispatch policy chooses from
 	TokenGap       time.Duration // between tokens of an answer, up to which engines are filled
 	Margin         float64       // on the time that an answer is expected to take
 }
@@ -67,6 +68,7 @@
 		SnapshotEvery:  10 * time.Minute,
 		SnapshotAfter:  256,
 		AnswerMost:     64 << 10,
+		Candidates:     16,
 		TokenGap:       80 * time.Millisecond,
 		Margin:         1.2,
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -51,6 +51,7 @@
 	Appends    Appends
 	Suspects   Suspects
 	Decisions  Decisions
+	Timers     Timers
 	Events     Events
 
 	effects []lentilmux.Effect
--- /dev/null
+++ b/table/timers.go
@@ -0,0 +1,27 @@
+package table
+
+import "time"
+
+// Timers holds when scans over whole tables are due, so that a tick between
+// them costs no more than its events.
+type Timers struct {
+	Leaving   time.Time
+	Peers     time.Time
+	Reprobe   time.Time
+	Pace      time.Time
+	Replace   time.Time
+	Loads     time.Time
+	Reconcile time.Time
+}
+
+// Passed reports whether the time in due has come, and then sets the next one
+// after the period every. It asks for a tick at the next time.
+func (t *Tables) Passed(due *time.Time, now time.Time, every time.Duration) bool {
+	if now.Before(*due) {
+		t.WakeAt(*due)
+		return false
+	}
+	*due = now.Add(every)
+	t.WakeAt(*due)
+	return true
+}
