End a booking with the attempt that crashed, whatever the verdict

Change: only requests that may repeat wait for a verdict.

Also: policies can be chosen by flag, for comparison with the baselines.

--- a/cmd/lentilmux/options.go
+++ b/cmd/lentilmux/options.go
@@ -7,9 +7,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lentilmux.example/lentilmux/admission"
+	"lentilmux.example/lentilmux/dispatch"
 	"lentilmux.example/lentilmux/entryvm"
 	"lentilmux.example/lentilmux/operator"
+	"lentilmux.example/lentilmux/placement"
 	"lentilmux.example/lentilmux/settings"
+	"lentilmux.example/lentilmux/system"
 	"lentilmux.example/lentilmux/table"
 )
 
@@ -38,6 +42,9 @@
 	loadEvery   *time.Duration
 	queueMost   *int
 	tokenGap    *time.Duration
+	dispatch    *string
+	placement   *string
+	admission   *string
 	standalone  *bool
 	print       *bool
 	printTable  *bool
@@ -68,6 +75,9 @@
 		loadEvery:   s.Duration("load-every", l.LoadEvery, 50*time.Millisecond, time.Minute, "time between load reports of an engine"),
 		queueMost:   s.Int("queue-most", l.QueueMost, 1, 100000, "waiting requests of a workspace"),
 		tokenGap:    s.Duration("token-gap", l.TokenGap, time.Millisecond, time.Minute, "time between tokens of an answer up to which engines are filled"),
+		dispatch:    s.Choice("dispatch", "two_choices", "policy that picks upstreams; the others are baselines", []string{"two_choices", "round_robin", "least_reported"}),
+		placement:   s.Choice("placement", "balanced", "policy that spreads layers; the other is a baseline", []string{"balanced", "equal"}),
+		admission:   s.Choice("admission", "shares", "policy that picks the next workspace; the other is a baseline", []string{"shares", "arrival"}),
 		standalone:  s.Bool("standalone", "serve a whole small system with embedded stand-ins; not for production"),
 		print:       s.Bool("print-settings", "print the settings in force and end"),
 		printTable:  s.Bool("print-settings-table", "print the table of all settings and end"),
@@ -131,5 +141,23 @@
 		Name: *o.name, Zone: *o.zone, CallerAddr: *o.callerAddr, ControlAddr: *o.controlAddr,
 		PeerKey: *o.peerKey, Operators: operator.Keys{Admin: *o.operatorKey, Read: *o.readKey},
 		Seed: seed, Limits: limits, StopTimeout: *o.stopTimeout, Logger: logger,
+		Options: o.policies(),
 	}
 }
+
+// policies returns the baselines that the settings ask for.
+func (o *options) policies() (options []system.Option) {
+	switch *o.dispatch {
+	case "round_robin":
+		options = append(options, system.WithDispatch(&dispatch.RoundRobin{}))
+	case "least_reported":
+		options = append(options, system.WithDispatch(dispatch.LeastReported{}))
+	}
+	if *o.placement == "equal" {
+		options = append(options, system.WithPlacement(placement.Equal{}))
+	}
+	if *o.admission == "arrival" {
+		options = append(options, system.WithAdmission(admission.Arrival{}))
+	}
+	return options
+}
--- a/system/suspect.go
+++ b/system/suspect.go
@@ -50,7 +50,8 @@
 }
 
 // crashed counts an attempt that broke an upstream, or leaves the verdict for
-// later if it is the one that would quarantine.
+// later if it is the one that would quarantine. A call that may not repeat waits
+// for no verdict, since it ends with this attempt.
 func (s *Suspect) crashed(t *table.Tables, now time.Time, failure table.Failure) {
 	r := t.Requests.Find(string(failure.Request))
 	if r == nil || r.State != table.RequestRunning || r.Epoch != failure.Epoch || failure.Stage >= len(r.Upstreams) {
@@ -58,7 +59,7 @@
 	}
 	upstream := r.Upstreams[failure.Stage]
 	suspect := t.Suspects.Find(fingerprintText(r.Request.Fingerprint))
-	if suspect == nil || len(suspect.Upstreams)+1 < t.Limits.CrashesMost {
+	if !repeatable(t, r) || suspect == nil || len(suspect.Upstreams)+1 < t.Limits.CrashesMost {
 		s.charge(t, now, r, upstream)
 		return
 	}
