--- a/examples/punnathara/start.sh
+++ b/examples/punnathara/start.sh
@@ -16,14 +16,14 @@
   echo "$name $!" >>"$out/pids"
 }
 
-zones=(kochi thrissur kozhikode)
+read -ra zones <<<"${ZONES:-kochi thrissur kozhikode}"
 entries=""
 for i in 1 2 3 4 5 6; do
   entries+="${entries:+,}entry-$i=${zones[$(((i - 1) % 3))]}=127.0.0.1:$((7100 + i))"
 done
 
 start platform bin/lentilstand --platform-addr 127.0.0.1:9000 --engines 0 --services 3 \
-  --service-addr 127.0.0.1:9500 --zones kochi,thrissur,kozhikode --entries "$entries"
+  --service-addr 127.0.0.1:9500 --zones "$(IFS=,; echo "${zones[*]}")" --entries "$entries"
 for z in 0 1 2; do
   start "engines-${zones[$z]}" bin/lentilstand --platform-addr "127.0.0.1:$((9001 + z))" --services 0 --engines 10 \
     --engine-prefix "${zones[$z]}-" --engine-addr "127.0.0.1:$((9100 + 100 * z))" --zones "${zones[$z]}" \
@@ -41,7 +41,7 @@
 done
 cat "$out"/platform.out "$out"/engines-*.out >"$out/upstreams.lentil"
 bin/lentilctl --addrs 127.0.0.1:7101 --file "$out/upstreams.lentil" >"$out/setup.log"
-bin/lentilctl --addrs 127.0.0.1:7102 --file examples/punnathara/deployment.lentil >>"$out/setup.log"
+bin/lentilctl --addrs 127.0.0.1:7102 --file "${DEPLOYMENT:-examples/punnathara/deployment.lentil}" >>"$out/setup.log"
 for _ in $(seq 100); do
   missing=$(bin/lentilctl --addrs 127.0.0.1:7101 --output json show orders where state = pending | wc -l)
   [ "$missing" = 0 ] && break
--- /dev/null
+++ b/node_test.go
@@ -0,0 +1,54 @@
+package lentilmux_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+// echo answers every message with itself and wants a tick a minute.
+type echo struct {
+	ticks int
+}
+
+func (e *echo) Tick(now time.Time, batch []lentilmux.Envelope) (effects []lentilmux.Effect, due time.Time) {
+	e.ticks++
+	for _, envelope := range batch {
+		effects = append(effects, lentilmux.AnswerEffect{Ticket: envelope.Ticket, Answer: envelope.Msg})
+	}
+	return effects, now.Add(time.Minute)
+}
+
+func TestNodeAnswersAndSleeps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		model := &echo{}
+		node := lentilmux.NewNode(model)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			node.Run(ctx)
+		}()
+		for i := range 10 {
+			answer, err := node.Ask(ctx, i)
+			if err != nil || answer != i {
+				t.Errorf("asked %d, got %v, %v", i, answer, err)
+			}
+		}
+		time.Sleep(10*time.Minute + time.Second)
+		cancel()
+		<-done
+		// One tick at the start, one for each question, one a minute.
+		if model.ticks != 21 {
+			t.Errorf("%d ticks", model.ticks)
+		}
+		if _, err := node.Ask(context.Background(), 1); !errors.Is(err, lentilmux.ErrStopped) {
+			t.Errorf("a stopped node gave %v", err)
+		}
+	})
+}
--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -145,5 +145,17 @@
 	if parseError.Position().Column == 1 {
 		return fmt.Sprintf("%q begins no statement; the nearest is %q", fields[0], nearest(fields[0], firstWords))
 	}
+	if strings.Contains(parseError.Message(), "<EOF>") {
+		return "the statement ends too early; " + expected(parseError.Message())
+	}
 	return parseError.Message()
 }
+
+// expected returns the part of a message that tells what would fit.
+func expected(message string) string {
+	_, rest, ok := strings.Cut(message, "(expected ")
+	if !ok {
+		return message
+	}
+	return "expected " + strings.TrimSuffix(rest, ")")
+}
