--- a/cmd/lentilload/load.go
+++ b/cmd/lentilload/load.go
@@ -112,7 +112,10 @@
 		r.kind = "lookup"
 	}
 	mean := *l.options.tokens
-	r.tokens = max(1, mean/2+l.random.IntN(mean+1))
+	r.tokens = mean
+	if *l.options.arrivals == "poisson" {
+		r.tokens = max(1, mean/2+l.random.IntN(mean+1))
+	}
 	r.prompt = fmt.Sprintf("topic %d: request %d", l.random.IntN(20), number)
 	if id, err := uuid.NewV7(); err == nil {
 		r.key = id.String()
--- a/cmd/lentilload/main.go
+++ b/cmd/lentilload/main.go
@@ -57,7 +57,7 @@
 		targets:    s.AddrPorts("targets", "127.0.0.1:8080", "caller addresses of entry VMs"),
 		control:    s.AddrPort("control-addr", "127.0.0.1:7080", "control address of an entry VM, asked for the bound"),
 		rate:       s.Float("rate", 10, 0.1, 100000, "requests a second"),
-		arrivals:   s.Choice("arrivals", "poisson", "times between arrivals: random or all alike", []string{"poisson", "even"}),
+		arrivals:   s.Choice("arrivals", "poisson", "arrivals and lengths of answers: random, or all alike, which shows a short dip", []string{"poisson", "even"}),
 		duration:   s.Duration("duration", 10*time.Second, time.Second, time.Hour, "time of the load after the warm-up"),
 		warmup:     s.Duration("warmup", 2*time.Second, 0, time.Hour, "time of load that is not measured"),
 		seed:       s.Int("seed", 1, 1, 1<<31-1, "seed of arrivals and requests"),
--- a/cmd/lentilload/report.go
+++ b/cmd/lentilload/report.go
@@ -207,7 +207,7 @@
 	// normal is the part of the goodput that counts as flowing normally.
 	normal = 0.95
 	// steady is the number of buckets over which goodput is averaged.
-	steady = 5
+	steady = 10
 	// dipMost is the number of buckets after a fault in which the dip's deepest
 	// point is looked for.
 	dipMost = 50
--- a/system/assign.go
+++ b/system/assign.go
@@ -19,6 +19,7 @@
 	Dispatch  lentilmux.Dispatch
 	Admission lentilmux.Admission
 
+	alone      bool // whether upstreams that run a trial are left out
 	candidates []lentilmux.Candidate
 	rows       []int
 	names      []string
@@ -89,12 +90,19 @@
 }
 
 // choose finds a route for r and leaves it in s.route. It reports whether there
-// is one. Upstreams that failed the request before are used only if there are
-// no others.
+// is one. Upstreams that failed the request before, and for a trial those that
+// run another one, are used only if there are no others.
 func (s *Assign) choose(t *table.Tables, now time.Time, r *table.Request) bool {
+	s.alone = isTrial(r)
 	if s.chain(t, now, r, r.Failed) {
 		return true
 	}
+	if s.alone {
+		s.alone = false
+		if s.chain(t, now, r, r.Failed) {
+			return true
+		}
+	}
 	return len(r.Failed) > 0 && s.chain(t, now, r, nil)
 }
 
@@ -131,7 +139,6 @@
 // prompt's prefix, so that requests with one prefix choose among the same
 // engines.
 func (s *Assign) offer(t *table.Tables, now time.Time, r *table.Request, replicas []int, avoid []string) {
-	trial := isTrial(r)
 	first := int(uint64(r.Request.Prefix) % uint64(max(1, len(replicas))))
 	for i := range replicas {
 		if len(s.candidates) >= t.Limits.Candidates {
@@ -143,7 +150,7 @@
 		if !u.Open(now) || float64(u.InFlight+u.PeerInFlight) >= capacity {
 			continue
 		}
-		if slices.Contains(avoid, u.Spec.Name) || (trial && u.Trials > 0) {
+		if slices.Contains(avoid, u.Spec.Name) || (s.alone && u.Trials > 0) {
 			continue
 		}
 		s.rows = append(s.rows, row)
--- a/system/bench_test.go
+++ b/system/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -223,3 +224,56 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the bytes that the tables of a fleet take.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(size.String(), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			n := newNode(size)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				n.schedule.Tick(n.now, nil)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes")
+			runtime.KeepAlive(n)
+		})
+	}
+}
+
+// BenchmarkCalls measures taking in an intent and its outcome, and reports the
+// bytes that a remembered key takes.
+func BenchmarkCalls(b *testing.B) {
+	for _, keys := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			n := newNode(sizes[0])
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for i := range keys {
+				n.call(i)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for i := keys; b.Loop(); i++ {
+				n.call(i)
+			}
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(keys), "bytes/key")
+			runtime.KeepAlive(n)
+		})
+	}
+}
+
+// call reads the two records of another VM's call from the log.
+func (n *node) call(i int) {
+	key := fmt.Sprintf("call/workspace-1/0197%012d-7000-8000-000000000000", i)
+	id := fmt.Sprintf("two-%d", i)
+	next := n.tables.Streams.Calls.Next
+	n.schedule.Tick(n.now, []lentilmux.Envelope{{Msg: lentilmux.CallPageMsg{End: next + 2, Entries: []lentilmux.CallEntry{
+		{Offset: next, At: n.now, Record: lentilmux.CallRecord{Kind: lentilmux.CallIntent, ID: id, VM: "entry-2", Incarnation: "two", Key: key, Born: n.now}},
+		{Offset: next + 1, At: n.now, Record: lentilmux.CallRecord{Kind: lentilmux.CallOutcome, ID: id, VM: "entry-2", Key: key, Outcome: lentilmux.OutcomeAnswered, Status: 200, Body: []byte(`{"booked":true}`)}},
+	}}}})
+}
--- a/system/gossip.go
+++ b/system/gossip.go
@@ -7,13 +7,23 @@
 	"lentilmux.example/lentilmux/table"
 )
 
+const (
+	// gossipEvery is the time between two looks at whose turn it is.
+	gossipEvery = 25 * time.Millisecond
+	// digestBase and digestEach are the bytes of a digest and of one upstream or
+	// workspace in it.
+	digestBase = 91
+	digestEach = 20
+)
+
 // Gossip sends the node's digest to a few peers each round, in turn. It reads
-// Peers and writes the times at which they were asked.
+// Peers and writes the times at which they were asked. Rounds come less often
+// when digests are large, so that they stay within a number of bytes a second.
 type Gossip struct{}
 
 // Run implements [System].
 func (s *Gossip) Run(t *table.Tables, now time.Time) {
-	if len(t.Peers.Rows) == 0 {
+	if len(t.Peers.Rows) == 0 || !t.Passed(&t.Timers.Gossip, now, gossipEvery) {
 		return
 	}
 	own := lentilmux.Digest{}
@@ -39,11 +49,31 @@
 			oldest = p
 		}
 	}
-	rounds := (len(t.Peers.Rows) + t.Limits.ExchangeFanout - 1) / t.Limits.ExchangeFanout
-	due := oldest.AskedAt.Add(time.Duration(rounds) * t.Limits.ExchangeEvery)
+	due := oldest.AskedAt.Add(period(t))
 	if now.Before(due) {
 		t.WakeAt(due)
 		return nil
 	}
 	return oldest
 }
+
+// period returns the time between two exchanges with one peer. A round costs a
+// digest out and one back for each peer that is asked, and as many again for
+// the peers that ask this node.
+func period(t *table.Tables) time.Duration {
+	entries := 0
+	for i := range t.Upstreams.Rows {
+		if t.Upstreams.Rows[i].InFlight > 0 {
+			entries++
+		}
+	}
+	for i := range t.Workspaces.Rows {
+		if w := &t.Workspaces.Rows[i]; w.Running+w.Queued > 0 {
+			entries++
+		}
+	}
+	bytes := 2 * t.Limits.ExchangeFanout * (digestBase + digestEach*entries)
+	round := time.Duration(bytes) * time.Second / time.Duration(t.Limits.ExchangeBytes)
+	rounds := (len(t.Peers.Rows) + t.Limits.ExchangeFanout - 1) / t.Limits.ExchangeFanout
+	return time.Duration(rounds) * max(round, t.Limits.ExchangeEvery)
+}
--- a/table/limits.go
+++ b/table/limits.go
@@ -13,6 +13,7 @@
 	StaleLimit     time.Duration // without log and peers before the node is not ready
 	ExchangeEvery  time.Duration // between rounds of digests
 	ExchangeFanout int           // peers a round
+	ExchangeBytes  int           // bytes a second that digests may take
 	LoadEvery      time.Duration // between load reports of one upstream
 	LeavingFor     time.Duration // how long evidence of leaving holds
 	ReplaceAfter   time.Duration // without an engine before its pipeline is placed anew
@@ -49,6 +50,7 @@
 		StaleLimit:     5 * time.Second,
 		ExchangeEvery:  250 * time.Millisecond,
 		ExchangeFanout: 3,
+		ExchangeBytes:  12000,
 		LoadEvery:      500 * time.Millisecond,
 		LeavingFor:     5 * time.Second,
 		ReplaceAfter:   10 * time.Second,
--- a/table/timers.go
+++ b/table/timers.go
@@ -12,6 +12,7 @@
 	Replace   time.Time
 	Loads     time.Time
 	Reconcile time.Time
+	Gossip    time.Time
 }
 
 // Passed reports whether the time in due has come, and then sets the next one
