--- a/call.go
+++ b/call.go
@@ -13,6 +13,8 @@
 	CallOutcome CallRecordKind = "outcome"
 	// CallCrash states that a request crashed an upstream.
 	CallCrash CallRecordKind = "crash"
+	// CallRelease ends the quarantine of a fingerprint.
+	CallRelease CallRecordKind = "release"
 )
 
 // CallRecord is an entry of [StreamCalls].
--- a/cmd/lentilctl/main.go
+++ b/cmd/lentilctl/main.go
@@ -14,6 +14,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/user"
@@ -23,6 +24,7 @@
 	"connectrpc.com/connect"
 	"github.com/juju/errors"
 
+	"lentilmux.example/lentilmux/certificate"
 	"lentilmux.example/lentilmux/operator"
 	"lentilmux.example/lentilmux/settings"
 )
@@ -47,6 +49,7 @@
 	addrs := set.AddrPorts("addrs", "127.0.0.1:7080", "control addresses of entry VMs, tried in order")
 	key := set.String("key", "", "operator key", settings.Secret())
 	who := set.String("who", userName(), "name that signs commands in the history")
+	authority := set.String("tls-ca", "", "file of the authority of the entry VMs' certificates; empty for no TLS")
 	file := set.String("file", "", "file with one statement a line; - for standard input")
 	output := set.Choice("output", "table", "format of the answer", []string{"table", "json"})
 	watch := set.Duration("watch", 0, 0, time.Hour, "run the statement again after this time, until interrupted; 0 runs it once")
@@ -59,7 +62,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	client := operator.NewClient(*addrs, *key, *who)
+	security, err := securityOf(*authority)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	client := operator.NewClient(*addrs, *key, *who, security)
 	for {
 		code = runAll(client, statements, *output)
 		if *watch == 0 || code != exitOK {
@@ -69,6 +77,19 @@
 	}
 }
 
+// securityOf returns the TLS configuration for an authority's file, or nil for
+// none.
+func securityOf(authority string) (security *tls.Config, err error) {
+	if authority == "" {
+		return nil, nil
+	}
+	files, err := certificate.Load("", "", authority)
+	if err != nil {
+		return nil, err
+	}
+	return files.Client(), nil
+}
+
 // userName returns the name of the user who runs the program.
 func userName() string {
 	current, err := user.Current()
--- a/cmd/lentilload/load.go
+++ b/cmd/lentilload/load.go
@@ -140,7 +140,7 @@
 // bound asks an entry VM for the most tokens a second that the model's engines
 // can make; 0 if it does not tell.
 func (l *load) bound(ctx context.Context) (tokens float64) {
-	client := operator.NewClient([]netip.AddrPort{*l.options.control}, "", "lentilload")
+	client := operator.NewClient([]netip.AddrPort{*l.options.control}, "", "lentilload", nil)
 	result, err := client.Execute(ctx, "show pipelines where model = "+*l.options.model)
 	if err != nil || len(result.Rows) == 0 {
 		return 0
--- a/cmd/lentilmux/main.go
+++ b/cmd/lentilmux/main.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/signal"
@@ -72,12 +73,20 @@
 	if *o.standalone {
 		return serveStandalone(ctx, cancel, o, logger)
 	}
-	vm, err := entryvm.New(o.config(logger), entryvm.Peers{
+	config := o.config(logger)
+	if config.Security, err = o.security(); err != nil {
+		return err
+	}
+	var security *tls.Config
+	if config.Security != nil {
+		security = config.Security.Client()
+	}
+	vm, err := entryvm.New(config, entryvm.Peers{
 		Engine:  engine.NewClient(),
 		Service: service.NewClient(),
 		Log:     platformlog.NewClient(*o.logAddr),
 		VMList:  vmlist.NewClient(*o.listAddr),
-		Peer:    peer.NewClient(*o.peerKey),
+		Peer:    peer.NewClient(*o.peerKey, security),
 	})
 	if err != nil {
 		return err
--- a/cmd/lentilmux/options.go
+++ b/cmd/lentilmux/options.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lentilmux.example/lentilmux/admission"
+	"lentilmux.example/lentilmux/certificate"
 	"lentilmux.example/lentilmux/dispatch"
 	"lentilmux.example/lentilmux/entryvm"
 	"lentilmux.example/lentilmux/operator"
@@ -32,6 +33,9 @@
 	peerKey     *string
 	operatorKey *string
 	readKey     *string
+	tlsCert     *string
+	tlsKey      *string
+	tlsCA       *string
 	seed        *int
 	logFormat   *string
 	logLevel    *string
@@ -65,6 +69,9 @@
 		peerKey:     s.String("peer-key", "", "key that all entry VMs share", settings.Secret()),
 		operatorKey: s.String("operator-key", "", "key of operators; empty lets everyone in", settings.Secret()),
 		readKey:     s.String("operator-read-key", "", "key of operators who may only ask", settings.Secret()),
+		tlsCert:     s.String("tls-cert", "", "file of this VM's certificate, for both listeners; empty for no TLS"),
+		tlsKey:      s.String("tls-key", "", "file of the certificate's key"),
+		tlsCA:       s.String("tls-ca", "", "file of the authority of the other VMs' certificates"),
 		seed:        s.Int("seed", 0, 0, 1<<31-1, "seed of random choices; 0 takes one from the clock"),
 		logFormat:   s.Choice("log-format", "json", "format of the log lines", []string{"json", "text"}),
 		logLevel:    s.Choice("log-level", "info", "least level of the log lines", []string{"debug", "info", "warning", "error"}),
@@ -105,12 +112,25 @@
 			Flag: "control-addr", Variable: "LENTILMUX_CONTROL_ADDR", Value: o.controlAddr.String(), Expected: "another address than caller-addr",
 		})
 	}
+	if (*o.tlsCert == "") != (*o.tlsKey == "") {
+		mistakes = append(mistakes, settings.Mistake{
+			Flag: "tls-key", Variable: "LENTILMUX_TLS_KEY", Value: *o.tlsKey, Expected: "a file, together with tls-cert",
+		})
+	}
 	if len(mistakes) > 0 {
 		return mistakes
 	}
 	return nil
 }
 
+// security returns the certificates that the settings name, or nil for none.
+func (o *options) security() (files *certificate.Files, err error) {
+	if *o.tlsCert == "" {
+		return nil, nil
+	}
+	return certificate.Load(*o.tlsCert, *o.tlsKey, *o.tlsCA)
+}
+
 // logger returns the logger that the settings describe.
 func (o *options) logger() *logrus.Logger {
 	logger := logrus.New()
--- a/cmd/lentilmux/standalone.go
+++ b/cmd/lentilmux/standalone.go
@@ -59,7 +59,7 @@
 		Service: standin.Services{netip.MustParseAddrPort("127.0.0.1:3"): standin.NewService("desk-1", 5*time.Millisecond)},
 		Log:     standin.NewLog(time.Millisecond),
 		VMList:  standin.NewVMList(time.Second),
-		Peer:    peer.NewClient(""),
+		Peer:    peer.NewClient("", nil),
 	}
 }
 
@@ -68,7 +68,7 @@
 func prepare(ctx context.Context, config entryvm.Config) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, setupTimeout)
 	defer cancel()
-	client := operator.NewClient([]netip.AddrPort{config.ControlAddr}, config.Operators.Admin, "standalone")
+	client := operator.NewClient([]netip.AddrPort{config.ControlAddr}, config.Operators.Admin, "standalone", nil)
 	for _, statement := range setup {
 		if err := execute(ctx, client, statement); err != nil {
 			return err
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -23,6 +23,7 @@
 
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/caller"
+	"lentilmux.example/lentilmux/certificate"
 	"lentilmux.example/lentilmux/dispatch"
 	"lentilmux.example/lentilmux/engine"
 	"lentilmux.example/lentilmux/operator"
@@ -40,6 +41,7 @@
 	CallerAddr  netip.AddrPort // where callers connect
 	ControlAddr netip.AddrPort // where peers and operators connect
 	PeerKey     string
+	Security    *certificate.Files // of both listeners; nil for no TLS
 	Operators   operator.Keys
 	Seed        uint64
 	Limits      table.Limits
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -49,12 +50,20 @@
 	return &servers{
 		caller:          newServer(v.Handler()),
 		control:         newServer(v.controlHandler()),
-		callerListener:  limit(callerListener, callersMost),
-		controlListener: limit(controlListener, controlMost),
+		callerListener:  v.secure(limit(callerListener, callersMost)),
+		controlListener: v.secure(limit(controlListener, controlMost)),
 		logger:          v.config.Logger,
 	}, nil
 }
 
+// secure puts TLS on a listener if the entry VM has a certificate.
+func (v *VM) secure(listener net.Listener) net.Listener {
+	if v.config.Security == nil {
+		return listener
+	}
+	return tls.NewListener(listener, v.config.Security.Server())
+}
+
 // controlHandler serves peers, operators and metrics.
 func (v *VM) controlHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/operator/client.go
+++ b/operator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,14 +24,21 @@
 	addrs  []netip.AddrPort
 	key    string
 	who    string
+	scheme string
 	client *http.Client
 }
 
 // NewClient returns a client for the entry VMs at addrs, which it tries in
-// order. It shows key and signs commands with who.
-func NewClient(addrs []netip.AddrPort, key, who string) *Client {
+// order. It shows key, signs commands with who, and uses TLS unless security is
+// nil.
+func NewClient(addrs []netip.AddrPort, key, who string, security *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &Client{addrs: addrs, key: key, who: who, client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}}
+	transport := &http.Transport{DialContext: dialer.DialContext, TLSClientConfig: security}
+	scheme := "http://"
+	if security != nil {
+		scheme = "https://"
+	}
+	return &Client{addrs: addrs, key: key, who: who, scheme: scheme, client: &http.Client{Transport: transport}}
 }
 
 // Result is the answer to a statement.
@@ -61,7 +69,7 @@
 func (c *Client) at(ctx context.Context, addr netip.AddrPort, statement, id string) (result Result, err error) {
 	ctx, cancel := context.WithTimeout(ctx, executeTimeout)
 	defer cancel()
-	stub := operatorpbconnect.NewOperatorServiceClient(c.client, "http://"+addr.String())
+	stub := operatorpbconnect.NewOperatorServiceClient(c.client, c.scheme+addr.String())
 	request := connect.NewRequest(&operatorpb.ExecuteRequest{Statement: statement, Id: id, Who: c.who})
 	if c.key != "" {
 		request.Header().Set("Authorization", "Bearer "+c.key)
--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -34,6 +34,7 @@
 	Show    *Show   `parser:"( 'show' @@"`
 	Why     string  `parser:"| 'why' 'request' @(Word|String)"`
 	Stop    string  `parser:"| 'stop' 'request' @(Word|String)"`
+	Release string  `parser:"| 'release' 'fingerprint' @(Word|String)"`
 	Export  bool    `parser:"| @'export'"`
 	DrainVM bool    `parser:"| @('drain' 'vm')"`
 	Mark    *Mark   `parser:"| @@"`
@@ -134,7 +135,7 @@
 }
 
 // firstWords are the words with which a statement can begin.
-var firstWords = []string{"show", "why", "stop", "export", "drain", "undrain", "exclude", "include", "remove", "create", "change", "dry"}
+var firstWords = []string{"show", "why", "stop", "export", "drain", "undrain", "exclude", "include", "remove", "create", "change", "release", "dry"}
 
 // hint explains a mistake. For an unknown first word it names the nearest.
 func hint(text string, parseError participle.Error) string {
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -78,6 +79,8 @@
 		result = &operatorpb.ExecuteResponse{Accepted: true, Known: true, Detail: "this entry VM is draining"}
 	case statement.Stop != "":
 		result, err = h.command(ctx, lentilmux.StopMsg{Request: lentilmux.RequestID(statement.Stop)})
+	case statement.Release != "":
+		result, err = h.release(ctx, request.Msg, statement)
 	default:
 		result, err = h.change(ctx, request.Msg, statement)
 	}
@@ -190,6 +193,15 @@
 	})
 }
 
+// release ends the quarantine of a fingerprint.
+func (h *Handler) release(ctx context.Context, request *operatorpb.ExecuteRequest, statement *Statement) (result *operatorpb.ExecuteResponse, err error) {
+	fingerprint, err := strconv.ParseUint(statement.Release, 16, 64)
+	if err != nil {
+		return nil, &SyntaxError{Statement: request.GetStatement(), Column: 1, Detail: "a fingerprint is a number of up to 16 hex digits, as in show suspects"}
+	}
+	return h.command(ctx, lentilmux.ReleaseMsg{Fingerprint: lentilmux.Fingerprint(fingerprint), Who: request.GetWho()})
+}
+
 // command asks the node to carry out msg and returns its verdict.
 func (h *Handler) command(ctx context.Context, msg lentilmux.Msg) (result *operatorpb.ExecuteResponse, err error) {
 	answer, err := h.node.Ask(ctx, msg)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	if statement.Show != nil || statement.Why != "" || statement.Stop != "" || statement.Export || statement.DrainVM {
+	if statement.Show != nil || statement.Why != "" || statement.Stop != "" || statement.Release != "" || statement.Export || statement.DrainVM {
 		data, err := json.Marshal(statement)
 		if err != nil {
 			return err.Error()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -33,6 +34,7 @@
 // Client implements [lentilmux.Peer].
 type Client struct {
 	key    string
+	scheme string
 	client *http.Client
 
 	mu    sync.Mutex
@@ -40,12 +42,16 @@
 }
 
 // NewClient returns a client that shows key to its peers; the empty key shows
-// none.
-func NewClient(key string) *Client {
+// none. It uses TLS unless security is nil.
+func NewClient(key string, security *tls.Config) *Client {
 	dialer := &net.Dialer{Timeout: callTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute, TLSClientConfig: security}
+	scheme := "http://"
+	if security != nil {
+		scheme = "https://"
+	}
 	return &Client{
-		key: key, client: &http.Client{Transport: transport},
+		key: key, scheme: scheme, client: &http.Client{Transport: transport},
 		stubs: make(map[netip.AddrPort]peerpbconnect.PeerServiceClient),
 	}
 }
@@ -55,7 +61,7 @@
 	defer c.mu.Unlock()
 	stub, ok := c.stubs[addr]
 	if !ok {
-		stub = peerpbconnect.NewPeerServiceClient(c.client, "http://"+addr.String(), connect.WithInterceptors(showKey(c.key)))
+		stub = peerpbconnect.NewPeerServiceClient(c.client, c.scheme+addr.String(), connect.WithInterceptors(showKey(c.key)))
 		c.stubs[addr] = stub
 	}
 	return stub
--- a/query.go
+++ b/query.go
@@ -36,6 +36,13 @@
 	Request RequestID
 }
 
+// ReleaseMsg ends the quarantine of a fingerprint on all entry VMs. The answer
+// is a [CommandAnswer].
+type ReleaseMsg struct {
+	Fingerprint Fingerprint
+	Who         string
+}
+
 // DrainMsg begins the node's own planned stop. The answer is a
 // [DrainedAnswer], given when no request is left.
 type DrainMsg struct{}
--- a/system/claim.go
+++ b/system/claim.go
@@ -118,6 +118,8 @@
 		s.intent(t, now, record)
 	case lentilmux.CallOutcome:
 		s.outcome(t, now, record)
+	case lentilmux.CallRelease:
+		t.Suspects.Remove(fingerprintText(record.Fingerprint))
 	case lentilmux.CallCrash:
 		if u := t.Upstreams.Find(record.Upstream); u != nil {
 			u.CrashedAt = now
--- a/system/intake.go
+++ b/system/intake.go
@@ -51,6 +51,8 @@
 		e.Queries = append(e.Queries, table.QueryEvent{Ticket: ticket, Query: msg.Query})
 	case lentilmux.StopMsg:
 		e.Stops = append(e.Stops, table.StopEvent{Ticket: ticket, Request: msg.Request})
+	case lentilmux.ReleaseMsg:
+		e.Releases = append(e.Releases, table.ReleaseEvent{Ticket: ticket, ReleaseMsg: msg})
 	case lentilmux.DrainMsg:
 		e.Drains = append(e.Drains, ticket)
 	case lentilmux.StatusMsg:
--- a/system/scenario_test.go
+++ b/system/scenario_test.go
@@ -171,6 +171,8 @@
 		return lentilmux.VMListMsg{VMs: listed(words[2:])}, nil
 	case "stop":
 		return lentilmux.StopMsg{Request: lentilmux.RequestID(words[2])}, nil
+	case "release":
+		return lentilmux.ReleaseMsg{Fingerprint: 7, Who: "operator"}, nil
 	case "drain":
 		return lentilmux.DrainMsg{}, nil
 	case "wait":
--- a/system/suspect.go
+++ b/system/suspect.go
@@ -41,6 +41,9 @@
 			s.crashed(t, now, failure)
 		}
 	}
+	for _, event := range t.Events.Releases {
+		s.release(t, now, event)
+	}
 	s.judge(t, now)
 	for i := len(t.Suspects.Rows) - 1; i >= 0; i-- {
 		if now.Sub(t.Suspects.Rows[i].At) >= t.Limits.QuarantineFor {
@@ -72,6 +75,26 @@
 	t.WakeAt(r.JudgeAt)
 }
 
+// release states in the log that an operator ends a quarantine.
+func (s *Suspect) release(t *table.Tables, now time.Time, event table.ReleaseEvent) {
+	key := fingerprintText(event.Fingerprint)
+	answer := lentilmux.CommandAnswer{Known: true, Revision: t.Self.Revision, Detail: "no request with this fingerprint is suspected"}
+	switch {
+	case t.Suspects.Find(key) == nil:
+	case !t.Streams.Calls.Healthy():
+		answer.Detail = "the log is not available; nothing was changed"
+	default:
+		t.Self.LastIntent++
+		appendCall(t, now, lentilmux.CallRecord{
+			Kind: lentilmux.CallRelease, ID: fmt.Sprintf("%s-%d", t.Self.Incarnation, t.Self.LastIntent),
+			VM: t.Self.Name, Incarnation: t.Self.Incarnation, Fingerprint: event.Fingerprint,
+		})
+		t.Decide(now, lentilmux.Decision{What: "suspect", Subject: key, Chosen: "released", Reason: "by " + event.Who})
+		answer.Accepted, answer.Detail = true, "released on all entry VMs"
+	}
+	t.Answer(event.Ticket, answer)
+}
+
 // judge gives the verdicts that are due.
 func (s *Suspect) judge(t *table.Tables, now time.Time) {
 	for i := len(t.Requests.Rows) - 1; i >= 0; i-- {
--- a/table/events.go
+++ b/table/events.go
@@ -38,6 +38,12 @@
 	Request lentilmux.RequestID
 }
 
+// ReleaseEvent asks to end the quarantine of a fingerprint.
+type ReleaseEvent struct {
+	Ticket lentilmux.Ticket
+	lentilmux.ReleaseMsg
+}
+
 // Events holds what arrived since the last tick, one list for each kind.
 type Events struct {
 	Arrivals     []Arrival
@@ -58,6 +64,7 @@
 	Orders       []lentilmux.OrderMsg
 	Queries      []QueryEvent
 	Stops        []StopEvent
+	Releases     []ReleaseEvent
 	Drains       []lentilmux.Ticket
 	StatusAsks   []lentilmux.Ticket
 }
