--- a/cmd/lentilload/report.go
+++ b/cmd/lentilload/report.go
@@ -32,6 +32,7 @@
 	tokens   map[string]int // by workspace, of answers in the measured time
 	line     map[int]int    // tokens by bucket
 	bookings map[string]string
+	stalls   []time.Duration // ends of stalls, since the start
 	resends  int
 	sent     int
 }
@@ -98,8 +99,11 @@
 	if r.kind == "answer" {
 		record(c.first, res.first)
 	}
-	for _, gap := range res.gaps {
+	for i, gap := range res.gaps {
 		record(c.gaps, gap)
+		if gap >= stallLeast {
+			c.stalls = append(c.stalls, res.arrivals[i+1].Sub(start))
+		}
 	}
 }
 
@@ -167,6 +171,9 @@
 	Workspaces map[string]float64   `json:"tokens_per_s_by_workspace"`
 	FaultAt    float64              `json:"fault_at_s,omitempty"`
 	Recovery   float64              `json:"recovery_s,omitempty"`
+	Lowest     float64              `json:"lowest_before,omitempty"`   // window before the fault, of their mean
+	Stalled    float64              `json:"stalled_until_s,omitempty"` // after the fault
+	Stalls     int                  `json:"stalls,omitempty"`
 	Line       []int                `json:"tokens_by_100ms"`
 	Wrong      int                  `json:"wrong"`
 	Examples   []string             `json:"wrong_examples,omitempty"`
@@ -197,7 +204,10 @@
 	}
 	if *o.faultAt > 0 {
 		r.FaultAt = o.faultAt.Seconds()
-		r.Recovery = recovery(r.Line, int(*o.faultAt/bucket), *o.remaining)
+		fault := int(*o.faultAt / bucket)
+		r.Recovery = recovery(r.Line, fault, *o.remaining)
+		r.Lowest = lowest(r.Line[:min(fault, len(r.Line))])
+		r.Stalls, r.Stalled = c.stallsAfter(*o.faultAt)
 	}
 	r.Examples = c.wrong[:min(len(c.wrong), 10)]
 	return r
@@ -208,6 +218,8 @@
 	normal = 0.95
 	// steady is the number of buckets over which goodput is averaged.
 	steady = 10
+	// stallLeast is the gap between tokens from which on an answer stalls.
+	stallLeast = 250 * time.Millisecond
 	// dipMost is the number of buckets after a fault in which the dip's deepest
 	// point is looked for.
 	dipMost = 50
@@ -239,6 +251,29 @@
 	return -1
 }
 
+// lowest returns the lowest window of a time line as a part of its mean, which
+// tells how far goodput varies without a fault.
+func lowest(line []int) (part float64) {
+	part = 1
+	for end := steady; end <= len(line); end++ {
+		part = min(part, mean(line[end-steady:end])/mean(line))
+	}
+	return part
+}
+
+// stallsAfter counts the stalls that ended after a fault and returns the seconds
+// from the fault to the end of the last one within the time of a dip.
+func (c *records) stallsAfter(fault time.Duration) (count int, until float64) {
+	for _, end := range c.stalls {
+		after := end - fault
+		if after > 0 && after <= dipMost*bucket {
+			count++
+			until = max(until, after.Seconds())
+		}
+	}
+	return count, until
+}
+
 func mean(line []int) float64 {
 	sum := 0
 	for _, n := range line {
@@ -275,7 +310,8 @@
 		line("workspace  %-20s %.1f tokens/s", workspace, r.Workspaces[workspace])
 	}
 	if r.FaultAt > 0 {
-		line("recovery   %.1f s after the fault at %.1f s", r.Recovery, r.FaultAt)
+		line("recovery   %.1f s after the fault at %.1f s (lowest second before it: %.3f of the mean)", r.Recovery, r.FaultAt, r.Lowest)
+		line("stalls     %d answers, the last until %.2f s after the fault", r.Stalls, r.Stalled)
 	}
 	line("wrong      %d", r.Wrong)
 	for _, example := range r.Examples {
@@ -306,5 +342,6 @@
 	row("first_token_p95_ms", before.First.P95, after.First.P95)
 	row("token_gap_p95_ms", before.Gaps.P95, after.Gaps.P95)
 	row("recovery_s", before.Recovery, after.Recovery)
+	row("stalled_until_s", before.Stalled, after.Stalled)
 	row("wrong", float64(before.Wrong), float64(after.Wrong))
 }
