--- a/caller/caller.go
+++ b/caller/caller.go
@@ -61,11 +61,6 @@
 	defaultTokens = 256
 )
 
-// Asker is the part of [lentilmux.Node] that answers.
-type Asker interface {
-	Ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error)
-}
-
 // Observation is what is measured of a finished request.
 type Observation struct {
 	Service bool // whether it was a call to a plain service
@@ -79,7 +74,7 @@
 // Config is what a [Handler] is made from.
 type Config struct {
 	Name    string // of the entry VM, a part of request IDs
-	Node    Asker
+	Node    lentilmux.Asker
 	Relay   *engine.Relay
 	Runner  *service.Runner
 	Observe func(Observation)
--- a/engine/progress.go
+++ b/engine/progress.go
@@ -12,7 +12,7 @@
 
 // progress counts the tokens of an attempt and reports them now and then.
 type progress struct {
-	node    Asker
+	node    lentilmux.Asker
 	request lentilmux.RequestID
 	tokens  int
 	since   time.Time // of the last report
--- a/engine/relay.go
+++ b/engine/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,22 +9,10 @@
 	"lentilmux.example/lentilmux"
 )
 
-// Asker is the part of [lentilmux.Node] that traffic uses.
-type Asker interface {
-	Send(ctx context.Context, msg lentilmux.Msg) (err error)
-	Ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error)
-}
-
 // doneTimeout bounds the report of a request's end, which is made even when
 // its caller is gone.
 const doneTimeout = 5 * time.Second
 
-// errAborted ends an attempt whose upstream was found dead.
-const errAborted = errors.ConstError("attempt aborted")
-
-// ErrStopped ends a request that an operator stopped.
-const ErrStopped = errors.ConstError("request stopped by an operator")
-
 // Relay drives answers through pipelines. It feeds each position to the stages
 // in order and hands each token to the caller once.
 //
@@ -34,24 +21,16 @@
 // its streams are closed before the new ones open and every output must name
 // the position that is due.
 type Relay struct {
-	node   Asker
-	engine lentilmux.Engine
+	lentilmux.Attempts
 
-	mu      sync.Mutex
-	running map[lentilmux.RequestID]*attempt
-}
-
-// attempt is what [Relay.Abort] and [Relay.Cancel] can end.
-type attempt struct {
-	epoch  lentilmux.Epoch
-	abort  context.CancelCauseFunc // ends the attempt
-	cancel context.CancelCauseFunc // ends the request
+	node   lentilmux.Asker
+	engine lentilmux.Engine
 }
 
 // NewRelay returns a relay that asks node for routes and reaches engines
 // through engine.
-func NewRelay(node Asker, engine lentilmux.Engine) *Relay {
-	return &Relay{node: node, engine: engine, running: make(map[lentilmux.RequestID]*attempt)}
+func NewRelay(node lentilmux.Asker, engine lentilmux.Engine) *Relay {
+	return &Relay{node: node, engine: engine}
 }
 
 // Prompt is what an answer is made from.
@@ -135,7 +114,7 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		refusal.Reason, refusal.Detail = lentilmux.ReasonDeadline, "the deadline passed while the request ran"
-	case errors.Is(cause, ErrStopped):
+	case errors.Is(cause, lentilmux.ErrStoppedByOperator):
 		refusal.Reason, refusal.Detail = lentilmux.ReasonStopped, "an operator stopped the request"
 	case cause == nil:
 		refusal.Reason, refusal.Detail = lentilmux.ReasonDraining, "this entry VM has stopped"
@@ -163,8 +142,8 @@
 func (r *Relay) attempt(ctx context.Context, cancel context.CancelCauseFunc, route lentilmux.Route, prompt Prompt, generated []string, emit Emit) (tokens []string, failed *failure) {
 	attemptCtx, abort := context.WithCancelCause(ctx)
 	defer abort(nil)
-	r.enter(route, &attempt{epoch: route.Epoch, abort: abort, cancel: cancel})
-	defer r.leave(route.Request)
+	r.Enter(route.Request, route.Epoch, abort, cancel)
+	defer r.Leave(route.Request)
 	stages, failed := r.open(attemptCtx, route, prompt, generated)
 	defer closeAll(stages)
 	if failed != nil {
@@ -192,7 +171,7 @@
 // unlessAborted returns the failure, or one that says the node itself ended
 // the attempt.
 func unlessAborted(ctx context.Context, failed *failure) *failure {
-	if errors.Is(context.Cause(ctx), errAborted) {
+	if errors.Is(context.Cause(ctx), lentilmux.ErrAborted) {
 		failed.kind = lentilmux.FailureAborted
 	}
 	return failed
@@ -251,35 +230,3 @@
 	}
 	return &failure{stage: stage, kind: lentilmux.FailureProtocol}
 }
-
-func (r *Relay) enter(route lentilmux.Route, a *attempt) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.running[route.Request] = a
-}
-
-func (r *Relay) leave(request lentilmux.RequestID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.running, request)
-}
-
-// Abort ends the attempt of a request if it is still in the epoch.
-func (r *Relay) Abort(request lentilmux.RequestID, epoch lentilmux.Epoch) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a, ok := r.running[request]; ok && a.epoch == epoch {
-		a.abort(errAborted)
-	}
-}
-
-// Cancel ends a request for an operator. It reports whether it was running.
-func (r *Relay) Cancel(request lentilmux.RequestID) (found bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a, ok := r.running[request]
-	if ok {
-		a.cancel(ErrStopped)
-	}
-	return ok
-}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -27,11 +27,6 @@
 // ErrReadOnly reports a command with a key that may only ask.
 const ErrReadOnly = errors.ConstError("this operator key may only ask, not change")
 
-// Asker is the part of [lentilmux.Node] that answers.
-type Asker interface {
-	Ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error)
-}
-
 // Keys are the keys that operators show. With no Admin key everyone may do
 // everything.
 type Keys struct {
@@ -41,14 +36,14 @@
 
 // Handler runs operators' statements on a node.
 type Handler struct {
-	node  Asker
+	node  lentilmux.Asker
 	keys  Keys
 	drain func()
 }
 
 // NewHandler returns the path and the HTTP handler that serve operators. It
 // calls drain when an operator begins the node's planned stop.
-func NewHandler(node Asker, keys Keys, drain func()) (path string, handler http.Handler) {
+func NewHandler(node lentilmux.Asker, keys Keys, drain func()) (path string, handler http.Handler) {
 	h := &Handler{node: node, keys: keys, drain: drain}
 	return operatorpbconnect.NewOperatorServiceHandler(h, connect.WithReadMaxBytes(1<<20))
 }
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -20,19 +20,14 @@
 // ErrPeerKey reports a call without the key that peers share.
 const ErrPeerKey = errors.ConstError("wrong or missing peer key")
 
-// Asker is the part of [lentilmux.Node] that answers.
-type Asker interface {
-	Ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error)
-}
-
 // Handler answers the calls of peers from a node.
 type Handler struct {
-	node Asker
+	node lentilmux.Asker
 }
 
 // NewHandler returns the path and the HTTP handler that serve peers. It refuses
 // calls that do not show key, unless key is empty.
-func NewHandler(node Asker, key string) (path string, handler http.Handler) {
+func NewHandler(node lentilmux.Asker, key string) (path string, handler http.Handler) {
 	return peerpbconnect.NewPeerServiceHandler(&Handler{node: node}, connect.WithInterceptors(checkKey(key)), connect.WithReadMaxBytes(1<<20))
 }
 
--- a/platformlog/tailer.go
+++ b/platformlog/tailer.go
@@ -16,20 +16,15 @@
 	retryWait = 200 * time.Millisecond
 )
 
-// Sender is the part of [lentilmux.Node] that takes messages.
-type Sender interface {
-	Send(ctx context.Context, msg lentilmux.Msg) (err error)
-}
-
 // Tailer reads both streams from their starts on and hands every page to a
 // node, in order.
 type Tailer struct {
 	log  lentilmux.Log
-	node Sender
+	node lentilmux.Asker
 }
 
 // NewTailer returns a tailer from log to node.
-func NewTailer(log lentilmux.Log, node Sender) *Tailer {
+func NewTailer(log lentilmux.Log, node lentilmux.Asker) *Tailer {
 	return &Tailer{log: log, node: node}
 }
 
--- a/platformlog/writer.go
+++ b/platformlog/writer.go
@@ -19,13 +19,13 @@
 // a second stays bounded by the log's speed and not by the number of records.
 type Writer struct {
 	log    lentilmux.Log
-	node   Sender
+	node   lentilmux.Asker
 	config chan []byte
 	calls  chan []byte
 }
 
 // NewWriter returns a writer that tells node of failed appends.
-func NewWriter(log lentilmux.Log, node Sender) *Writer {
+func NewWriter(log lentilmux.Log, node lentilmux.Asker) *Writer {
 	return &Writer{
 		log: log, node: node,
 		config: make(chan []byte, queueMost),
--- a/service/runner.go
+++ b/service/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,41 +9,23 @@
 	"lentilmux.example/lentilmux"
 )
 
-// Asker is the part of [lentilmux.Node] that traffic uses.
-type Asker interface {
-	Send(ctx context.Context, msg lentilmux.Msg) (err error)
-	Ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error)
-}
-
 // doneTimeout bounds the report of a call's end, which is made even when its
 // caller is gone.
 const doneTimeout = 5 * time.Second
 
-const (
-	errAborted = errors.ConstError("attempt aborted")
-	errStopped = errors.ConstError("call stopped by an operator")
-)
-
 // Runner drives calls to plain services. A call that may not repeat is sent to
 // a second upstream only if no byte of it reached the first.
 type Runner struct {
-	node    Asker
-	service lentilmux.Service
+	lentilmux.Attempts
 
-	mu      sync.Mutex
-	running map[lentilmux.RequestID]*attempt
-}
-
-// attempt is what [Runner.Abort] and [Runner.Cancel] can end.
-type attempt struct {
-	epoch lentilmux.Epoch
-	end   context.CancelCauseFunc
+	node    lentilmux.Asker
+	service lentilmux.Service
 }
 
 // NewRunner returns a runner that asks node for routes and reaches services
 // through service.
-func NewRunner(node Asker, service lentilmux.Service) *Runner {
-	return &Runner{node: node, service: service, running: make(map[lentilmux.RequestID]*attempt)}
+func NewRunner(node lentilmux.Asker, service lentilmux.Service) *Runner {
+	return &Runner{node: node, service: service}
 }
 
 // Run serves a request for a plain service. A [*lentilmux.Refusal] tells what is
@@ -70,7 +51,7 @@
 				r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeAnswered, Reply: reply})
 				return reply, nil
 			}
-			if errors.Is(err, errStopped) {
+			if errors.Is(err, lentilmux.ErrStoppedByOperator) {
 				r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonStopped})
 				return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonStopped, Detail: "an operator stopped the call while it ran"}
 			}
@@ -100,8 +81,8 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	r.enter(route, end)
-	defer r.leave(route.Request)
+	r.Enter(route.Request, route.Epoch, end, end)
+	defer r.Leave(route.Request)
 	if err := ctx.Err(); err != nil {
 		return lentilmux.ServiceReply{}, lentilmux.FailureDial, err
 	}
@@ -110,11 +91,11 @@
 		return reply, 0, nil
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errStopped) {
-		return lentilmux.ServiceReply{}, 0, errStopped
+	if errors.Is(cause, lentilmux.ErrStoppedByOperator) {
+		return lentilmux.ServiceReply{}, 0, lentilmux.ErrStoppedByOperator
 	}
 	kind = kindOf(err)
-	if errors.Is(cause, errAborted) && kind != lentilmux.FailureDial {
+	if errors.Is(cause, lentilmux.ErrAborted) && kind != lentilmux.FailureDial {
 		kind = lentilmux.FailureAborted
 	}
 	return lentilmux.ServiceReply{}, kind, err
@@ -137,35 +118,3 @@
 	// be told.
 	_ = r.node.Send(ctx, msg)
 }
-
-func (r *Runner) enter(route lentilmux.Route, end context.CancelCauseFunc) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.running[route.Request] = &attempt{epoch: route.Epoch, end: end}
-}
-
-func (r *Runner) leave(request lentilmux.RequestID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.running, request)
-}
-
-// Abort ends the attempt of a call if it is still in the epoch.
-func (r *Runner) Abort(request lentilmux.RequestID, epoch lentilmux.Epoch) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a, ok := r.running[request]; ok && a.epoch == epoch {
-		a.end(errAborted)
-	}
-}
-
-// Cancel ends a call for an operator. It reports whether it was running.
-func (r *Runner) Cancel(request lentilmux.RequestID) (found bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a, ok := r.running[request]
-	if ok {
-		a.end(errStopped)
-	}
-	return ok
-}
--- a/system/claim.go
+++ b/system/claim.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"lentilmux.example/lentilmux"
@@ -99,17 +98,6 @@
 	}
 }
 
-// appendCall appends a record and keeps it until it is read back.
-func appendCall(t *table.Tables, now time.Time, record lentilmux.CallRecord) {
-	t.Appends.Put(table.Append{ID: appendID(record), Record: record, AppendedAt: now})
-	t.Add(lentilmux.CallAppendEffect{Record: record})
-	t.WakeAt(now.Add(appendEvery))
-}
-
-func appendID(record lentilmux.CallRecord) string {
-	return string(record.Kind) + "/" + record.ID
-}
-
 // apply decides one record, alike on every VM.
 func (s *Claim) apply(t *table.Tables, now time.Time, record lentilmux.CallRecord) {
 	t.Appends.Remove(appendID(record))
@@ -220,138 +208,6 @@
 	settle(t, now, record.Key)
 }
 
-// setOutcome moves a call to the state that an outcome leads to. The key of a
-// trial is free again after it, whatever came out, since crashes are counted
-// apart.
-func setOutcome(t *table.Tables, call *table.Call, outcome lentilmux.Outcome, reply lentilmux.ServiceReply, truncated bool) {
-	call.Request = ""
-	trial := strings.HasPrefix(call.Key, trialPrefix)
-	if trial && outcome == lentilmux.OutcomeAnswered {
-		t.Suspects.Remove(strings.TrimPrefix(call.Key, trialPrefix))
-	}
-	switch {
-	case trial || outcome == lentilmux.OutcomeNotRun:
-		call.State = table.CallReleased
-	case outcome == lentilmux.OutcomeAnswered:
-		call.State = table.CallAnswered
-		call.Reply = reply
-		call.Truncated = truncated
-	default:
-		call.State = table.CallUnknown
-	}
-}
-
-// settle answers the requests that joined the key, if its outcome is known. Of
-// those that waited for a released key one claims it anew.
-func settle(t *table.Tables, now time.Time, key string) {
-	call := t.Calls.Find(key)
-	if call == nil {
-		return
-	}
-	switch call.State {
-	case table.CallReleased:
-		if r := nextWaiting(t, key); r != nil {
-			r.Claiming = ""
-			proceed(t, now, r)
-		}
-	case table.CallAnswered, table.CallUnknown:
-		for r := nextWaiting(t, key); r != nil; r = nextWaiting(t, key) {
-			recall(t, now, r, call)
-		}
-	}
-}
-
-// recall answers a request with what is known of its key.
-func recall(t *table.Tables, now time.Time, r *table.Request, call *table.Call) {
-	switch {
-	case call.Fingerprint != r.Request.Fingerprint:
-		refuse(t, now, r, notRun(lentilmux.ReasonKeyReused, 0, "the key was used with another request"))
-	case call.State == table.CallUnknown:
-		refuse(t, now, r, unknown(lentilmux.ReasonOutcomeUnknown, 0, "a request with this key was started and its outcome is not known"))
-	case call.Truncated:
-		refuse(t, now, r, lentilmux.Refusal{
-			Outcome: lentilmux.OutcomeAnswered, Reason: lentilmux.ReasonAnswerTooLarge,
-			Detail: "a request with this key was answered; the answer was too large to keep",
-		})
-	default:
-		t.Answer(r.Ticket, lentilmux.RememberedAnswer{Reply: call.Reply})
-		t.Decide(now, lentilmux.Decision{
-			What: "recall", Subject: string(r.Request.ID), Chosen: "remembered_answer", Reason: "the key was answered before",
-		})
-		remove(t, now, r, lentilmux.OutcomeNotRun, lentilmux.ServiceReply{})
-	}
-}
-
-// claim appends an intent for the key, or joins the call that has it.
-func claim(t *table.Tables, now time.Time, r *table.Request, key string) {
-	r.Claiming = key
-	call := t.Calls.Find(key)
-	if call != nil && call.State != table.CallReleased {
-		setState(t, r, table.RequestJoined)
-		if call.Fingerprint != r.Request.Fingerprint {
-			recall(t, now, r, call)
-			return
-		}
-		settle(t, now, key)
-		return
-	}
-	if !t.Streams.Calls.Healthy() || !t.Streams.Calls.CaughtUp {
-		refuse(t, now, r, notRun(lentilmux.ReasonLogUnavailable, 2*time.Second, "the log is not available, so the call could not be shown to run once"))
-		return
-	}
-	t.Self.LastIntent++
-	record := lentilmux.CallRecord{
-		Kind: lentilmux.CallIntent, ID: fmt.Sprintf("%s-%d", t.Self.Incarnation, t.Self.LastIntent),
-		VM: t.Self.Name, Incarnation: t.Self.Incarnation,
-		Key: key, Born: r.Request.Born, Fingerprint: r.Request.Fingerprint,
-	}
-	if record.Born.IsZero() {
-		record.Born = now
-	}
-	released := ""
-	if call != nil {
-		released = call.Intent
-	}
-	t.Calls.Put(table.Call{
-		Key: key, State: table.CallClaiming, Born: record.Born, Fingerprint: record.Fingerprint,
-		Intent: released, Request: r.Request.ID,
-	})
-	setState(t, r, table.RequestClaiming)
-	r.QueuedAt = now
-	appendCall(t, now, record)
-}
-
-// abandon gives up a claim that was not read back yet. Its intent may still
-// turn up in the log; then the key is released or handed to another request.
-func abandon(t *table.Tables, r *table.Request) {
-	if call := t.Calls.Find(r.Claiming); call != nil && call.Request == r.Request.ID {
-		call.Request = ""
-	}
-}
-
-// closeCall states the outcome of a held key, here at once and in the log for
-// the others.
-func closeCall(t *table.Tables, now time.Time, key string, outcome lentilmux.Outcome, reply lentilmux.ServiceReply) {
-	call := t.Calls.Find(key)
-	if call == nil {
-		return
-	}
-	truncated := len(reply.Body) > t.Limits.AnswerMost
-	if truncated {
-		reply.Body = nil
-	}
-	appendCall(t, now, lentilmux.CallRecord{
-		Kind: lentilmux.CallOutcome, ID: call.Intent, VM: t.Self.Name, Incarnation: t.Self.Incarnation,
-		Key: key, Outcome: outcome, Status: reply.Status, ContentType: reply.ContentType,
-		Body: reply.Body, Truncated: truncated,
-	})
-	if outcome == lentilmux.OutcomeNotRun {
-		return // freed when the record is read back, in log order
-	}
-	setOutcome(t, call, outcome, reply, truncated)
-	settle(t, now, key)
-}
-
 // findLostOwners settles as unknown the calls that requests wait for and whose
 // holder is gone.
 func (s *Claim) findLostOwners(t *table.Tables, now time.Time) {
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -63,20 +63,15 @@
 	return vms, nil
 }
 
-// Sender is the part of [lentilmux.Node] that takes messages.
-type Sender interface {
-	Send(ctx context.Context, msg lentilmux.Msg) (err error)
-}
-
 // Poller reads the list again and again and hands it to a node. A failed read
 // brings nothing, so the node keeps the last list.
 type Poller struct {
 	list lentilmux.VMList
-	node Sender
+	node lentilmux.Asker
 }
 
 // NewPoller returns a poller from list to node.
-func NewPoller(list lentilmux.VMList, node Sender) *Poller {
+func NewPoller(list lentilmux.VMList, node lentilmux.Asker) *Poller {
 	return &Poller{list: list, node: node}
 }
 
