Free the key of work that may run again, and refuse other requests at once

Cause: an answer of a model whose caller went away, or whose entry VM was lost, left its key unknown for an hour, although that work may simply run again. The key is now freed, through the log for a lost VM, so that all VMs see it alike.

Ruled out while reading: freeing by the waiting request alone.

Also: a record that is not read back is appended less and less often, up to every 8 s.

--- a/system/call.go
+++ b/system/call.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// refuseOthers refuses the requests that wait for a key with which another
+// request was sent.
+func refuseOthers(t *table.Tables, now time.Time, key string) {
+	call := t.Calls.Find(key)
+	for i := len(t.Requests.Rows) - 1; i >= 0; i-- {
+		if i >= len(t.Requests.Rows) {
+			continue // refusing one request removed others
+		}
+		r := &t.Requests.Rows[i]
+		if r.Claiming == key && r.Request.Fingerprint != call.Fingerprint {
+			recall(t, now, r, call)
+		}
+	}
+}
+
 // recall answers a request with what is known of its key.
 func recall(t *table.Tables, now time.Time, r *table.Request, call *table.Call) {
 	switch {
--- a/system/claim.go
+++ b/system/claim.go
@@ -9,6 +9,10 @@
 	"lentilmux.example/lentilmux/table"
 )
 
+// appendDoublings is how often the time between two appends of one record
+// doubles.
+const appendDoublings = 4
+
 // sweepRows is how many rows of Calls are checked for their age in a tick.
 const sweepRows = 64
 
@@ -90,11 +94,13 @@
 	}
 	for i := range t.Appends.Rows {
 		pending := &t.Appends.Rows[i]
-		if now.Sub(pending.AppendedAt) >= appendEvery {
+		wait := appendEvery << min(pending.Tries, appendDoublings)
+		if now.Sub(pending.AppendedAt) >= wait {
 			pending.AppendedAt = now
+			pending.Tries++
 			t.Add(lentilmux.CallAppendEffect{Record: pending.Record})
 		}
-		t.WakeAt(pending.AppendedAt.Add(appendEvery))
+		t.WakeAt(pending.AppendedAt.Add(wait))
 	}
 }
 
@@ -120,7 +126,7 @@
 // ignored unless the holder has released the key.
 func (s *Claim) intent(t *table.Tables, now time.Time, record lentilmux.CallRecord) {
 	call := t.Calls.Find(record.Key)
-	if call != nil && !free(call, record.ID) {
+	if call != nil && !claimable(call, record.ID) {
 		s.join(t, now, record.Key)
 		return
 	}
@@ -140,8 +146,8 @@
 	s.join(t, now, record.Key)
 }
 
-// free reports whether an intent may take the key of call.
-func free(call *table.Call, id string) bool {
+// claimable reports whether an intent may take the key of call.
+func claimable(call *table.Call, id string) bool {
 	switch call.State {
 	case table.CallClaiming, table.CallReleased:
 		return call.Intent != id
@@ -191,6 +197,7 @@
 			setState(t, r, table.RequestJoined)
 		}
 	}
+	refuseOthers(t, now, key)
 	settle(t, now, key)
 }
 
@@ -209,7 +216,8 @@
 }
 
 // findLostOwners settles as unknown the calls that requests wait for and whose
-// holder is gone.
+// holder is gone. The key of work that may run again is freed instead, in the
+// log, so that all VMs see it alike.
 func (s *Claim) findLostOwners(t *table.Tables, now time.Time) {
 	var lost []string
 	for i := range t.Requests.Rows {
@@ -227,12 +235,29 @@
 		if call.State != table.CallRunning {
 			continue
 		}
+		if r := nextWaiting(t, key); r.Request.Fingerprint == call.Fingerprint && repeatable(t, r) {
+			s.free(t, now, call)
+			continue
+		}
 		setOutcome(t, call, lentilmux.OutcomeUnknown, lentilmux.ServiceReply{}, false)
 		t.Decide(now, lentilmux.Decision{What: "owner_lost", Subject: key, Chosen: "unknown", Reason: "VM " + call.VM + " is gone"})
 		settle(t, now, key)
 	}
 }
 
+// free states in the log that a lost holder's call may run again.
+func (s *Claim) free(t *table.Tables, now time.Time, call *table.Call) {
+	record := lentilmux.CallRecord{
+		Kind: lentilmux.CallOutcome, ID: call.Intent, VM: t.Self.Name, Incarnation: t.Self.Incarnation,
+		Key: call.Key, Outcome: lentilmux.OutcomeNotRun,
+	}
+	if t.Appends.Find(appendID(record)) != nil {
+		return
+	}
+	t.Decide(now, lentilmux.Decision{What: "owner_lost", Subject: call.Key, Chosen: "freed", Reason: "VM " + call.VM + " is gone and the work may run again"})
+	appendCall(t, now, record)
+}
+
 // ownerLost reports whether the VM that holds the call is gone or was started
 // anew since.
 func (s *Claim) ownerLost(t *table.Tables, now time.Time, call *table.Call) bool {
--- a/system/lifecycle.go
+++ b/system/lifecycle.go
@@ -70,6 +70,9 @@
 	if r.State == table.RequestClaiming {
 		abandon(t, r)
 	}
+	if outcome == lentilmux.OutcomeUnknown && repeatable(t, r) {
+		outcome = lentilmux.OutcomeNotRun // frees the key: the work may run again
+	}
 	request := *r
 	t.Requests.Remove(string(r.Request.ID))
 	for _, key := range request.Held {
--- a/table/call.go
+++ b/table/call.go
@@ -48,6 +48,7 @@
 	ID         string // kind and ID of the record
 	Record     lentilmux.CallRecord
 	AppendedAt time.Time
+	Tries      int
 }
 
 // Suspect is a fingerprint that crashed an upstream.
