Show another front end, and say exactly what the attempt header means

Cause: in a log outage 17 bookings ended as unknown that had only ever been refused as not run: the load command counted those sends as attempts. The header now is one more than the sends that may have run, and the load command keeps to it.

Ruled out: letting the router remember refusals, which it cannot when the log is down.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -39,8 +39,9 @@
 	WorkspaceHeader = "Lentilmux-Workspace"
 	// TimeoutHeader gives the time for the whole answer in milliseconds.
 	TimeoutHeader = "Lentilmux-Timeout-Ms"
-	// AttemptHeader counts the requests with one idempotency key, from 1. The
-	// first can be told that it did not run even when the log is down.
+	// AttemptHeader is one more than the earlier requests with the idempotency
+	// key that may have run. With 1 a request can be told that it did not run
+	// even when the log is down.
 	AttemptHeader = "Lentilmux-Attempt"
 	// RequestHeader names the request in the answer.
 	RequestHeader = "Lentilmux-Request"
--- a/cmd/lentilload/load.go
+++ b/cmd/lentilload/load.go
@@ -162,12 +162,16 @@
 	defer cancel()
 	started := time.Now()
 	var result result
+	doubtful := 0 // sends of the request that may have run
 	for attempt := 1; ; attempt++ {
 		target, ok := l.balancer.pick()
 		if !ok {
-			result.outcome, result.reason = "unknown", "no_entry_vm_ready"
+			result.outcome, result.reason = "not_run", "no_entry_vm_ready"
 		} else {
-			result = l.send(ctx, target, r, attempt, started)
+			result = l.send(ctx, target, r, doubtful+1, started)
+		}
+		if result.outcome != "not_run" {
+			doubtful++
 		}
 		if attempt >= attemptsMost || !again(r, result) || ctx.Err() != nil {
 			break
@@ -191,9 +195,13 @@
 	case result.reason == "deadline_exceeded" || result.reason == "quarantined":
 		return false
 	case result.outcome == "not_run":
-		return result.reason == "draining" || result.reason == "not_ready" || result.reason == "log_unavailable" || result.reason == "dial"
+		switch result.reason {
+		case "draining", "not_ready", "log_unavailable", "dial", "no_entry_vm_ready":
+			return true
+		}
+		return false
 	default:
-		return result.reason == "connection" || result.reason == "no_entry_vm_ready"
+		return result.reason == "connection"
 	}
 }
 
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -106,6 +106,9 @@
 // Node returns the entry VM's node.
 func (v *VM) Node() *lentilmux.Node { return v.node }
 
+// Relay returns what drives answers of models, for front ends other than HTTP.
+func (v *VM) Relay() *engine.Relay { return v.relay }
+
 // Handler returns the handler that serves callers.
 func (v *VM) Handler() *caller.Handler {
 	return caller.NewHandler(caller.Config{
--- a/request.go
+++ b/request.go
@@ -22,7 +22,7 @@
 	Credential  string    // hash of the credential that the caller showed
 	Key         string    // the caller's idempotency key, or empty
 	Born        time.Time // when the key was made
-	First       bool      // whether the caller says that it sends the key for the first time
+	First       bool      // whether the caller says that no earlier request with the key may have run
 	Fingerprint Fingerprint
 	Prefix      Fingerprint // of the prompt's beginning, for cache affinity
 	Tokens      int         // the most tokens the answer may have
--- a/system/apply.go
+++ b/system/apply.go
@@ -8,21 +8,21 @@
 	"lentilmux.example/lentilmux/table"
 )
 
-// ErrCommand is the typed reason why a command cannot be applied.
-type ErrCommand struct {
+// CommandError is the typed reason why a command cannot be applied.
+type CommandError struct {
 	Entity lentilmux.Entity
 	Name   string
 	Detail string
 }
 
 // Error returns the entity, its name and what is wrong.
-func (e *ErrCommand) Error() string {
+func (e *CommandError) Error() string {
 	return fmt.Sprintf("%s %q: %s", e.Entity, e.Name, e.Detail)
 }
 
-// refusal returns an [ErrCommand] for the command c.
+// refusal returns an [CommandError] for the command c.
 func refusal(c lentilmux.Command, format string, args ...any) error {
-	return &ErrCommand{Entity: c.Entity, Name: c.Name, Detail: fmt.Sprintf(format, args...)}
+	return &CommandError{Entity: c.Entity, Name: c.Name, Detail: fmt.Sprintf(format, args...)}
 }
 
 // check reports why the command cannot be applied to the configuration in t.
