Free a lost trial in the log, so that all VMs see it alike

Cause: reading on: the trial of a lost entry VM was set free by each VM for itself, so two could claim it at once. It is now freed by a record, as the key of work that may run again. Ruled out: a timeout on trials, which a slow answer would run into.

--- a/system/claim.go
+++ b/system/claim.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"lentilmux.example/lentilmux"
@@ -216,8 +217,8 @@
 }
 
 // findLostOwners settles as unknown the calls that requests wait for and whose
-// holder is gone. The key of work that may run again is freed instead, in the
-// log, so that all VMs see it alike.
+// holder is gone. The key of work that may run again, and that of a trial, is
+// freed instead, in the log, so that all VMs see it alike.
 func (s *Claim) findLostOwners(t *table.Tables, now time.Time) {
 	var lost []string
 	for i := range t.Requests.Rows {
@@ -235,7 +236,9 @@
 		if call.State != table.CallRunning {
 			continue
 		}
-		if r := nextWaiting(t, key); r.Request.Fingerprint == call.Fingerprint && repeatable(t, r) {
+		r := nextWaiting(t, key)
+		again := r.Request.Fingerprint == call.Fingerprint && repeatable(t, r)
+		if again || strings.HasPrefix(key, trialPrefix) {
 			s.free(t, now, call)
 			continue
 		}
