Run the whole system over TCP in a test, with credentials

New: three entry VMs, two engines and the platform on loopback: a pipeline that one VM was told of is served by all within five seconds, a planned stop in the middle of an answer cuts nothing, wrong keys are refused and a read key may only ask. Ruled out: starting processes from tests, which the users forbid.

--- /dev/null
+++ b/entryvm/loopback_test.go
@@ -0,0 +1,194 @@
+package entryvm_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/caller"
+	"lentilmux.example/lentilmux/engine"
+	"lentilmux.example/lentilmux/entryvm"
+	"lentilmux.example/lentilmux/operator"
+	"lentilmux.example/lentilmux/peer"
+	"lentilmux.example/lentilmux/platformlog"
+	"lentilmux.example/lentilmux/service"
+	"lentilmux.example/lentilmux/standin"
+	"lentilmux.example/lentilmux/table"
+	"lentilmux.example/lentilmux/vmlist"
+)
+
+// Ports of the system on loopback.
+const (
+	platformPort = 19600
+	enginePort   = 19610
+	callerPort   = 19620
+	controlPort  = 19630
+)
+
+// loopback is a system whose parts speak to each other over TCP, as processes
+// do: three entry VMs, two engines and the platform.
+type loopback struct {
+	vms     []*entryvm.VM
+	stopped []chan error
+}
+
+// newLoopback serves everything but configures nothing.
+func newLoopback(t *testing.T) *loopback {
+	t.Helper()
+	list := standin.NewVMList(0)
+	var vms []lentilmux.ListedVM
+	for i := range 3 {
+		vms = append(vms, lentilmux.ListedVM{Name: fmt.Sprint("entry-", i+1), Role: lentilmux.RoleEntry, Addr: address(controlPort + i)})
+	}
+	list.Set(vms)
+	serveHost(t, platformPort, standin.PlatformHandler(standin.NewLog(time.Millisecond), list))
+	for i := range 2 {
+		worker := standin.NewEngine(standin.EngineSpec{Name: fmt.Sprint("worker-", i+1), Layers: testLayers / 2, Rate: 4000, Slots: 8})
+		serveHost(t, enginePort+i, standin.EngineHandler(worker))
+	}
+	l := &loopback{}
+	for i := range 3 {
+		l.start(t, i)
+	}
+	return l
+}
+
+func serveHost(t *testing.T, port int, handler http.Handler) {
+	t.Helper()
+	host := standin.NewHost(address(port), handler)
+	if err := host.Open(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Close)
+}
+
+// start runs an entry VM with all its servers and clients.
+func (l *loopback) start(t *testing.T, i int) {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	limits := table.DefaultLimits()
+	limits.DrainGrace = 500 * time.Millisecond
+	vm, err := entryvm.New(entryvm.Config{
+		Name: fmt.Sprint("entry-", i+1), Zone: "kochi", CallerAddr: address(callerPort + i), ControlAddr: address(controlPort + i),
+		PeerKey: "shared", Operators: operator.Keys{Admin: "admin", Read: "read"},
+		Seed: 1, Limits: limits, StopTimeout: time.Minute, Logger: logger,
+	}, entryvm.Peers{
+		Engine: engine.NewClient(), Service: service.NewClient(), Log: platformlog.NewClient(address(platformPort)),
+		VMList: vmlist.NewClient(address(platformPort)), Peer: peer.NewClient("shared", nil),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- vm.Run(ctx) }()
+	t.Cleanup(cancel)
+	l.vms = append(l.vms, vm)
+	l.stopped = append(l.stopped, stopped)
+}
+
+// execute runs a statement at an entry VM until it is accepted.
+func execute(t *testing.T, i int, statement string) {
+	t.Helper()
+	client := operator.NewClient([]netip.AddrPort{address(controlPort + i)}, "admin", "test", nil)
+	var last string
+	for range 100 {
+		result, err := client.Execute(t.Context(), statement)
+		if err == nil && result.Accepted {
+			return
+		}
+		last = fmt.Sprint(result.Detail, err)
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("%s: %s", statement, last)
+}
+
+// get asks an entry VM for a streamed answer.
+func get(t *testing.T, i, tokens int) (status int, body string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, testModel, tokens)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address(callerPort+i).String()+"/v1/chat/completions", strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(caller.WorkspaceHeader, "counter")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(data)
+}
+
+// TestSystemOnLoopback creates a pipeline through one entry VM and expects each
+// of the others to serve it within five seconds, then stops one in the middle
+// of an answer.
+func TestSystemOnLoopback(t *testing.T) {
+	l := newLoopback(t)
+	for i := range 2 {
+		execute(t, 0, fmt.Sprintf("create upstream worker-%d kind engine addr %s zone kochi layers %d rate 4000 slots 8", i+1, address(enginePort+i), testLayers/2))
+	}
+	execute(t, 0, fmt.Sprintf("create pipeline desk-llm model %s layers %d on worker-1, worker-2", testModel, testLayers))
+	execute(t, 0, "create workspace counter share 1 priority 0 uses desk-llm")
+	accepted := time.Now()
+	for i := range 3 {
+		status, body := get(t, i, 4)
+		for status != http.StatusOK && time.Since(accepted) < inForceWithin {
+			time.Sleep(50 * time.Millisecond)
+			status, body = get(t, i, 4)
+		}
+		if status != http.StatusOK || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+			t.Errorf("entry VM %d answered %d: %s", i+1, status, body)
+		}
+	}
+	ended := make(chan string)
+	go func() {
+		_, body := get(t, 1, 400)
+		ended <- body
+	}()
+	time.Sleep(200 * time.Millisecond)
+	l.vms[1].Drain()
+	if body := <-ended; !strings.Contains(body, `"completion_tokens":400`) {
+		t.Errorf("the planned stop cut an answer: ...%s", body[max(0, len(body)-200):])
+	}
+	if err := <-l.stopped[1]; err != nil {
+		t.Errorf("the stopped entry VM ended with %v", err)
+	}
+}
+
+// TestCredentials shows wrong and missing keys and a key that may only ask.
+func TestCredentials(t *testing.T) {
+	newLoopback(t)
+	addrs := []netip.AddrPort{address(controlPort)}
+	cases := []struct {
+		key, statement, want string
+	}{
+		{"", "show vms", "wrong or missing operator key"},
+		{"guess", "show vms", "wrong or missing operator key"},
+		{"read", "remove workspace counter", "may only ask"},
+		{"read", "show vms", ""},
+	}
+	for _, c := range cases {
+		_, err := operator.NewClient(addrs, c.key, "test", nil).Execute(t.Context(), c.statement)
+		if (err == nil) != (c.want == "") || (err != nil && !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("key %q, %s: got %v, want %q", c.key, c.statement, err, c.want)
+		}
+	}
+	stranger := peer.NewClient("other", nil)
+	if _, err := stranger.Snapshot(t.Context(), addrs[0]); err == nil || !strings.Contains(err.Error(), "peer key") {
+		t.Errorf("a stranger's peer call gave %v", err)
+	}
+}
