Let the loopback test wait for its ports and its ends

Cause: TestCredentials once met an entry VM that did not listen yet (connection refused), and the next test could meet ports of one that had not ended. It now waits for both.

--- a/entryvm/loopback_test.go
+++ b/entryvm/loopback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -90,12 +91,34 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
-	go func() { stopped <- vm.Run(ctx) }()
-	t.Cleanup(cancel)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		stopped <- vm.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	waitForPort(t, controlPort+i)
 	l.vms = append(l.vms, vm)
 	l.stopped = append(l.stopped, stopped)
 }
 
+// waitForPort waits until something listens.
+func waitForPort(t *testing.T, port int) {
+	t.Helper()
+	for range 100 {
+		connection, err := net.Dial("tcp", address(port).String())
+		if err == nil {
+			_ = connection.Close()
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("nothing listens on port %d", port)
+}
+
 // execute runs a statement at an entry VM until it is accepted.
 func execute(t *testing.T, i int, statement string) {
 	t.Helper()
