Let a decision tell what spoke for its candidates, and mark the wrong word

Change: a route's line shows for each candidate its requests in flight, how many keep it busy, its zone and its cache; mistakes in queries are marked under their word. Before: 'show upstreams' marked at its first letter. After: the typed statement, marked under the column.

--- a/operator/handler.go
+++ b/operator/handler.go
@@ -62,9 +62,9 @@
 	var result *operatorpb.ExecuteResponse
 	switch {
 	case statement.Show != nil:
-		result, err = h.show(ctx, query(statement.Show))
+		result, err = h.show(ctx, text, query(statement.Show))
 	case statement.Why != "":
-		result, err = h.show(ctx, lentilmux.Query{Table: "decisions", Where: []lentilmux.Condition{{Column: "subject", Op: "=", Value: statement.Why}}})
+		result, err = h.show(ctx, text, lentilmux.Query{Table: "decisions", Where: []lentilmux.Condition{{Column: "subject", Op: "=", Value: statement.Why}}})
 	case statement.Export:
 		result, err = h.export(ctx)
 	case !mayChange:
@@ -123,7 +123,7 @@
 	return q
 }
 
-func (h *Handler) show(ctx context.Context, q lentilmux.Query) (result *operatorpb.ExecuteResponse, err error) {
+func (h *Handler) show(ctx context.Context, text string, q lentilmux.Query) (result *operatorpb.ExecuteResponse, err error) {
 	answer, err := h.node.Ask(ctx, lentilmux.QueryMsg{Query: q})
 	if err != nil {
 		return nil, err
@@ -133,7 +133,7 @@
 		return nil, errors.Errorf("unexpected answer %T", answer)
 	}
 	if rows.Err != "" {
-		return nil, &SyntaxError{Statement: "show " + q.Table, Column: 1, Detail: rows.Err}
+		return nil, &SyntaxError{Statement: text, Column: 1 + max(0, strings.Index(text, rows.Word)), Detail: rows.Err}
 	}
 	result = &operatorpb.ExecuteResponse{Columns: rows.Columns, Accepted: true, Known: true}
 	for _, row := range rows.Rows {
--- a/query.go
+++ b/query.go
@@ -29,6 +29,7 @@
 	Columns []string
 	Rows    [][]string
 	Err     string
+	Word    string // the name that is wrong, if Err is set
 }
 
 // StopMsg stops a request that runs. The answer is a [CommandAnswer].
--- a/system/answer.go
+++ b/system/answer.go
@@ -48,21 +48,24 @@
 func (s *Answer) query(t *table.Tables, now time.Time, q lentilmux.Query) lentilmux.QueryAnswer {
 	v, ok := views[q.Table]
 	if !ok {
-		return lentilmux.QueryAnswer{Err: fmt.Sprintf("there is no table %q; the nearest is %q", q.Table, Nearest(q.Table, TableNames()))}
+		return lentilmux.QueryAnswer{
+			Err:  fmt.Sprintf("there is no table %q; the nearest is %q", q.Table, Nearest(q.Table, TableNames())),
+			Word: q.Table,
+		}
 	}
 	rows := v.rows(t, now)
 	columns := v.columns
 	for _, condition := range q.Where {
 		column, err := columnOf(columns, condition.Column)
 		if err != "" {
-			return lentilmux.QueryAnswer{Err: err}
+			return lentilmux.QueryAnswer{Err: err, Word: condition.Column}
 		}
 		rows = keep(rows, column, condition)
 	}
 	if q.OrderBy != "" {
 		column, err := columnOf(columns, q.OrderBy)
 		if err != "" {
-			return lentilmux.QueryAnswer{Err: err}
+			return lentilmux.QueryAnswer{Err: err, Word: q.OrderBy}
 		}
 		order(rows, column, q.Desc)
 	}
--- a/system/assign.go
+++ b/system/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"lentilmux.example/lentilmux"
@@ -22,7 +23,7 @@
 	alone      bool // whether upstreams that run a trial are left out
 	candidates []lentilmux.Candidate
 	rows       []int
-	names      []string
+	shown      []lentilmux.Candidate // what a decision line tells of
 	route      []lentilmux.StageRoute
 	loads      []lentilmux.WorkspaceLoad
 	oldest     []lentilmux.RequestID
@@ -108,7 +109,7 @@
 
 // chain picks one upstream for each stage from the first layer to the last.
 func (s *Assign) chain(t *table.Tables, now time.Time, r *table.Request, avoid []string) bool {
-	s.route, s.names = s.route[:0], s.names[:0]
+	s.route, s.shown = s.route[:0], s.shown[:0]
 	if service := t.Services.Find(r.Pipeline); service != nil {
 		s.candidates, s.rows = s.candidates[:0], s.rows[:0]
 		s.offer(t, now, r, service.Replicas, avoid)
@@ -205,12 +206,7 @@
 		layers = u.Report.Layers
 	}
 	s.route = append(s.route, lentilmux.StageRoute{Upstream: u.Spec.Name, Addr: u.Spec.Addr, Layers: layers})
-	for i := range s.candidates {
-		if i == consideredMost {
-			break
-		}
-		s.names = append(s.names, s.candidates[i].Upstream)
-	}
+	s.shown = append(s.shown, s.candidates[:min(len(s.candidates), consideredMost)]...)
 	return true
 }
 
@@ -239,10 +235,27 @@
 	t.Decide(now, lentilmux.Decision{
 		What: "route", Subject: string(r.Request.ID), Chosen: routeText(s.route),
 		Reason:     "workspace " + r.Request.Workspace + " to " + r.Pipeline,
-		Considered: slices.Clone(s.names),
+		Considered: candidateTexts(s.shown),
 	})
 }
 
+// candidateTexts returns candidates as decisions show them: the name, the
+// requests in flight of those that keep it busy, and what speaks for it.
+func candidateTexts(candidates []lentilmux.Candidate) (texts []string) {
+	for i := range candidates {
+		c := &candidates[i]
+		text := c.Upstream + " " + strconv.Itoa(c.InFlight) + "/" + strconv.FormatFloat(c.Capacity, 'f', 1, 64)
+		if c.SameZone {
+			text += " same_zone"
+		}
+		if c.Cached {
+			text += " cached"
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
 // routeText returns the route as decisions show it.
 func routeText(route []lentilmux.StageRoute) string {
 	text := ""
