Let an exported configuration be applied again

Cause: export printed create statements, which a second application refuses. Ruled out: making create overwrite, which would hide a taken name.

--- a/operator/build.go
+++ b/operator/build.go
@@ -107,10 +107,10 @@
 	command.Verb = lentilmux.VerbSet
 	command.Entity = lentilmux.Entity(set.Entity)
 	command.Name = set.Name
-	command.Create = set.Verb == "create"
-	if !command.Create {
+	if set.Verb != "create" {
 		load(&command, current)
 	}
+	command.Create = set.Verb == "create" || (set.Verb == "set" && !loaded(&command))
 	switch command.Entity {
 	case lentilmux.EntityUpstream:
 		err = setUpstream(text, set, &command)
@@ -158,6 +158,11 @@
 	}
 }
 
+// loaded reports whether the command holds an entity that exists.
+func loaded(command *lentilmux.Command) bool {
+	return command.Upstream != nil || command.Pipeline != nil || command.Service != nil || command.Workspace != nil
+}
+
 func setUpstream(text string, set *Set, command *lentilmux.Command) (err error) {
 	if command.Upstream == nil {
 		command.Upstream = &lentilmux.UpstreamSpec{Name: set.Name, Slots: 1}
--- a/operator/export.go
+++ b/operator/export.go
@@ -8,8 +8,8 @@
 	"lentilmux.example/lentilmux"
 )
 
-// Export returns the statements that make the configuration of a snapshot from
-// nothing, in an order in which they can be applied.
+// Export returns the statements that make the configuration of a snapshot, in
+// an order in which they can be applied, from nothing or over an older one.
 func Export(s lentilmux.Snapshot) (statements []string) {
 	for _, u := range s.Upstreams {
 		statements = append(statements, exportUpstream(u))
@@ -18,7 +18,7 @@
 		}
 	}
 	for _, p := range s.Pipelines {
-		statements = append(statements, fmt.Sprintf("create pipeline %s model %s layers %d on %s", quote(p.Name), quote(p.Model), p.Layers, list(p.Upstreams)))
+		statements = append(statements, fmt.Sprintf("set pipeline %s model %s layers %d on %s", quote(p.Name), quote(p.Model), p.Layers, list(p.Upstreams)))
 	}
 	for _, u := range s.Upstreams {
 		if u.Excluded {
@@ -26,14 +26,14 @@
 		}
 	}
 	for _, service := range s.Services {
-		line := fmt.Sprintf("create service %s on %s", quote(service.Name), list(service.Upstreams))
+		line := fmt.Sprintf("set service %s on %s", quote(service.Name), list(service.Upstreams))
 		if len(service.Idempotent) > 0 {
 			line += " idempotent " + list(service.Idempotent)
 		}
 		statements = append(statements, line)
 	}
 	for _, w := range s.Workspaces {
-		line := fmt.Sprintf("create workspace %s share %s priority %d", quote(w.Name), strconv.FormatFloat(w.Share, 'f', -1, 64), w.Priority)
+		line := fmt.Sprintf("set workspace %s share %s priority %d", quote(w.Name), strconv.FormatFloat(w.Share, 'f', -1, 64), w.Priority)
 		if len(w.Uses) > 0 {
 			line += " uses " + list(w.Uses)
 		}
@@ -46,7 +46,7 @@
 }
 
 func exportUpstream(u lentilmux.UpstreamSpec) string {
-	line := fmt.Sprintf("create upstream %s kind %s addr %s", quote(u.Name), u.Kind, u.Addr)
+	line := fmt.Sprintf("set upstream %s kind %s addr %s", quote(u.Name), u.Kind, u.Addr)
 	if u.Zone != "" {
 		line += " zone " + quote(u.Zone)
 	}
--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -72,9 +72,9 @@
 	Name   string `parser:"@(Word|String)"`
 }
 
-// Set creates an entity or changes one that exists.
+// Set creates an entity, changes one that exists, or does whichever fits.
 type Set struct {
-	Verb     string     `parser:"@('create'|'change')"`
+	Verb     string     `parser:"@('create'|'change'|'set')"`
 	Entity   string     `parser:"@('upstream'|'pipeline'|'service'|'workspace')"`
 	Name     string     `parser:"@(Word|String)"`
 	Settings []*Setting `parser:"@@*"`
@@ -135,7 +135,7 @@
 }
 
 // firstWords are the words with which a statement can begin.
-var firstWords = []string{"show", "why", "stop", "export", "drain", "undrain", "exclude", "include", "remove", "create", "change", "release", "dry"}
+var firstWords = []string{"show", "why", "stop", "export", "drain", "undrain", "exclude", "include", "remove", "create", "change", "set", "release", "dry"}
 
 // hint explains a mistake. For an unknown first word it names the nearest.
 func hint(text string, parseError participle.Error) string {
