Read as a newcomer: drop what nobody reads, and name what is left

Cause: three fields were written and never read, a reason was declared and never given, and some names needed explaining.

Change: the fields are gone; a request that waited in vain while no upstream lived is refused as no_upstream (golden scenario); the system that answers queries is called Query, the timers' test Due, the limit PeerSilence.

--- a/request.go
+++ b/request.go
@@ -81,7 +81,6 @@
 	Priority    int
 	Stages      []StageRoute
 	StepTimeout time.Duration
-	MayRepeat   bool // whether a failure after bytes left may be retried
 }
 
 // StageRoute is one stage of a route. A plain service has one with no layers.
--- a/system/assign.go
+++ b/system/assign.go
@@ -222,7 +222,7 @@
 	occupy(t, r, 1)
 	route := lentilmux.Route{
 		Request: r.Request.ID, Epoch: r.Epoch, Model: r.Request.Model,
-		Stages: slices.Clone(s.route), StepTimeout: t.Limits.StepTimeout, MayRepeat: repeatable(t, r),
+		Stages: slices.Clone(s.route), StepTimeout: t.Limits.StepTimeout,
 	}
 	if p := t.Pipelines.Find(r.Pipeline); p != nil {
 		route.Total = p.Spec.Layers
--- a/system/expire.go
+++ b/system/expire.go
@@ -39,6 +39,8 @@
 	switch {
 	case late && r.State == table.RequestJoined:
 		refusal = unknown(lentilmux.ReasonKeyRunning, time.Second, "the first request with this key still runs; send the key again for its answer")
+	case late && !servable(t, r.Pipeline):
+		refusal = notRun(lentilmux.ReasonNoUpstream, time.Second, "no upstream of %q took it within %s", r.Pipeline, now.Sub(r.ArrivedAt).Round(time.Millisecond))
 	case late:
 		refusal = notRun(lentilmux.ReasonDeadline, time.Second, "waited %s in state %s", now.Sub(r.ArrivedAt).Round(time.Millisecond), r.State)
 	case r.State == table.RequestClaiming && now.Sub(r.QueuedAt) >= t.Limits.ClaimTimeout:
@@ -48,3 +50,21 @@
 	}
 	return &refusal
 }
+
+// servable reports whether a pipeline has engines for all its layers, or a
+// service one upstream, that are not ejected.
+func servable(t *table.Tables, target string) bool {
+	if p := t.Pipelines.Find(target); p != nil {
+		return p.Bound > 0
+	}
+	service := t.Services.Find(target)
+	if service == nil {
+		return false
+	}
+	for _, row := range service.Replicas {
+		if t.Upstreams.Rows[row].EjectedUntil.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/system/gossip.go
+++ b/system/gossip.go
@@ -23,7 +23,7 @@
 
 // Run implements [System].
 func (s *Gossip) Run(t *table.Tables, now time.Time) {
-	if len(t.Peers.Rows) == 0 || !t.Passed(&t.Timers.Gossip, now, gossipEvery) {
+	if len(t.Peers.Rows) == 0 || !t.Due(&t.Timers.Gossip, now, gossipEvery) {
 		return
 	}
 	own := lentilmux.Digest{}
--- a/system/health.go
+++ b/system/health.go
@@ -42,7 +42,7 @@
 	for _, probe := range t.Events.Probes {
 		s.probed(t, now, probe)
 	}
-	if t.Passed(&t.Timers.Reprobe, now, reprobeEvery) {
+	if t.Due(&t.Timers.Reprobe, now, reprobeEvery) {
 		for i := range t.Upstreams.Rows {
 			s.reprobe(t, now, &t.Upstreams.Rows[i])
 		}
--- a/system/membership.go
+++ b/system/membership.go
@@ -32,11 +32,11 @@
 			p.SilentSince = now
 		}
 	}
-	if t.Passed(&t.Timers.Peers, now, peersEvery) {
+	if t.Due(&t.Timers.Peers, now, peersEvery) {
 		s.forget(t, now)
 	}
 	heard := len(t.Events.Lists)+len(t.Events.Digests)+len(t.Events.Loads) > 0
-	if heard || t.Passed(&t.Timers.Leaving, now, leavingEvery) {
+	if heard || t.Due(&t.Timers.Leaving, now, leavingEvery) {
 		s.markLeaving(t, now)
 	}
 }
@@ -138,7 +138,7 @@
 func (s *Membership) forget(t *table.Tables, now time.Time) {
 	for i := len(t.Peers.Rows) - 1; i >= 0; i-- {
 		p := &t.Peers.Rows[i]
-		if now.Sub(p.HeardAt) < t.Limits.SilentLog {
+		if now.Sub(p.HeardAt) < t.Limits.PeerSilence {
 			continue
 		}
 		count(t, &p.Digest, -1)
--- a/system/pace.go
+++ b/system/pace.go
@@ -27,7 +27,7 @@
 	for _, progress := range t.Events.Progress {
 		s.progress(t, now, progress)
 	}
-	if !t.Passed(&t.Timers.Pace, now, paceEvery) {
+	if !t.Due(&t.Timers.Pace, now, paceEvery) {
 		return
 	}
 	for i := range t.Pipelines.Rows {
--- a/system/answer.go
+++ b/system/query.go
@@ -11,12 +11,12 @@
 	"lentilmux.example/lentilmux/table"
 )
 
-// Answer answers questions about the tables, after all other systems ran. It
+// Query answers questions about the tables, after all other systems ran. It
 // reads every table and writes none.
-type Answer struct{}
+type Query struct{}
 
 // Run implements [System].
-func (s *Answer) Run(t *table.Tables, now time.Time) {
+func (s *Query) Run(t *table.Tables, now time.Time) {
 	for _, event := range t.Events.Queries {
 		t.Answer(event.Ticket, s.query(t, now, event.Query))
 	}
@@ -25,7 +25,7 @@
 	}
 }
 
-func (s *Answer) status(t *table.Tables, now time.Time) lentilmux.StatusAnswer {
+func (s *Query) status(t *table.Tables, now time.Time) lentilmux.StatusAnswer {
 	status := lentilmux.StatusAnswer{
 		Ready: t.Self.Ready, Reason: t.Self.NotReady, Revision: t.Self.Revision,
 		Upstreams: len(t.Upstreams.Rows), Now: now,
@@ -45,7 +45,7 @@
 }
 
 // query returns the rows that the query asks for, or what is wrong with it.
-func (s *Answer) query(t *table.Tables, now time.Time, q lentilmux.Query) lentilmux.QueryAnswer {
+func (s *Query) query(t *table.Tables, now time.Time, q lentilmux.Query) lentilmux.QueryAnswer {
 	v, ok := views[q.Table]
 	if !ok {
 		return lentilmux.QueryAnswer{
--- a/system/reconcile.go
+++ b/system/reconcile.go
@@ -42,11 +42,11 @@
 	for _, ended := range t.Events.Orders {
 		s.ended(t, now, ended)
 	}
-	if t.Passed(&t.Timers.Loads, now, loadsEvery) {
+	if t.Due(&t.Timers.Loads, now, loadsEvery) {
 		s.askLoads(t, now)
 	}
 	changed := len(t.Events.Loads)+len(t.Events.ConfigPages) > 0
-	if !changed && !t.Passed(&t.Timers.Reconcile, now, reconcileEvery) {
+	if !changed && !t.Due(&t.Timers.Reconcile, now, reconcileEvery) {
 		return
 	}
 	if !s.sends(t, now) {
--- a/system/replace.go
+++ b/system/replace.go
@@ -29,7 +29,7 @@
 
 // Run implements [System].
 func (s *Replace) Run(t *table.Tables, now time.Time) {
-	if !t.Passed(&t.Timers.Replace, now, replaceEvery) {
+	if !t.Due(&t.Timers.Replace, now, replaceEvery) {
 		return
 	}
 	if !t.Self.Joined || !t.Streams.Config.Healthy() || !lowestPeer(t, now, t.Limits.OwnerTimeout) {
--- a/system/system.go
+++ b/system/system.go
@@ -98,7 +98,7 @@
 		&Reconcile{},
 		&Gossip{},
 		&Readiness{},
-		&Answer{},
+		&Query{},
 	)
 	return s
 }
--- a/table/call.go
+++ b/table/call.go
@@ -56,7 +56,6 @@
 	Fingerprint string
 	Upstreams   []string // that it crashed
 	At          time.Time
-	Released    bool // by an operator
 }
 
 // Calls is the table of [Call] rows.
--- a/table/limits.go
+++ b/table/limits.go
@@ -9,7 +9,7 @@
 	KeyWindow      time.Duration // how long an idempotency key is remembered
 	ClockSkew      time.Duration // tolerated between callers and entry VMs
 	OwnerTimeout   time.Duration // silence of an entry VM before its calls are unknown
-	SilentLog      time.Duration // silence of the log before it counts as down
+	PeerSilence    time.Duration // silence of a peer before its counts are dropped
 	StaleLimit     time.Duration // without log and peers before the node is not ready
 	ExchangeEvery  time.Duration // between rounds of digests
 	ExchangeFanout int           // peers a round
@@ -46,7 +46,7 @@
 		KeyWindow:      time.Hour,
 		ClockSkew:      time.Minute,
 		OwnerTimeout:   10 * time.Second,
-		SilentLog:      3 * time.Second,
+		PeerSilence:    3 * time.Second,
 		StaleLimit:     5 * time.Second,
 		ExchangeEvery:  250 * time.Millisecond,
 		ExchangeFanout: 3,
--- a/table/timers.go
+++ b/table/timers.go
@@ -15,9 +15,9 @@
 	Gossip    time.Time
 }
 
-// Passed reports whether the time in due has come, and then sets the next one
+// Due reports whether the time in due has come, and then sets the next one
 // after the period every. It asks for a tick at the next time.
-func (t *Tables) Passed(due *time.Time, now time.Time, every time.Duration) bool {
+func (t *Tables) Due(due *time.Time, now time.Time, every time.Duration) bool {
 	if now.Before(*due) {
 		t.WakeAt(*due)
 		return false
--- a/table/upstream.go
+++ b/table/upstream.go
@@ -34,9 +34,8 @@
 	ProbedAt     time.Time
 	Probing      bool
 
-	Order       lentilmux.Order // desired by the placement
-	OrderedAt   time.Time
-	OrderUnsafe bool // whether it ignored an older fencing number
+	Order     lentilmux.Order // desired by the placement
+	OrderedAt time.Time
 }
 
 // Open reports whether the upstream may take new work. An ejected one may not
