Prove by itself that a booking whose service died is not repeated

New: TestBookingWhoseServiceDiedIsNotRepeated, with a service that is killed and revived in the middle of a call and one that hangs, and three resends. It fails without the rule and passes with it.

--- a/entryvm/promises_test.go
+++ b/entryvm/promises_test.go
@@ -136,6 +136,46 @@
 	})
 }
 
+func TestBookingWhoseServiceDiedIsNotRepeated(t *testing.T) {
+	for _, fault := range []string{"kill", "freeze"} {
+		t.Run(fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				defer c.stopAll()
+				key := newKey()
+				first := make(chan response)
+				for _, desk := range c.desks {
+					if fault == "freeze" {
+						desk.Freeze() // it takes calls and never replies
+					}
+				}
+				go func() { first <- c.book(c.vms[0], key, "refund", true, 3*time.Second) }()
+				time.Sleep(15 * time.Millisecond)
+				if c.runsOf(key) != 1 {
+					t.Fatal("the booking has not begun")
+				}
+				for _, desk := range c.desks {
+					if fault == "kill" {
+						desk.Kill()
+						desk.Revive()
+					}
+				}
+				if r := <-first; r.Outcome != "unknown" {
+					t.Errorf("a booking whose service died got %+v", r)
+				}
+				for _, m := range c.vms {
+					if r := c.book(m, key, "refund", false, 3*time.Second); r.Outcome != "unknown" {
+						t.Errorf("its resend got %+v", r)
+					}
+				}
+				if n := c.runsOf(key); n != 1 {
+					t.Errorf("the booking ran %d times", n)
+				}
+			})
+		})
+	}
+}
+
 func TestPausedHolderDoesNotRunTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3)
