--- a/examples/punnathara/start.sh
+++ b/examples/punnathara/start.sh
@@ -7,6 +7,7 @@
 out=${OUT:-out}
 mkdir -p "$out" bin
 go build -o bin ./cmd/...
+rm -f "$out"/*.out "$out"/*.log
 : >"$out/pids"
 
 start() { # name, command...
