Let both relays read answers alike, and make the test of the loop exact

Cause: engine.Relay and service.Runner each took a node's answer apart; RouteOf in the root package now serves both.

The test of the loop failed once with 20 ticks in place of 21. The trace: the timer's first tick and the first question came in one select, so that one tick took both, which the loop allows. The test now waits for the first tick before it asks, and still wants exactly 21. Ruled out: a lost message, since all ten answers came.

--- a/engine/relay.go
+++ b/engine/relay.go
@@ -65,7 +65,7 @@
 	}
 	var generated []string
 	for {
-		route, remembered, err := routeOf(answer)
+		route, remembered, err := lentilmux.RouteOf(answer)
 		if err != nil || remembered != nil {
 			return Result{Tokens: len(generated), Remembered: remembered}, err
 		}
@@ -93,21 +93,6 @@
 	}
 }
 
-// routeOf returns what an answer gives: a route, a remembered reply or an
-// error.
-func routeOf(answer lentilmux.Answer) (route lentilmux.Route, remembered *lentilmux.ServiceReply, err error) {
-	switch a := answer.(type) {
-	case lentilmux.RouteAnswer:
-		return a.Route, nil, nil
-	case lentilmux.RememberedAnswer:
-		return lentilmux.Route{}, &a.Reply, nil
-	case lentilmux.RefusalAnswer:
-		return lentilmux.Route{}, nil, &a.Refusal
-	default:
-		return lentilmux.Route{}, nil, errors.Errorf("unexpected answer %T", answer)
-	}
-}
-
 // ended returns the refusal of a request whose context ended.
 func ended(ctx context.Context, outcome lentilmux.Outcome) *lentilmux.Refusal {
 	refusal := &lentilmux.Refusal{Outcome: outcome, Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
--- a/node_test.go
+++ b/node_test.go
@@ -34,6 +34,7 @@
 			defer close(done)
 			node.Run(ctx)
 		}()
+		synctest.Wait() // the tick at the start
 		for i := range 10 {
 			answer, err := node.Ask(ctx, i)
 			if err != nil || answer != i {
--- a/request.go
+++ b/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // RequestID names one request of a caller at one entry VM.
@@ -105,6 +107,22 @@
 	Refusal Refusal
 }
 
+// RouteOf returns what the answer to a [RequestMsg] or an [AttemptFailedMsg]
+// gives: a route, a remembered reply, or an error, which is a [*Refusal] if the
+// node refused.
+func RouteOf(answer Answer) (route Route, remembered *ServiceReply, err error) {
+	switch a := answer.(type) {
+	case RouteAnswer:
+		return a.Route, nil, nil
+	case RememberedAnswer:
+		return Route{}, &a.Reply, nil
+	case RefusalAnswer:
+		return Route{}, nil, &a.Refusal
+	default:
+		return Route{}, nil, errors.Errorf("unexpected answer %T", answer)
+	}
+}
+
 // CancelEffect stops a request that is being served.
 type CancelEffect struct {
 	Request RequestID
--- a/service/runner.go
+++ b/service/runner.go
@@ -40,27 +40,24 @@
 		return lentilmux.ServiceReply{}, &lentilmux.Refusal{Outcome: request.UnsentOutcome(), Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
 	}
 	for {
-		switch a := answer.(type) {
-		case lentilmux.RememberedAnswer:
-			return a.Reply, nil
-		case lentilmux.RefusalAnswer:
-			return lentilmux.ServiceReply{}, &a.Refusal
-		case lentilmux.RouteAnswer:
-			reply, kind, err := r.attempt(ctx, a.Route, request, call)
-			if err == nil {
-				r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeAnswered, Reply: reply})
-				return reply, nil
-			}
-			if errors.Is(err, lentilmux.ErrStoppedByOperator) {
-				r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonStopped})
-				return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonStopped, Detail: "an operator stopped the call while it ran"}
-			}
-			answer, err = r.failed(a.Route, kind)
-			if err != nil {
-				return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonDraining, Detail: "this entry VM has stopped"}
-			}
-		default:
-			return lentilmux.ServiceReply{}, errors.Errorf("unexpected answer %T", answer)
+		route, remembered, err := lentilmux.RouteOf(answer)
+		if err != nil {
+			return lentilmux.ServiceReply{}, err
+		}
+		if remembered != nil {
+			return *remembered, nil
+		}
+		reply, kind, err := r.attempt(ctx, route, request, call)
+		if err == nil {
+			r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeAnswered, Reply: reply})
+			return reply, nil
+		}
+		if errors.Is(err, lentilmux.ErrStoppedByOperator) {
+			r.done(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonStopped})
+			return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonStopped, Detail: "an operator stopped the call while it ran"}
+		}
+		if answer, err = r.failed(route, kind); err != nil {
+			return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonDraining, Detail: "this entry VM has stopped"}
 		}
 	}
 }
