Keep the HTTP client from sending a call without a body twice

Cause: found while reading service.go for its missing tests. net/http sends a request again by itself when a connection that was used before breaks, if the request has no body and either a safe method or an Idempotency-Key. A booking without a body, whose service ran it and then broke the connection, ran twice.

Before: TestCallIsNeverSentTwice/no_body: the call ran 2 times. After: once, and the failure is reported as one that may have run. An empty body is now a reader that cannot be rewound, as others already were.

Ruled out: leaving the key out of the call, which the service may want, and a transport without kept connections, which costs a dial for each call.

--- a/service/service.go
+++ b/service/service.go
@@ -91,11 +91,10 @@
 	}, nil
 }
 
-// onceReader returns a body that cannot be rewound, or nil for none.
+// onceReader returns a body that cannot be rewound. An empty one is a reader
+// too: the network client sends a call without any body again by itself if it
+// has an idempotency key.
 func onceReader(body []byte) io.Reader {
-	if len(body) == 0 {
-		return nil
-	}
 	return struct{ io.Reader }{bytes.NewReader(body)}
 }
 
