Tell an engine that does not listen from one that crashed

Cause: found by tests of how failures are sorted. Opening a stage at an engine that is down failed with 'write envelope: EOF', which counted as a crash of the engine by the request: each request that was routed there became a suspect.

Before: TestDeadEngineIsAFailedDial: crash. After: dial; a refused stage and one whose engine dies are still sorted as refused and crash, over TCP.

Change: when the first send fails, the reason is received from the stream, since the send only tells that it ended. Ruled out: counting every failed open as a dial, which would hide a request that crashes an engine at once.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -98,6 +98,10 @@
 	stream := c.stub(upstream).Run(streamCtx)
 	s := &stageStream{stream: stream, cancel: cancel, replies: make(chan reply, 1)}
 	if err := stream.Send(&enginepb.RunRequest{Open: openToWire(open)}); err != nil {
+		// A send tells only that the stream ended; the reason is received.
+		if _, reason := stream.Receive(); reason != nil {
+			err = reason
+		}
 		cancel()
 		return nil, s.failure(err)
 	}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/engine"
 	"lentilmux.example/lentilmux/standin"
@@ -103,3 +105,39 @@
 		t.Fatalf("a new stream after the probe: %v", err)
 	}
 }
+
+func TestDeadEngineIsAFailedDial(t *testing.T) {
+	_, host, addr := serveEngine(t, 19404)
+	host.Close()
+	client := engine.NewClient()
+	stage, err := client.OpenStage(t.Context(), addr, lentilmux.StageOpen{Request: "r1", Epoch: 1, Model: "lentil", Total: 4, Prompt: "hello", MaxTokens: 5})
+	if err == nil {
+		_, err = stage.Step(t.Context(), lentilmux.StepInput{})
+	}
+	var stepError *lentilmux.StepError
+	if !errors.As(err, &stepError) || stepError.Kind != lentilmux.FailureDial {
+		t.Errorf("an engine that does not listen gave %v", err)
+	}
+}
+
+func TestRefusedAndBrokenStages(t *testing.T) {
+	_, host, addr := serveEngine(t, 19405)
+	client := engine.NewClient()
+	stage, err := client.OpenStage(t.Context(), addr, lentilmux.StageOpen{Request: "r1", Epoch: 1, Model: "another", Total: 4, Prompt: "hello", MaxTokens: 5})
+	if err == nil {
+		_, err = stage.Step(t.Context(), lentilmux.StepInput{})
+	}
+	var stepError *lentilmux.StepError
+	if !errors.As(err, &stepError) || stepError.Kind != lentilmux.FailureRefused {
+		t.Errorf("layers that the engine does not hold gave %v", err)
+	}
+	running := open(t, client, addr, "r2")
+	if _, err := running.Step(t.Context(), lentilmux.StepInput{}); err != nil {
+		t.Fatal(err)
+	}
+	host.Close()
+	_, err = running.Step(t.Context(), lentilmux.StepInput{Position: 1})
+	if !errors.As(err, &stepError) || stepError.Kind != lentilmux.FailureCrash {
+		t.Errorf("a stage whose engine died gave %v", err)
+	}
+}
