--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/peer/peerpb"
+)
+
+func TestDigestComesBack(t *testing.T) {
+	want := lentilmux.Digest{
+		VM: "entry-1", Zone: "kochi", Addr: netip.MustParseAddrPort("192.0.2.1:7080"), Incarnation: "one", Revision: 7,
+		CallsNext: 9, CallsSince: time.UnixMilli(1234), Draining: true, Leaving: []string{"worker-1"},
+		InFlight: []lentilmux.UpstreamCount{{Upstream: "worker-2", Count: 3}},
+		Usage:    []lentilmux.WorkspaceUsage{{Workspace: "counter", Running: 1, Queued: 2}},
+	}
+	got, err := fromWire(toWire(want))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
+func TestStrangeDigests(t *testing.T) {
+	for _, m := range []*peerpb.Digest{{}, {Vm: "entry-1", Addr: "nowhere:1"}, {Addr: "192.0.2.1:7080"}} {
+		if _, err := fromWire(m); err == nil {
+			t.Errorf("%v was taken", m)
+		}
+	}
+}
