--- a/cmd/lentilmux/main.go
+++ b/cmd/lentilmux/main.go
@@ -70,6 +70,9 @@
 func serve(o *options, logger *logrus.Logger) (err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if *o.platform {
+		return servePlatform(ctx, cancel, o, logger)
+	}
 	if *o.standalone {
 		return serveStandalone(ctx, cancel, o, logger)
 	}
@@ -91,17 +94,17 @@
 	if err != nil {
 		return err
 	}
-	go stopOnSignal(vm, cancel)
+	go stopOnSignal(vm.Drain, cancel)
 	return vm.Run(ctx)
 }
 
 // stopOnSignal begins the planned stop at the first signal and ends the process
 // at the second.
-func stopOnSignal(vm *entryvm.VM, cancel context.CancelFunc) {
+func stopOnSignal(drain func(), cancel context.CancelFunc) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	vm.Drain()
+	drain()
 	<-signals
 	cancel()
 }
--- a/cmd/lentilmux/options.go
+++ b/cmd/lentilmux/options.go
@@ -50,6 +50,8 @@
 	placement   *string
 	admission   *string
 	standalone  *bool
+	platform    *bool
+	metricsPort *int
 	print       *bool
 	printTable  *bool
 }
@@ -86,6 +88,8 @@
 		placement:   s.Choice("placement", "balanced", "policy that spreads layers; the other is a baseline", []string{"balanced", "equal"}),
 		admission:   s.Choice("admission", "shares", "policy that picks the next workspace; the other is a baseline", []string{"shares", "arrival"}),
 		standalone:  s.Bool("standalone", "serve a whole small system with embedded stand-ins; not for production"),
+		platform:    s.Bool("platform", "run before the platform's balancer, by the settings file that LENTILMUX_SETTINGS names"),
+		metricsPort: s.Int("metrics-port", 0, 0, 65535, "port of the metrics with --platform; 0 for none"),
 		print:       s.Bool("print-settings", "print the settings in force and end"),
 		printTable:  s.Bool("print-settings-table", "print the table of all settings and end"),
 	}
@@ -93,7 +97,7 @@
 
 // check returns the mistakes that only show between settings.
 func (o *options) check() (err error) {
-	if *o.standalone {
+	if *o.standalone || *o.platform {
 		return nil
 	}
 	var mistakes settings.Mistakes
--- a/cmd/lentilmux/standalone.go
+++ b/cmd/lentilmux/standalone.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	go stopOnSignal(vm, cancel)
+	go stopOnSignal(vm.Drain, cancel)
 	go func() {
 		if err := prepare(ctx, config); err != nil {
 			logger.WithError(err).Error("the standalone system did not start")
--- /dev/null
+++ b/dispatch/chain.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+const (
+	// localDelay is the time that a token takes between two upstreams of one
+	// availability zone.
+	localDelay = 200 * time.Microsecond
+	// pipeShare is the part of a pipe between availability zones that one
+	// request may count on.
+	pipeShare = 0.25
+	// fillMost is how full an upstream's memory may get by what is expected
+	// of its requests, before a path avoids it altogether.
+	fillMost = 0.97
+	// fillEdge sets how steeply memory that fills up makes a part dearer.
+	fillEdge = 1.1
+	// writtenPart is the part of an answer that counts as memory, since it
+	// grows while the request runs.
+	writtenPart = 0.75
+	// jitter varies costs so that VMs with the same knowledge do not all pick
+	// the same path.
+	jitter = 0.06
+)
+
+// Memory returns the tokens for which a request needs memory in each layer.
+func Memory(prompt, answer int) int64 {
+	return int64(prompt) + int64(writtenPart*float64(answer))
+}
+
+// Chains picks the path that adds least to the time of all requests. It walks
+// over the layers and keeps, for every upstream that holds the next ones, the
+// cheapest way to get there. Its slices are kept between calls.
+type Chains struct {
+	random *rand.Rand
+	cuts   []int
+	layer  []float64 // cost of a layer, by node; infinite if there is no room
+	cost   []float64 // of the way to a node, by interval and node
+	from   []int     // the node of the interval before, by interval and node
+	open   []int     // nodes with room
+	zones  []int     // cheapest node of each zone in the last interval
+	delays []float64 // seconds between two zones of one request's tokens
+}
+
+// NewChains returns a policy whose draws follow from seed.
+func NewChains(seed uint64) *Chains {
+	return &Chains{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Choose implements [lentilmux.ChainChoice].
+func (c *Chains) Choose(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, path []lentilmux.ChainPart) (chosen []lentilmux.ChainPart, first time.Duration, ok bool) {
+	c.weigh(ask, nodes)
+	last := c.walk(ask, nodes)
+	if last < 0 {
+		return path, 0, false
+	}
+	chosen = c.trace(nodes, path, last)
+	return chosen, firstEvent(ask, nodes, chosen[len(path):]), true
+}
+
+// weigh computes what a layer costs at each node, and the cuts between ranges.
+func (c *Chains) weigh(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode) {
+	m := ask.Model
+	need := Memory(ask.Prompt, ask.Answer)
+	context := float64(m.UsualPrompt) + float64(m.UsualAnswer)/2
+	perStream := m.StepPerStream.Seconds() + m.StepPerContext.Seconds()*context/1000
+	c.layer = append(c.layer[:0], make([]float64, 0, len(nodes))...)
+	c.cuts = append(c.cuts[:0], 0, m.Layers)
+	c.open = c.open[:0]
+	for i := range nodes {
+		n := &nodes[i]
+		if n.Capacity <= 0 || n.Pace <= 0 {
+			c.layer = append(c.layer, math.Inf(1))
+			continue
+		}
+		fill := (float64(n.Reserved) + float64(need)*float64(n.Holds.Len())) / float64(n.Capacity)
+		if fill > fillMost {
+			c.layer = append(c.layer, math.Inf(1))
+			continue
+		}
+		step := n.Pace * (m.Step.Seconds() + 2*float64(n.Streams+1)*perStream)
+		read := n.Factor * float64(ask.Prompt+n.Waiting) / m.ReadPerSecond
+		cost := (float64(ask.Answer)*step + read) / float64(m.Layers) / (fillEdge - fill)
+		c.layer = append(c.layer, cost*(1+jitter*c.random.Float64()))
+		c.open = append(c.open, i)
+		c.cuts = append(c.cuts, n.Holds.First, n.Holds.Last+1)
+	}
+	slices.Sort(c.cuts)
+	c.cuts = slices.Compact(c.cuts)
+}
+
+// walk fills the costs interval by interval and returns the cheapest node of
+// the last one, or -1 if a layer is held by no node with room.
+func (c *Chains) walk(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode) (last int) {
+	intervals := len(c.cuts) - 1
+	size := intervals * len(nodes)
+	c.cost = slices.Grow(c.cost[:0], size)[:size]
+	c.from = slices.Grow(c.from[:0], size)[:size]
+	c.zones = c.zones[:0]
+	for i := range intervals {
+		row := i * len(nodes)
+		length := float64(c.cuts[i+1] - c.cuts[i])
+		for _, node := range c.open {
+			n := &nodes[node]
+			c.cost[row+node] = math.Inf(1)
+			if n.Holds.First > c.cuts[i] || n.Holds.Last < c.cuts[i+1]-1 {
+				continue
+			}
+			before, from := c.enter(ask, nodes, i, node)
+			c.cost[row+node] = before + length*c.layer[node]
+			c.from[row+node] = from
+		}
+		if !c.settle(nodes, row) {
+			return -1
+		}
+	}
+	row := (intervals - 1) * len(nodes)
+	last = -1
+	for _, node := range c.zones {
+		if node >= 0 && (last < 0 || c.cost[row+node] < c.cost[row+last]) {
+			last = node
+		}
+	}
+	return last
+}
+
+// enter returns the cheapest way to run an interval's first layer at a node,
+// and the node of the interval before.
+func (c *Chains) enter(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, interval, node int) (cost float64, from int) {
+	if interval == 0 {
+		if nodes[node].Full {
+			return math.Inf(1), -1
+		}
+		return hopCost(ask, ask.Zone != nodes[node].Zone, 0), -1
+	}
+	row := (interval - 1) * len(nodes)
+	cost, from = math.Inf(1), -1
+	if n := &nodes[node]; n.Holds.First < c.cuts[interval] {
+		cost, from = c.cost[row+node], node
+	}
+	for _, other := range c.zones {
+		if other < 0 || other == node {
+			continue
+		}
+		if by := c.cost[row+other] + hopCost(ask, nodes[other].Zone != nodes[node].Zone, ask.Prompt); by < cost {
+			cost, from = by, other
+		}
+	}
+	return cost, from
+}
+
+// settle notes the cheapest node of each zone. It returns false if no node can
+// run the interval.
+func (c *Chains) settle(nodes []lentilmux.ChainNode, row int) (found bool) {
+	for i := range c.zones {
+		c.zones[i] = -1
+	}
+	for _, node := range c.open {
+		if math.IsInf(c.cost[row+node], 1) {
+			continue
+		}
+		zone := nodes[node].Zone
+		for zone >= len(c.zones) {
+			c.zones = append(c.zones, -1)
+		}
+		if best := c.zones[zone]; best < 0 || c.cost[row+node] < c.cost[row+best] {
+			c.zones[zone] = node
+		}
+		found = true
+	}
+	return found
+}
+
+// hopCost is what a change of upstream adds, in seconds of one request.
+func hopCost(ask lentilmux.ChainAsk, crossing bool, prompt int) float64 {
+	if !crossing {
+		return float64(ask.Answer) * localDelay.Seconds()
+	}
+	delay := localDelay
+	if len(ask.Model.ZoneDelays) > 0 {
+		delay = ask.Model.ZoneDelays[0].Delay
+	}
+	cost := float64(ask.Answer) * max(delay, localDelay).Seconds()
+	if ask.Model.PipeBitRate > 0 {
+		cost += float64(prompt) * float64(ask.Model.ActivationBytes) * 8 / (ask.Model.PipeBitRate * pipeShare)
+	}
+	return cost
+}
+
+// trace appends the parts of the way that ends at the node last.
+func (c *Chains) trace(nodes []lentilmux.ChainNode, path []lentilmux.ChainPart, last int) []lentilmux.ChainPart {
+	start := len(path)
+	node := last
+	for i := len(c.cuts) - 2; i >= 0; i-- {
+		layers := lentilmux.LayerRange{First: c.cuts[i], Last: c.cuts[i+1] - 1}
+		if end := len(path) - 1; end >= start && path[end].Node == node {
+			path[end].Layers.First = layers.First
+		} else {
+			path = append(path, lentilmux.ChainPart{Node: node, Layers: layers})
+		}
+		node = c.from[i*len(nodes)+node]
+	}
+	slices.Reverse(path[start:])
+	return path[:start+once(path[start:])]
+}
+
+// once keeps a path from coming back to a node that it has left: the node runs
+// what lies between as well, which it holds since its layers are contiguous. It
+// returns how many parts are left.
+func once(path []lentilmux.ChainPart) (count int) {
+	for _, part := range path {
+		for i := range count {
+			if path[i].Node == part.Node {
+				part.Layers.First = path[i].Layers.First
+				count = i
+				break
+			}
+		}
+		path[count] = part
+		count++
+	}
+	return count
+}
+
+// firstEvent estimates the time until a path's first event.
+func firstEvent(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, path []lentilmux.ChainPart) time.Duration {
+	m := ask.Model
+	var seconds float64
+	for i, part := range path {
+		n := &nodes[part.Node]
+		share := float64(part.Layers.Len()) / float64(m.Layers)
+		seconds += share * n.Factor * float64(ask.Prompt+n.Waiting) / m.ReadPerSecond
+		seconds += share * n.Pace * float64(max(m.Stride, 1)) * (m.Step.Seconds() + float64(n.Streams)*m.StepPerStream.Seconds())
+		if i > 0 {
+			seconds += float64(ask.Prompt) * float64(m.ActivationBytes) * 8 / max(m.PipeBitRate, 1) * crossed(nodes, path, i)
+		}
+		seconds += localDelay.Seconds() * float64(max(m.Stride, 1))
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// crossed is 1 if a part of a path is in another zone than the one before.
+func crossed(nodes []lentilmux.ChainNode, path []lentilmux.ChainPart, i int) float64 {
+	if nodes[path[i].Node].Zone != nodes[path[i-1].Node].Zone {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/entryvm/gateway.go
@@ -0,0 +1,288 @@
+package entryvm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/fleet"
+	"lentilmux.example/lentilmux/forward"
+	"lentilmux.example/lentilmux/peer"
+	"lentilmux.example/lentilmux/platformlog"
+)
+
+const (
+	// vmsWait is how long a read of the entry VMs' records waits for news;
+	// their age does not matter.
+	vmsWait = 20 * time.Second
+	// effectTimeout bounds an order or a report, whose lateness is a sign of
+	// failure itself.
+	effectTimeout = 600 * time.Millisecond
+	// putTimeout bounds a record in the store.
+	putTimeout = 2 * time.Second
+	// gatewayIdle is how long a caller's connection may wait for its next
+	// request.
+	gatewayIdle = 2 * time.Minute
+)
+
+// GatewayConfig is what an entry VM before registered upstreams is told of
+// itself.
+type GatewayConfig struct {
+	Name        string
+	Zone        string
+	CallerAddr  netip.AddrPort // where callers connect
+	ReadyAddr   netip.AddrPort // where the balancer asks
+	DigestAddr  netip.AddrPort // where other VMs send load digests
+	MetricsAddr netip.AddrPort // invalid for no metrics
+	MetricsPath string
+	ReadyPath   string
+	HeaderMost  int           // bytes
+	HeaderWait  time.Duration // for a caller's header
+	Seed        uint64
+	Limits      fleet.Limits
+	Logger      *logrus.Logger
+	Clock       func() time.Time // goes on while the VM is suspended
+}
+
+// GatewayPeers are the implementations of what such an entry VM speaks to.
+type GatewayPeers struct {
+	Log    lentilmux.KeyedLog
+	Decode map[lentilmux.Stream]platformlog.Decode
+	Engine lentilmux.ChainEngine
+	// Front returns the handler of callers' requests.
+	Front func(relay *forward.Relay, state *GatewayState) http.Handler
+}
+
+// GatewayState is what front ends have to know of the entry VM.
+type GatewayState struct {
+	ready    atomic.Bool
+	draining atomic.Bool
+	bodyMost atomic.Int64
+}
+
+// Draining reports whether connections should be given up.
+func (s *GatewayState) Draining() bool { return s.draining.Load() }
+
+// BodyMost returns the largest body that callers may send, in bytes.
+func (s *GatewayState) BodyMost() int64 { return s.bodyMost.Load() }
+
+// Gateway is one entry VM before upstreams that register themselves.
+type Gateway struct {
+	config  GatewayConfig
+	peers   GatewayPeers
+	state   GatewayState
+	node    *lentilmux.Node
+	metrics *metrics
+	lines   *decisionLog
+	digests *peer.Datagrams
+
+	ctx     context.Context // of the run; set before the first effect
+	effects sync.WaitGroup
+	leave   chan struct{}
+	once    sync.Once
+}
+
+// NewGateway returns an entry VM that is not running.
+func NewGateway(config GatewayConfig, peers GatewayPeers) (g *Gateway, err error) {
+	defer errors.DeferredAnnotatef(&err, "making entry VM %s", config.Name)
+	g = &Gateway{config: config, peers: peers, leave: make(chan struct{}), lines: newDecisionLog(config.Logger, config.Name)}
+	if g.metrics, err = newMetrics(); err != nil {
+		return nil, err
+	}
+	g.state.bodyMost.Store(defaultBodyMost)
+	model := fleet.New(fleet.Self{
+		Name: config.Name, Zone: config.Zone, Addr: config.DigestAddr, Incarnation: config.Seed, Started: config.Clock(),
+	}, config.Limits)
+	g.node = lentilmux.NewNode(model, lentilmux.WithEffector(g), lentilmux.WithClock(config.Clock))
+	return g, nil
+}
+
+// defaultBodyMost bounds bodies before the configuration does, in bytes.
+const defaultBodyMost = 4 << 20
+
+// Drain begins the planned stop. Run returns when it is done.
+func (g *Gateway) Drain() {
+	g.once.Do(func() { close(g.leave) })
+}
+
+// Run serves until ctx ends, which stops at once, or until a planned stop that
+// [Gateway.Drain] began is done.
+func (g *Gateway) Run(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "running entry VM %s", g.config.Name)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.ctx = ctx
+	if g.digests, err = peer.ListenDatagrams(g.config.DigestAddr); err != nil {
+		return err
+	}
+	var servers gatewayServers
+	if err := servers.open(g); err != nil {
+		return err
+	}
+	defer servers.close()
+	var running sync.WaitGroup
+	running.Go(func() { g.lines.run(ctx) })
+	g.lines.write(lentilmux.Decision{What: "started", Subject: g.config.Name, Chosen: g.config.CallerAddr.String(), Reason: "zone " + g.config.Zone})
+	running.Go(func() { g.node.Run(ctx) })
+	running.Go(func() { g.digests.Run(ctx, g.node, g.badDigest) })
+	for stream, decode := range g.peers.Decode {
+		wait := time.Duration(0)
+		if stream == lentilmux.StreamVMs {
+			wait = vmsWait
+		}
+		follower := platformlog.NewFollower(g.peers.Log, g.node, g.config.Clock, stream, decode, wait)
+		running.Go(func() { follower.Run(ctx) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-g.leave:
+		g.stop(ctx, &servers)
+	}
+	g.lines.write(lentilmux.Decision{What: "stopped", Subject: g.config.Name})
+	cancel()
+	running.Wait()
+	return nil
+}
+
+// stop is the planned stop: not ready at once, serving until the balancer has
+// noticed, then until what runs is done.
+func (g *Gateway) stop(ctx context.Context, servers *gatewayServers) {
+	g.state.draining.Store(true)
+	// The node only fails when it stops itself.
+	_ = g.node.Send(ctx, lentilmux.LeaveMsg{})
+	timer := time.NewTimer(g.config.Limits.DrainNotReady)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.config.Limits.DrainMost-g.config.Limits.DrainNotReady)
+	defer cancel()
+	if err := servers.front.Shutdown(ctx); err != nil {
+		g.lines.write(lentilmux.Decision{What: "stop_cut", Subject: g.config.Name, Reason: err.Error()})
+	}
+}
+
+func (g *Gateway) badDigest(from netip.AddrPort, err error) {
+	g.lines.write(lentilmux.Decision{What: "digest_ignored", Subject: from.String(), Reason: err.Error()})
+}
+
+// Do implements [lentilmux.Effector]. Effects that wait for a peer run in
+// goroutines of their own.
+func (g *Gateway) Do(effect lentilmux.Effect) {
+	switch x := effect.(type) {
+	case lentilmux.DecisionEffect:
+		g.metrics.decision(x.Decision)
+		g.lines.write(x.Decision)
+	case lentilmux.ReadinessEffect:
+		g.state.ready.Store(x.Ready)
+	case lentilmux.BodyLimitEffect:
+		g.state.bodyMost.Store(x.Most)
+	case lentilmux.LoadDigestEffect:
+		if err := g.digests.Send(x.Digest, x.To); err != nil {
+			g.lines.write(lentilmux.Decision{What: "digest_unsent", Subject: g.config.Name, Reason: err.Error()})
+		}
+	case lentilmux.ReportEffect:
+		go g.report(x)
+	case lentilmux.PlaceEffect:
+		go g.place(x)
+	case lentilmux.PutEffect:
+		go g.put(x)
+	}
+}
+
+func (g *Gateway) report(x lentilmux.ReportEffect) {
+	ctx, cancel := context.WithTimeout(g.ctx, effectTimeout)
+	defer cancel()
+	report, err := g.peers.Engine.Report(ctx, x.Upstream, x.Addr)
+	g.send(lentilmux.ReportMsg{Upstream: x.Upstream, Report: report, Err: err})
+}
+
+func (g *Gateway) place(x lentilmux.PlaceEffect) {
+	ctx, cancel := context.WithTimeout(g.ctx, effectTimeout)
+	defer cancel()
+	accepted, err := g.peers.Engine.Place(ctx, x.Upstream, x.Addr, x.Order)
+	g.send(lentilmux.PlaceMsg{Upstream: x.Upstream, Order: x.Order, Accepted: accepted, Err: err})
+}
+
+func (g *Gateway) put(x lentilmux.PutEffect) {
+	ctx, cancel := context.WithTimeout(g.ctx, putTimeout)
+	defer cancel()
+	value, err := platformlog.EncodeVM(x.VM)
+	if err == nil {
+		err = g.peers.Log.Put(ctx, x.Stream, x.Key, value)
+	}
+	if err != nil {
+		g.lines.write(lentilmux.Decision{What: "record_unwritten", Subject: x.Key, Reason: err.Error()})
+	}
+}
+
+// send hands a result to the node; it fails only when the node stops.
+func (g *Gateway) send(msg lentilmux.Msg) { _ = g.node.Send(g.ctx, msg) }
+
+// gatewayServers are the listeners of a gateway.
+type gatewayServers struct {
+	front   *http.Server
+	ready   *http.Server
+	metrics *http.Server
+}
+
+// open listens on all addresses and serves them.
+func (s *gatewayServers) open(g *Gateway) (err error) {
+	relay := forward.NewRelay(g.node, forward.WithClock(g.config.Clock), forward.WithObserver(g.metrics.forwarded))
+	s.front = &http.Server{
+		Handler: g.peers.Front(relay, &g.state), ReadHeaderTimeout: g.config.HeaderWait, IdleTimeout: gatewayIdle,
+		MaxHeaderBytes: g.config.HeaderMost,
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.state.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	s.ready = &http.Server{Handler: ready, ReadHeaderTimeout: g.config.HeaderWait, IdleTimeout: gatewayIdle}
+	if err := g.serve(s.ready, g.config.ReadyAddr); err != nil {
+		return err
+	}
+	if g.config.MetricsAddr.IsValid() {
+		mux := http.NewServeMux()
+		mux.Handle("GET "+g.config.MetricsPath, g.metrics.handler())
+		s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: g.config.HeaderWait}
+		if err := g.serve(s.metrics, g.config.MetricsAddr); err != nil {
+			return err
+		}
+	}
+	return g.serve(s.front, g.config.CallerAddr)
+}
+
+// serve listens on an address and serves it until the server is closed.
+func (g *Gateway) serve(server *http.Server, addr netip.AddrPort) (err error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errors.Annotatef(err, "listening on %s", addr)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			g.lines.write(lentilmux.Decision{What: "server_ended", Subject: addr.String(), Reason: err.Error()})
+		}
+	}()
+	return nil
+}
+
+// close closes what is open at once.
+func (s *gatewayServers) close() {
+	for _, server := range []*http.Server{s.front, s.ready, s.metrics} {
+		if server != nil {
+			_ = server.Close() // the process or the test ends anyway
+		}
+	}
+}
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -14,6 +14,7 @@
 
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/caller"
+	"lentilmux.example/lentilmux/forward"
 )
 
 // metrics are the entry VM's instruments. Their labels take values from fixed
@@ -82,3 +83,19 @@
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
+
+// forwarded counts a request that was forwarded whole.
+func (m *metrics) forwarded(r forward.Result) {
+	ctx := context.Background()
+	labels := metric.WithAttributes(
+		attribute.String("kind", r.Kind.String()),
+		attribute.String("outcome", r.Outcome.String()),
+		attribute.String("reason", string(r.Reason)),
+	)
+	m.requests.Add(ctx, 1, labels)
+	m.took.Record(ctx, r.Took.Seconds(), labels)
+	m.tokens.Add(ctx, int64(r.Events))
+	if r.First > 0 {
+		m.first.Record(ctx, r.First.Seconds())
+	}
+}
--- /dev/null
+++ b/fleet/finish.go
@@ -0,0 +1,33 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Finish takes note of first events and ends. It reads Events.Begun and
+// Events.Done and writes Flights and Members.
+type Finish struct{}
+
+// Run implements [System].
+func (f *Finish) Run(t *Tables, now time.Time) {
+	for _, msg := range t.Events.Begun {
+		if flight := t.Flights.Find(msg.Request); flight != nil && flight.Epoch == msg.Epoch && !flight.Begun {
+			t.begun(flight)
+		}
+	}
+	for _, msg := range t.Events.Done {
+		flight := t.Flights.Find(msg.Request)
+		if flight == nil {
+			continue
+		}
+		t.release(flight)
+		t.Flights.Remove(flight.ID)
+		t.Decide(lentilmux.Decision{
+			What: "request_done", Subject: string(msg.Request), Chosen: fmt.Sprint(msg.Status),
+			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms took=%dms", msg.Outcome, msg.Reason, flight.Route.Name, flight.Sends, msg.Events, msg.First.Milliseconds(), msg.Took.Milliseconds()),
+		})
+	}
+}
--- /dev/null
+++ b/fleet/hear.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Hear takes in what other entry VMs and upstreams say. It reads Events.Digests,
+// Events.Reports and Events.Placed and writes VMs and Members.
+type Hear struct{}
+
+// Run implements [System].
+func (h *Hear) Run(t *Tables, now time.Time) {
+	for _, digest := range t.Events.Digests {
+		h.digest(t, digest, now)
+	}
+	for _, vm := range t.VMs.Rows {
+		if len(vm.Loads) > 0 && !t.heard(vm, now) {
+			h.count(t, vm, nil)
+			t.Decide(lentilmux.Decision{What: "vm_lost", Subject: vm.Name, Reason: fmt.Sprintf("silent for %s", now.Sub(vm.Heard).Round(time.Millisecond))})
+		}
+	}
+	for _, msg := range t.Events.Reports {
+		h.report(t, msg, now)
+	}
+	for _, msg := range t.Events.Placed {
+		h.placed(t, msg, now)
+	}
+}
+
+// digest replaces what is known of another VM's work, unless the digest is
+// older than the last one.
+func (h *Hear) digest(t *Tables, d lentilmux.LoadDigest, now time.Time) {
+	if d.VM == t.Self.Name || d.VM == "" {
+		return
+	}
+	vm := t.VMs.Put(d.VM)
+	if vm.Incarnation == d.Incarnation && d.Sequence <= vm.Sequence || d.Incarnation < vm.Incarnation {
+		return
+	}
+	if !t.heard(vm, now) {
+		t.Decide(lentilmux.Decision{What: "vm_met", Subject: d.VM, Chosen: d.Addr.String(), Reason: "digest"})
+	}
+	vm.Incarnation, vm.Sequence, vm.Heard = d.Incarnation, d.Sequence, now
+	vm.Zone, vm.Addr, vm.Draining, vm.Stale = d.Zone, d.Addr, d.Draining, d.Stale
+	t.Zones.Index(vm.Zone)
+	h.count(t, vm, d.Loads)
+	for _, id := range d.Suspects {
+		row := t.Members.Find(id)
+		if row != nil && row.SuspectUntil.IsZero() && now.Sub(row.ReportedAt) > t.Limits.SuspectFirst {
+			t.suspect(row, now, "suspected by "+d.VM)
+			row.Hearsay = true
+		}
+	}
+}
+
+// count replaces a VM's loads in the members' rows.
+func (h *Hear) count(t *Tables, vm *VMRow, loads []lentilmux.UpstreamLoad) {
+	for _, load := range vm.Loads {
+		if row := t.Members.Find(load.Upstream); row != nil {
+			row.Peers.add(loadOf(load), -1)
+		}
+	}
+	vm.Loads = vm.Loads[:0]
+	for _, load := range loads {
+		row := t.Members.Find(load.Upstream)
+		if row == nil {
+			continue
+		}
+		row.Peers.add(loadOf(load), 1)
+		vm.Loads = append(vm.Loads, load)
+		if load.Slow > 0 {
+			row.Slow = load.Slow
+		}
+	}
+}
+
+func loadOf(load lentilmux.UpstreamLoad) Load {
+	return Load{Streams: load.Streams, Waiting: load.Waiting, Reserved: load.Reserved}
+}
+
+// report takes an upstream's own word. One that answers is no longer suspect.
+func (h *Hear) report(t *Tables, msg lentilmux.ReportMsg, now time.Time) {
+	row := t.Members.Find(msg.Upstream)
+	if row == nil {
+		return
+	}
+	if msg.Err != nil {
+		if !row.SuspectUntil.IsZero() {
+			t.suspect(row, now, msg.Err.Error())
+		}
+		return
+	}
+	r := msg.Report
+	if !row.SuspectUntil.IsZero() {
+		row.SuspectUntil, row.Strikes = time.Time{}, 0
+		t.Decide(lentilmux.Decision{What: "upstream_trusted", Subject: row.ID, Reason: "it reported"})
+	}
+	if r.Pace > 0 && (r.Pace > 1.2*row.Slow || row.Slow > 1.2*r.Pace) {
+		t.Decide(lentilmux.Decision{What: "upstream_pace", Subject: row.ID, Chosen: fmt.Sprintf("%.2f", r.Pace), Reason: fmt.Sprintf("was %.2f", row.Slow)})
+	}
+	row.Slow, row.ReportedAt, row.Orders = max(r.Pace, 1), now, r.Orders
+	row.Held, row.Holds = r.Held, r.Holds
+	if row.Targeted && !r.Busy && (!r.Held || r.Holds != row.Target) && now.Sub(row.OrderedAt) > t.Limits.OrderTimeout {
+		row.Targeted = false
+	}
+}
+
+// placed takes the answer to an order.
+func (h *Hear) placed(t *Tables, msg lentilmux.PlaceMsg, now time.Time) {
+	row := t.Members.Find(msg.Upstream)
+	if row == nil || !row.Targeted || row.Target != msg.Order.Layers {
+		return
+	}
+	switch {
+	case msg.Err != nil:
+		t.Decide(lentilmux.Decision{What: "order_unanswered", Subject: row.ID, Reason: msg.Err.Error()})
+	case !msg.Accepted:
+		// Its state is not what was expected: ask it before anything else.
+		row.Targeted = false
+		row.AskedAt = now
+		t.Add(lentilmux.ReportEffect{Upstream: row.ID, Addr: row.Addr})
+		t.Decide(lentilmux.Decision{What: "order_refused", Subject: row.ID, Reason: fmt.Sprintf("expected %d orders before", msg.Order.Orders)})
+	default:
+		row.Orders = msg.Order.Orders + 1
+	}
+}
--- /dev/null
+++ b/fleet/limits.go
@@ -0,0 +1,107 @@
+package fleet
+
+import "time"
+
+// Limits are the figures that the systems keep to.
+type Limits struct {
+	KnowledgeMost  time.Duration // age of the configuration up to which keys are honoured
+	SettleAfter    time.Duration // from the store's return until missing upstreams count as gone
+	RetryRatio     float64       // sends beyond the first of each request, by requests
+	RetrySlack     float64       // the same, beside the ratio, of all VMs together
+	RetryWindow    time.Duration // in which they are counted
+	SendsMost      int           // sends of one request
+	FirstLeast     time.Duration // silence before the first event that is always borne
+	FirstMost      time.Duration // silence before the first event that is never borne
+	GapMost        time.Duration // silence between two events that is never borne
+	ShareEvery     time.Duration // between two load digests
+	SilentAfter    time.Duration // without a digest, until a VM counts as gone
+	SuspectFirst   time.Duration // until a suspected upstream is asked again
+	SuspectMost    time.Duration
+	InspectEvery   time.Duration // between two reports of an upstream
+	GatherFor      time.Duration // without news of upstreams, until layers are first placed
+	GatherMost     time.Duration // until layers are first placed in any case
+	OrderTimeout   time.Duration // until an order that shows no effect is given again
+	RefusalPause   time.Duration // after which a refused caller may come again
+	PoisonMost     int           // crashes after which a request is not sent again
+	PoisonMemory   time.Duration // for which crashes of a request are remembered
+	AnnounceEvery  time.Duration // between two records of this VM in the store
+	PulseSilence   time.Duration // without progress, after which an upstream is blamed for a silent path
+	StrikesMost    int           // unclear signs that make an upstream suspect
+	StrikesForget  time.Duration // after which an unclear sign counts no more
+	ShareToMost    int           // VMs that get each digest
+	DrainNotReady  time.Duration // from the start of a planned stop until it may end
+	DrainMost      time.Duration // the longest time of a planned stop
+	ReportUntilOld time.Duration // age of an upstream's report up to which it counts
+}
+
+// DefaultLimits returns the limits for a deployment that says nothing else.
+func DefaultLimits() Limits {
+	return Limits{
+		KnowledgeMost:  3 * time.Second,
+		SettleAfter:    2 * time.Second,
+		RetryRatio:     0.2,
+		RetrySlack:     100,
+		RetryWindow:    10 * time.Second,
+		SendsMost:      4,
+		FirstLeast:     300 * time.Millisecond,
+		FirstMost:      1200 * time.Millisecond,
+		GapMost:        600 * time.Millisecond,
+		ShareEvery:     150 * time.Millisecond,
+		SilentAfter:    2 * time.Second,
+		SuspectFirst:   400 * time.Millisecond,
+		SuspectMost:    4 * time.Second,
+		InspectEvery:   time.Second,
+		GatherFor:      700 * time.Millisecond,
+		GatherMost:     3 * time.Second,
+		OrderTimeout:   1500 * time.Millisecond,
+		RefusalPause:   500 * time.Millisecond,
+		PoisonMost:     3,
+		PoisonMemory:   2 * time.Minute,
+		AnnounceEvery:  30 * time.Second,
+		PulseSilence:   250 * time.Millisecond,
+		StrikesMost:    2,
+		StrikesForget:  3 * time.Second,
+		ShareToMost:    12,
+		DrainNotReady:  3500 * time.Millisecond,
+		DrainMost:      7 * time.Second,
+		ReportUntilOld: 3 * time.Second,
+	}
+}
+
+// Bounds are the figures that a deployment promises to its users. A zero keeps
+// the default that follows from it.
+type Bounds struct {
+	RevokeWithin time.Duration // from a key's removal until it is refused everywhere
+	StopGrace    time.Duration // from the signal of a planned stop to the process's end
+	RetryRatio   float64
+	RetrySlack   float64
+	RetryWindow  time.Duration
+}
+
+const (
+	// knowledgePart is the part of RevokeWithin up to which knowledge is used;
+	// the rest covers a request's way and a slow clock.
+	knowledgePart = 0.66
+	// slackPart is the part of the retry slack that is used, since VMs that
+	// restart forget what they spent.
+	slackPart = 0.6
+	// ratioPart is the same for the retry ratio.
+	ratioPart = 0.8
+	// drainPart is the part of StopGrace after which what still runs is cut.
+	drainPart = 0.93
+)
+
+// Within returns limits that keep to a deployment's bounds.
+func (l Limits) Within(b Bounds) Limits {
+	if b.RevokeWithin > 0 {
+		l.KnowledgeMost = time.Duration(knowledgePart * float64(b.RevokeWithin))
+	}
+	if b.StopGrace > 0 {
+		l.DrainMost = time.Duration(drainPart * float64(b.StopGrace))
+		l.DrainNotReady = min(l.DrainNotReady, l.DrainMost/2)
+	}
+	if b.RetryWindow > 0 {
+		l.RetryWindow, l.RetryRatio, l.RetrySlack = b.RetryWindow, ratioPart*b.RetryRatio, slackPart*b.RetrySlack
+	}
+	return l
+}
--- /dev/null
+++ b/fleet/readiness.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Readiness decides whether the balancer should send new connections here. It
+// reads Knowledge, Rules and Members and writes Self.
+type Readiness struct{}
+
+// Run implements [System].
+func (r *Readiness) Run(t *Tables, now time.Time) {
+	if t.Events.Leave {
+		t.Self.Draining = true
+	}
+	reason := r.reason(t, now)
+	if ready := reason == ""; ready != t.Self.Ready || reason != t.Self.Reason {
+		t.Self.Ready, t.Self.Reason = ready, reason
+		t.Add(lentilmux.ReadinessEffect{Ready: ready, Reason: reason})
+		t.Decide(lentilmux.Decision{What: "readiness", Subject: t.Self.Name, Chosen: map[bool]string{true: "ready", false: "not_ready"}[ready], Reason: reason})
+	}
+	if t.Rules.Known && !t.Stale(now) {
+		t.WakeAt(t.Knowledge.Rules.AsOf.Add(t.Limits.KnowledgeMost + time.Millisecond))
+	}
+}
+
+// reason returns why this VM takes no work, or an empty string.
+func (r *Readiness) reason(t *Tables, now time.Time) string {
+	switch {
+	case t.Self.Draining:
+		return "draining"
+	case !t.Rules.Known:
+		return "no configuration yet"
+	case t.Knowledge.Members.AsOf.IsZero():
+		return "no upstreams known yet"
+	case t.Stale(now):
+		return "configuration too old"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/fleet/rules.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"lentilmux.example/lentilmux"
+)
+
+// install puts a version in force and builds its indexes.
+func (r *Rules) install(rules *lentilmux.Ruleset) {
+	r.Ruleset = *rules
+	r.Known = true
+	r.EngineName = ""
+	r.byHost = make(map[string][]*lentilmux.RouteRule)
+	for i := range r.Routes {
+		route := &r.Routes[i]
+		r.byHost[route.Host] = append(r.byHost[route.Host], route)
+	}
+	for _, routes := range r.byHost {
+		slices.SortStableFunc(routes, func(a, b *lentilmux.RouteRule) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	r.byKey = make(map[string]*lentilmux.WorkspaceRule)
+	for i := range r.Workspaces {
+		for _, key := range r.Workspaces[i].Keys {
+			r.byKey[key] = &r.Workspaces[i]
+		}
+	}
+	r.byService = make(map[string]*lentilmux.ServiceRule)
+	for i := range r.Services {
+		service := &r.Services[i]
+		r.byService[service.Name] = service
+		if service.Engine != nil && service.Engine.Layers > 0 {
+			r.EngineName = service.Name
+		}
+	}
+}
+
+// Route returns the route with the longest prefix of a path, or nil.
+func (r *Rules) Route(host, path string) *lentilmux.RouteRule {
+	for _, route := range r.byHost[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// target returns the service of a route that takes a request with that hash.
+func target(route *lentilmux.RouteRule, hash lentilmux.Fingerprint) string {
+	total := 0
+	for _, t := range route.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		if len(route.Targets) == 0 {
+			return ""
+		}
+		return route.Targets[0].Service
+	}
+	drawn := int(uint64(hash) % uint64(total))
+	for _, t := range route.Targets {
+		if drawn -= max(t.Weight, 0); drawn < 0 {
+			return t.Service
+		}
+	}
+	return route.Targets[len(route.Targets)-1].Service
+}
--- /dev/null
+++ b/fleet/vms.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"net/netip"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// VMRow is another entry VM.
+type VMRow struct {
+	Name        string
+	Zone        string
+	Addr        netip.AddrPort
+	Incarnation uint64
+	Sequence    uint64
+	Heard       time.Time // of its last digest; zero for one that was never heard
+	Draining    bool
+	Stale       bool
+	Loads       []lentilmux.UpstreamLoad // as counted in the members' rows
+}
+
+// VMs is the table of the other entry VMs.
+type VMs struct {
+	Rows  []*VMRow
+	index map[string]int
+}
+
+// Find returns a VM's row, or nil.
+func (v *VMs) Find(name string) *VMRow {
+	if i, ok := v.index[name]; ok {
+		return v.Rows[i]
+	}
+	return nil
+}
+
+// Put returns a VM's row, a new one if there is none.
+func (v *VMs) Put(name string) *VMRow {
+	if row := v.Find(name); row != nil {
+		return row
+	}
+	if v.index == nil {
+		v.index = make(map[string]int)
+	}
+	row := &VMRow{Name: name}
+	v.index[name] = len(v.Rows)
+	v.Rows = append(v.Rows, row)
+	return row
+}
+
+// Live returns how many VMs, with this one, were heard of late.
+func (t *Tables) Live(now time.Time) (count int) {
+	count = 1
+	for _, vm := range t.VMs.Rows {
+		if t.heard(vm, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// heard reports whether a VM's last digest is new enough.
+func (t *Tables) heard(vm *VMRow, now time.Time) bool {
+	return !vm.Heard.IsZero() && now.Sub(vm.Heard) <= t.Limits.SilentAfter
+}
+
+// Leads reports whether this VM gives the orders: the lowest name of all that
+// are heard, in touch with the store and not leaving. Two may think so for a
+// while; orders name the state that they expect, so the second is refused.
+func (t *Tables) Leads(now time.Time) bool {
+	if t.Self.Draining || t.Stale(now) {
+		return false
+	}
+	for _, vm := range t.VMs.Rows {
+		if vm.Name < t.Self.Name && t.heard(vm, now) && !vm.Draining && !vm.Stale {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/knowledge.go
@@ -0,0 +1,193 @@
+package lentilmux
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ErrTruncated reports that the log has dropped the entries asked for.
+const ErrTruncated = errors.ConstError("entries are no longer in the log")
+
+// The compacted streams that the system uses.
+const (
+	// StreamRules carries the operators' configuration.
+	StreamRules Stream = "rules"
+	// StreamMembers carries what upstreams say of themselves.
+	StreamMembers Stream = "members"
+	// StreamVMs carries the addresses of the entry VMs.
+	StreamVMs Stream = "vms"
+)
+
+// KeyedLog is a log whose streams keep the newest entry of each key for good.
+// Its answers are linearizable.
+type KeyedLog interface {
+	// Newest returns the newest entries of the keys behind after, in parts.
+	Newest(ctx context.Context, stream Stream, after string) (page KeyedPage, err error)
+	// Follow returns entries from an offset on. If there are none it waits up
+	// to wait for the first. It returns [ErrTruncated] if they were dropped.
+	Follow(ctx context.Context, stream Stream, from uint64, wait time.Duration) (page KeyedPage, err error)
+	// Put adds an entry. After an error it is not known whether it was added.
+	Put(ctx context.Context, stream Stream, key string, value []byte) (err error)
+}
+
+// KeyedPage is a part of a compacted stream.
+type KeyedPage struct {
+	Entries []KeyedEntry
+	End     uint64 // the offset that the next entry will get
+	More    bool   // whether Newest has more behind the last key
+}
+
+// KeyedEntry is an entry of a compacted stream. Without a value it drops the
+// key.
+type KeyedEntry struct {
+	Key    string
+	Value  []byte
+	Offset uint64
+}
+
+// Fact is one decoded entry of a compacted stream: exactly one of the pointers
+// is set, unless the key was dropped or its entry cannot be read.
+type Fact struct {
+	Key    string
+	Offset uint64
+	Rules  *Ruleset
+	Member *Member
+	VM     *VMRecord
+	Bad    string // why the entry cannot be read
+}
+
+// VMRecord is what an entry VM says of itself to the others.
+type VMRecord struct {
+	Name string         `json:"name"`
+	Zone string         `json:"zone"`
+	Addr netip.AddrPort `json:"addr"` // for load digests
+}
+
+// KnowledgeMsg carries what a read of a compacted stream told.
+type KnowledgeMsg struct {
+	Stream Stream
+	AsOf   time.Time // when the read was sent
+	Whole  bool      // whether Facts are all keys that there are
+	Facts  []Fact
+}
+
+// KnowledgeFailedMsg reports a read that failed.
+type KnowledgeFailedMsg struct {
+	Stream Stream
+	Err    error
+}
+
+// PutEffect adds an entry to a compacted stream.
+type PutEffect struct {
+	Stream Stream
+	Key    string
+	VM     VMRecord
+}
+
+// UpstreamReport is the state that an upstream gives when asked.
+type UpstreamReport struct {
+	Holds    LayerRange
+	Held     bool
+	Busy     bool // whether it carries out an order
+	Orders   int  // orders accepted since its start
+	Streams  int
+	Waiting  int
+	Pace     float64 // above 1 for one that is slow
+	Capacity int64   // tokens times layers
+	Reserved int64   // tokens times layers
+	Born     time.Time
+}
+
+// RangeOrder tells an upstream to hold a range of layers.
+type RangeOrder struct {
+	Layers LayerRange
+	Orders int // orders that it is expected to have accepted before
+}
+
+// ChainEngine speaks to upstreams that pass activations on themselves.
+type ChainEngine interface {
+	// Report asks an upstream for its state.
+	Report(ctx context.Context, upstream string, addr netip.AddrPort) (report UpstreamReport, err error)
+	// Place gives an order. It returns false if the order does not fit the
+	// upstream's state.
+	Place(ctx context.Context, upstream string, addr netip.AddrPort, order RangeOrder) (accepted bool, err error)
+}
+
+// ReportEffect asks an upstream for its state.
+type ReportEffect struct {
+	Upstream string
+	Addr     netip.AddrPort
+}
+
+// ReportMsg carries the state of an upstream, or the error of the question.
+type ReportMsg struct {
+	Upstream string
+	Report   UpstreamReport
+	Err      error
+}
+
+// PlaceEffect gives an upstream an order.
+type PlaceEffect struct {
+	Upstream string
+	Addr     netip.AddrPort
+	Order    RangeOrder
+}
+
+// PlaceMsg reports what became of an order.
+type PlaceMsg struct {
+	Upstream string
+	Order    RangeOrder
+	Accepted bool
+	Err      error
+}
+
+// UpstreamLoad is what one VM has under way at one upstream.
+type UpstreamLoad struct {
+	Upstream string
+	Streams  int
+	Waiting  int     // prompt tokens that are still to be read
+	Reserved int64   // tokens times layers
+	Slow     float64 // how slow it says it is, if the sender asked it; 0 if not
+}
+
+// LoadDigest is what entry VMs tell each other of the work that they have under
+// way, whole each time, so that a lost one does no harm.
+type LoadDigest struct {
+	VM          string
+	Zone        string
+	Addr        netip.AddrPort
+	Incarnation uint64
+	Sequence    uint64
+	Draining    bool
+	Stale       bool // whether the sender lost touch with the store
+	Loads       []UpstreamLoad
+	Suspects    []string // upstreams that the sender holds to be dead
+}
+
+// LoadDigestMsg carries a digest of another VM.
+type LoadDigestMsg struct {
+	Digest LoadDigest
+}
+
+// LoadDigestEffect sends a digest to other VMs.
+type LoadDigestEffect struct {
+	Digest LoadDigest
+	To     []netip.AddrPort
+}
+
+// ReadinessEffect tells the balancer's questions whether this VM takes work.
+type ReadinessEffect struct {
+	Ready  bool
+	Reason string
+}
+
+// LeaveMsg begins a planned stop.
+type LeaveMsg struct{}
+
+// BodyLimitEffect sets the largest body that callers may send, in bytes.
+type BodyLimitEffect struct {
+	Most int64
+}
--- a/node.go
+++ b/node.go
@@ -26,6 +26,7 @@
 	stopped  chan struct{}
 	waiting  map[Ticket]chan<- Answer
 	last     Ticket
+	clock    func() time.Time
 }
 
 // Option changes a [Node] while it is made.
@@ -42,6 +43,12 @@
 	return func(n *Node) { n.inbox = make(chan Envelope, size) }
 }
 
+// WithClock sets the clock that ticks are given, for one that goes on while the
+// VM is suspended. Timers keep to the runtime's clock.
+func WithClock(clock func() time.Time) Option {
+	return func(n *Node) { n.clock = clock }
+}
+
 // NewNode returns a node that runs model. Call [Node.Run] to start it.
 func NewNode(model Model, options ...Option) *Node {
 	n := &Node{
@@ -50,6 +57,7 @@
 		inbox:    make(chan Envelope, defaultInboxSize),
 		stopped:  make(chan struct{}),
 		waiting:  make(map[Ticket]chan<- Answer),
+		clock:    time.Now,
 	}
 	for _, option := range options {
 		option(n)
@@ -73,7 +81,7 @@
 			batch = n.drain(append(batch, n.admit(envelope)))
 		case <-timer.C:
 		}
-		now := time.Now()
+		now := n.clock()
 		effects, due := n.model.Tick(now, batch)
 		n.carryOut(effects)
 		timer.Reset(due.Sub(now))
--- a/outcome.go
+++ b/outcome.go
@@ -38,6 +38,8 @@
 	ReasonUnknownWorkspace Reason = "unknown_workspace"
 	ReasonUnknownModel     Reason = "unknown_model"
 	ReasonUnknownService   Reason = "unknown_service"
+	ReasonUnknownRoute     Reason = "unknown_route"
+	ReasonUnknownKey       Reason = "unknown_key"
 	ReasonNotAllowed       Reason = "not_allowed"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonQueueFull        Reason = "queue_full"
--- /dev/null
+++ b/placement/ranges.go
@@ -0,0 +1,159 @@
+package placement
+
+import (
+	"math"
+
+	"lentilmux.example/lentilmux"
+)
+
+const (
+	// grains is the number of parts into which a model's layers are cut to
+	// place them; ranges begin and end between parts.
+	grains = 40
+	// rounds bounds how often every upstream may choose again.
+	rounds = 6
+	// batch is the number of requests that a step is assumed to serve.
+	batch = 24
+	// lent is the part of a layer's capacity in other availability zones that
+	// stands in where a zone has little of its own.
+	lent = 0.08
+	// floor keeps the cost of an uncovered layer finite, in requests a second.
+	floor = 0.02
+)
+
+// Ranges spreads layers so that in every availability zone the requests a
+// second that the weakest layer carries, by memory and by speed, are as many
+// as can be. Each upstream in turn takes the range that lowers the summed cost
+// of all layers most; layers that few carry cost most.
+type Ranges struct{}
+
+// spread is the state of one placement.
+type spread struct {
+	model  *lentilmux.EngineModel
+	zones  int
+	grains int
+	length int // layers of a grain
+	carry  []float64
+	total  []float64
+}
+
+// Spread implements [lentilmux.RangePlacement].
+func (Ranges) Spread(model *lentilmux.EngineModel, zones int, nodes []lentilmux.RangeNode) (ranges []lentilmux.LayerRange) {
+	s := newSpread(model, zones)
+	ranges = make([]lentilmux.LayerRange, len(nodes))
+	placed := make([]bool, len(nodes))
+	for i, n := range nodes {
+		if n.Held {
+			ranges[i], placed[i] = n.Holds, true
+			s.add(n, n.Holds, 1)
+		}
+	}
+	for round := range rounds {
+		changed := false
+		for i, n := range nodes {
+			if n.Held {
+				continue
+			}
+			if placed[i] {
+				s.add(n, ranges[i], -1)
+			}
+			best := s.best(n)
+			changed = changed || !placed[i] || best != ranges[i]
+			ranges[i], placed[i] = best, true
+			s.add(n, best, 1)
+		}
+		if round > 0 && !changed {
+			break
+		}
+	}
+	return ranges
+}
+
+func newSpread(model *lentilmux.EngineModel, zones int) *spread {
+	length := max(1, (model.Layers+grains-1)/grains)
+	count := (model.Layers + length - 1) / length
+	return &spread{
+		model: model, zones: max(zones, 1), grains: count, length: length,
+		carry: make([]float64, max(zones, 1)*count), total: make([]float64, count),
+	}
+}
+
+// rate returns the requests a second that a card carries through each layer of
+// a range of that many layers.
+func (s *spread) rate(card lentilmux.Card, layers int) float64 {
+	m := s.model
+	share := float64(layers) / float64(m.Layers)
+	answer, prompt := float64(m.UsualAnswer), float64(m.UsualPrompt)
+	context := (prompt + answer/2) / 1000
+	step := card.Pace * (m.Step.Seconds()/batch + m.StepPerStream.Seconds() + m.StepPerContext.Seconds()*context)
+	work := share * (answer*step + card.ReadFactor*prompt/m.ReadPerSecond)
+	bySpeed := 1 / math.Max(work, 1e-9)
+	// A request holds memory for as long as its tokens take on a path of
+	// cards of middling pace.
+	held := answer * s.usualPace() * (m.Step.Seconds() + batch*m.StepPerStream.Seconds())
+	tokens := float64(m.CacheMost(card, layers)) / float64(layers)
+	byMemory := tokens / math.Max((prompt+answer/2)*held, 1e-9)
+	return 1 / (1/bySpeed + 1/math.Max(byMemory, 1e-9))
+}
+
+// usualPace is the geometric mean of the cards' paces.
+func (s *spread) usualPace() float64 {
+	if len(s.model.Cards) == 0 {
+		return 1
+	}
+	product := 1.0
+	for _, card := range s.model.Cards {
+		product *= math.Max(card.Pace, 1e-3)
+	}
+	return math.Pow(product, 1/float64(len(s.model.Cards)))
+}
+
+// add counts a node's range, or takes it off again.
+func (s *spread) add(n lentilmux.RangeNode, layers lentilmux.LayerRange, sign float64) {
+	rate := sign * s.rate(n.Card, layers.Len())
+	for g := layers.First / s.length; g <= layers.Last/s.length && g < s.grains; g++ {
+		s.carry[n.Zone*s.grains+g] += rate
+		s.total[g] += rate
+	}
+}
+
+// cost is what a layer costs a zone that carries so many requests a second
+// through it.
+func (s *spread) cost(zone, g int, extra float64) float64 {
+	own := s.carry[zone*s.grains+g]
+	return 1 / (own + extra + lent*(s.total[g]-own) + floor)
+}
+
+// best returns the range of a node that lowers the cost most.
+func (s *spread) best(n lentilmux.RangeNode) (best lentilmux.LayerRange) {
+	bestGain := math.Inf(-1)
+	most := min(s.model.LayersMost(n.Card)/s.length, s.grains)
+	for count := 1; count <= most; count++ {
+		rate := s.rate(n.Card, count*s.length)
+		gain := 0.0
+		for g := range s.grains {
+			gain += s.gain(n.Zone, g, rate)
+			if g >= count {
+				gain -= s.gain(n.Zone, g-count, rate)
+			}
+			if g < count-1 || gain <= bestGain {
+				continue
+			}
+			bestGain = gain
+			best = lentilmux.LayerRange{First: (g - count + 1) * s.length, Last: min((g+1)*s.length, s.model.Layers) - 1}
+		}
+	}
+	return best
+}
+
+// gain is how much a rate at one grain lowers the cost of its own zone, and a
+// little that of the others.
+func (s *spread) gain(zone, g int, rate float64) float64 {
+	gain := s.cost(zone, g, 0) - s.cost(zone, g, rate)
+	for other := range s.zones {
+		if other != zone {
+			gain += s.cost(other, g, 0) - s.cost(other, g, lent*rate)
+		}
+	}
+	return gain
+}
--- /dev/null
+++ b/platformlog/follower.go
@@ -0,0 +1,126 @@
+package platformlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+const (
+	// followWait is how long a read of a compacted stream waits for news. The
+	// answer of a quiet one renews the age of what is known.
+	followWait = 800 * time.Millisecond
+	// followSpacing is the least time between two reads of a stream, which
+	// bounds the reads of a busy one.
+	followSpacing = 250 * time.Millisecond
+	// followTimeout bounds a read beyond its wait.
+	followTimeout = 700 * time.Millisecond
+	// followRetry is the pause after a read that failed.
+	followRetry = 300 * time.Millisecond
+)
+
+// Decode makes a fact of an entry. An entry that cannot be read gives a fact
+// that says why.
+type Decode func(entry lentilmux.KeyedEntry) (fact lentilmux.Fact)
+
+// Follower keeps a node informed of a compacted stream: first of its newest
+// entries, then of each change. Every message tells when the read was sent,
+// since the answer is no newer than that.
+type Follower struct {
+	log    lentilmux.KeyedLog
+	node   lentilmux.Asker
+	clock  func() time.Time
+	stream lentilmux.Stream
+	decode Decode
+	wait   time.Duration
+}
+
+// NewFollower returns a follower of one stream. The clock has to go on while
+// the VM is suspended. A wait of zero takes the usual one.
+func NewFollower(log lentilmux.KeyedLog, node lentilmux.Asker, clock func() time.Time, stream lentilmux.Stream, decode Decode, wait time.Duration) *Follower {
+	if wait == 0 {
+		wait = followWait
+	}
+	return &Follower{log: log, node: node, clock: clock, stream: stream, decode: decode, wait: wait}
+}
+
+// Run follows the stream until ctx ends or the node stops.
+func (f *Follower) Run(ctx context.Context) {
+	var next uint64
+	listed := false
+	for ctx.Err() == nil {
+		started := time.Now()
+		var msg lentilmux.KnowledgeMsg
+		var err error
+		if !listed {
+			msg, next, err = f.list(ctx)
+		} else {
+			msg, next, err = f.follow(ctx, next)
+		}
+		switch {
+		case err == nil:
+			listed = true
+			err = f.node.Send(ctx, msg)
+		case errors.Is(err, lentilmux.ErrTruncated):
+			listed = false
+			continue
+		default:
+			err = f.node.Send(ctx, lentilmux.KnowledgeFailedMsg{Stream: f.stream, Err: err})
+			sleep(ctx, followRetry)
+		}
+		if err != nil {
+			return
+		}
+		sleep(ctx, followSpacing-time.Since(started))
+	}
+}
+
+// list reads the newest entries of all keys. They are no snapshot, so what
+// changed meanwhile is read again from the end that the first part named.
+func (f *Follower) list(ctx context.Context) (msg lentilmux.KnowledgeMsg, next uint64, err error) {
+	defer errors.DeferredAnnotatef(&err, "listing %s", f.stream)
+	msg = lentilmux.KnowledgeMsg{Stream: f.stream, AsOf: f.clock(), Whole: true}
+	after := ""
+	for part := 0; ; part++ {
+		page, err := f.newest(ctx, after)
+		if err != nil {
+			return msg, 0, err
+		}
+		if part == 0 {
+			next = page.End
+		}
+		for _, entry := range page.Entries {
+			msg.Facts = append(msg.Facts, f.decode(entry))
+			after = entry.Key
+		}
+		if !page.More || len(page.Entries) == 0 {
+			return msg, next, nil
+		}
+	}
+}
+
+func (f *Follower) newest(ctx context.Context, after string) (page lentilmux.KeyedPage, err error) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	return f.log.Newest(ctx, f.stream, after)
+}
+
+// follow reads what came since next.
+func (f *Follower) follow(ctx context.Context, next uint64) (msg lentilmux.KnowledgeMsg, end uint64, err error) {
+	defer errors.DeferredAnnotatef(&err, "following %s", f.stream)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
+	defer cancel()
+	msg = lentilmux.KnowledgeMsg{Stream: f.stream, AsOf: f.clock()}
+	page, err := f.log.Follow(ctx, f.stream, next, f.wait)
+	if err != nil {
+		return msg, next, err
+	}
+	for _, entry := range page.Entries {
+		msg.Facts = append(msg.Facts, f.decode(entry))
+		next = entry.Offset + 1
+	}
+	return msg, next, nil
+}
--- a/platformlog/record.go
+++ b/platformlog/record.go
@@ -79,3 +79,28 @@
 	}
 	return nil
 }
+
+// EncodeVM encodes what an entry VM says of itself.
+func EncodeVM(record lentilmux.VMRecord) (data []byte, err error) {
+	defer errors.DeferredAnnotatef(&err, "encoding the record of VM %s", record.Name)
+	return json.Marshal(record)
+}
+
+// DecodeVM decodes an entry of [lentilmux.StreamVMs].
+func DecodeVM(entry lentilmux.KeyedEntry) (fact lentilmux.Fact) {
+	fact = lentilmux.Fact{Key: entry.Key, Offset: entry.Offset}
+	if len(entry.Value) == 0 {
+		return fact
+	}
+	var record lentilmux.VMRecord
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		fact.Bad = err.Error()
+		return fact
+	}
+	if record.Name != entry.Key || !record.Addr.IsValid() {
+		fact.Bad = "no record of that VM"
+		return fact
+	}
+	fact.VM = &record
+	return fact
+}
--- a/service/service.go
+++ b/service/service.go
@@ -42,46 +42,65 @@
 	client *http.Client
 }
 
-// NewClient returns a client with no connections. It follows no redirects and
-// never sends a call again by itself.
-func NewClient() *Client {
+// Option changes a [Client] while it is made.
+type Option func(*http.Transport, *net.Dialer)
+
+// WithIdleTimeout sets how long a connection may wait for its next call, which
+// has to be shorter than the services' own limit.
+func WithIdleTimeout(timeout time.Duration) Option {
+	return func(t *http.Transport, _ *net.Dialer) { t.IdleConnTimeout = timeout }
+}
+
+// WithIdleMost sets how many connections to one service may wait.
+func WithIdleMost(count int) Option {
+	return func(t *http.Transport, _ *net.Dialer) { t.MaxIdleConnsPerHost = count }
+}
+
+// WithSilence ends connections on which sent bytes stay without an
+// acknowledgement for so long.
+func WithSilence(timeout time.Duration) Option {
+	return func(_ *http.Transport, d *net.Dialer) { d.Control = userTimeout(timeout) }
+}
+
+// NewClient returns a client with no connections. It follows no redirects,
+// asks for no encoding and never sends a call again by itself.
+func NewClient(options ...Option) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	for _, option := range options {
+		option(transport, dialer)
+	}
 	return &Client{client: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
 // Call implements [lentilmux.Service].
 func (c *Client) Call(ctx context.Context, upstream netip.AddrPort, call lentilmux.ServiceCall) (reply lentilmux.ServiceReply, err error) {
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { wrote.Store(true) },
-	})
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+upstream.String()+call.Path, onceReader(call.Body))
+	request, err := NewRequest(ctx, call.Method, "http://"+upstream.String()+call.Path, call.Body)
 	if err != nil {
 		return lentilmux.ServiceReply{}, &lentilmux.StepError{Kind: lentilmux.FailureRefused, Err: err}
 	}
-	request.ContentLength = int64(len(call.Body))
-	request.GetBody = nil // keeps the transport from sending the call again
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
 	if call.Key != "" {
 		request.Header.Set(KeyHeader, call.Key)
 	}
-	response, err := c.client.Do(request)
+	response, err := c.Send(request)
 	if err != nil {
-		return lentilmux.ServiceReply{}, &lentilmux.StepError{Kind: failureKind(err, wrote.Load()), Err: err}
+		return lentilmux.ServiceReply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, replyMost+1))
 	if err != nil {
-		return lentilmux.ServiceReply{}, &lentilmux.StepError{Kind: failureKind(err, true), Err: err}
+		return lentilmux.ServiceReply{}, Broken(err)
 	}
 	if len(body) > replyMost {
 		return lentilmux.ServiceReply{}, &lentilmux.StepError{Kind: lentilmux.FailureProtocol, Err: ErrReplyTooLarge}
@@ -91,6 +110,36 @@
 	}, nil
 }
 
+// NewRequest returns a request that the network client sends at most once.
+func NewRequest(ctx context.Context, method, url string, body []byte) (request *http.Request, err error) {
+	request, err = http.NewRequestWithContext(ctx, method, url, onceReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(body))
+	request.GetBody = nil // keeps the transport from sending the call again
+	return request, nil
+}
+
+// Send sends a request of [NewRequest] once and returns when the header of its
+// answer is there. A failure is a [*lentilmux.StepError].
+func (c *Client) Send(request *http.Request) (response *http.Response, err error) {
+	var wrote atomic.Bool
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+	})
+	response, err = c.client.Do(request.WithContext(ctx))
+	if err != nil {
+		return nil, &lentilmux.StepError{Kind: failureKind(err, wrote.Load()), Err: err}
+	}
+	return response, nil
+}
+
+// Broken returns the failure of an answer that ended early.
+func Broken(err error) *lentilmux.StepError {
+	return &lentilmux.StepError{Kind: failureKind(err, true), Err: err}
+}
+
 // onceReader returns a body that cannot be rewound. An empty one is a reader
 // too: the network client sends a call without any body again by itself if it
 // has an idempotency key.
