Move requests off dead upstreams, ask before suspecting, and hold layers twice in a zone

Change: a silent leg goes on until an upstream of its path is found dead by its own silence to questions; then the lost hop alone is replaced. Placement also counts what is left when a layer's largest holder is lost, and a path that leaves a zone is dear. Incarnations are start times.

--- a/chain.go
+++ b/chain.go
@@ -90,9 +90,11 @@
 // ChainAsk is what a request needs of a path.
 type ChainAsk struct {
 	Model  *EngineModel
-	Zone   int // of the entry VM
-	Prompt int // tokens to read
-	Answer int // tokens that it is expected to write
+	Layers LayerRange // that the path has to run
+	Joined bool       // whether the path goes on from another upstream
+	Zone   int        // of the entry VM, or of the upstream before
+	Prompt int        // tokens to read
+	Answer int        // tokens that it is expected to write
 }
 
 // ChainPart is one hop of a chosen path, by the index of its node.
--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -15,7 +15,10 @@
 	localDelay = 200 * time.Microsecond
 	// pipeShare is the part of a pipe between availability zones that one
 	// request may count on.
-	pipeShare = 0.25
+	pipeShare = 0.04
+	// entryCost is what a first upstream in another availability zone adds, in
+	// seconds of one request; only the request and its events cross.
+	entryCost = 0.02
 	// fillMost is how full an upstream's memory may get by what is expected
 	// of its requests, before a path avoids it altogether.
 	fillMost = 0.97
@@ -71,7 +74,7 @@
 	context := float64(m.UsualPrompt) + float64(m.UsualAnswer)/2
 	perStream := m.StepPerStream.Seconds() + m.StepPerContext.Seconds()*context/1000
 	c.layer = append(c.layer[:0], make([]float64, 0, len(nodes))...)
-	c.cuts = append(c.cuts[:0], 0, m.Layers)
+	c.cuts = append(c.cuts[:0], ask.Layers.First, ask.Layers.Last+1)
 	c.open = c.open[:0]
 	for i := range nodes {
 		n := &nodes[i]
@@ -79,7 +82,7 @@
 			c.layer = append(c.layer, math.Inf(1))
 			continue
 		}
-		fill := (float64(n.Reserved) + float64(need)*float64(n.Holds.Len())) / float64(n.Capacity)
+		fill := (float64(n.Reserved) + float64(need)*float64(min(n.Holds.Len(), ask.Layers.Len()))) / float64(n.Capacity)
 		if fill > fillMost {
 			c.layer = append(c.layer, math.Inf(1))
 			continue
@@ -89,7 +92,11 @@
 		cost := (float64(ask.Answer)*step + read) / float64(m.Layers) / (fillEdge - fill)
 		c.layer = append(c.layer, cost*(1+jitter*c.random.Float64()))
 		c.open = append(c.open, i)
-		c.cuts = append(c.cuts, n.Holds.First, n.Holds.Last+1)
+		for _, cut := range [2]int{n.Holds.First, n.Holds.Last + 1} {
+			if cut > ask.Layers.First && cut <= ask.Layers.Last {
+				c.cuts = append(c.cuts, cut)
+			}
+		}
 	}
 	slices.Sort(c.cuts)
 	c.cuts = slices.Compact(c.cuts)
@@ -134,10 +141,16 @@
 // and the node of the interval before.
 func (c *Chains) enter(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, interval, node int) (cost float64, from int) {
 	if interval == 0 {
+		if ask.Joined {
+			return hopCost(ask, ask.Zone != nodes[node].Zone, ask.Prompt), -1
+		}
 		if nodes[node].Full {
 			return math.Inf(1), -1
 		}
-		return hopCost(ask, ask.Zone != nodes[node].Zone, 0), -1
+		if ask.Zone != nodes[node].Zone {
+			return entryCost, -1
+		}
+		return 0, -1
 	}
 	row := (interval - 1) * len(nodes)
 	cost, from = math.Inf(1), -1
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -23,9 +23,11 @@
 	// vmsWait is how long a read of the entry VMs' records waits for news;
 	// their age does not matter.
 	vmsWait = 20 * time.Second
-	// effectTimeout bounds an order or a report, whose lateness is a sign of
-	// failure itself.
+	// effectTimeout bounds an order.
 	effectTimeout = 600 * time.Millisecond
+	// reportTimeout bounds a report, whose lateness is a sign of failure
+	// itself.
+	reportTimeout = 250 * time.Millisecond
 	// putTimeout bounds a record in the store.
 	putTimeout = 2 * time.Second
 	// gatewayIdle is how long a caller's connection may wait for its next
@@ -99,7 +101,7 @@
 	}
 	g.state.bodyMost.Store(defaultBodyMost)
 	model := fleet.New(fleet.Self{
-		Name: config.Name, Zone: config.Zone, Addr: config.DigestAddr, Incarnation: config.Seed, Started: config.Clock(),
+		Name: config.Name, Zone: config.Zone, Addr: config.DigestAddr, Incarnation: uint64(config.Clock().UnixNano()), Started: config.Clock(),
 	}, config.Limits)
 	g.node = lentilmux.NewNode(model, lentilmux.WithEffector(g), lentilmux.WithClock(config.Clock))
 	return g, nil
@@ -195,13 +197,15 @@
 		go g.report(x)
 	case lentilmux.PlaceEffect:
 		go g.place(x)
+	case lentilmux.RepathEffect:
+		go g.repath(x)
 	case lentilmux.PutEffect:
 		go g.put(x)
 	}
 }
 
 func (g *Gateway) report(x lentilmux.ReportEffect) {
-	ctx, cancel := context.WithTimeout(g.ctx, effectTimeout)
+	ctx, cancel := context.WithTimeout(g.ctx, reportTimeout)
 	defer cancel()
 	report, err := g.peers.Engine.Report(ctx, x.Upstream, x.Addr)
 	g.send(lentilmux.ReportMsg{Upstream: x.Upstream, Report: report, Err: err})
@@ -214,6 +218,13 @@
 	g.send(lentilmux.PlaceMsg{Upstream: x.Upstream, Order: x.Order, Accepted: accepted, Err: err})
 }
 
+func (g *Gateway) repath(x lentilmux.RepathEffect) {
+	ctx, cancel := context.WithTimeout(g.ctx, effectTimeout)
+	defer cancel()
+	accepted, err := g.peers.Engine.Repath(ctx, x.Request, x.Path)
+	g.send(lentilmux.RepathMsg{Request: x.Request, Epoch: x.Epoch, Accepted: accepted, Err: err})
+}
+
 func (g *Gateway) put(x lentilmux.PutEffect) {
 	ctx, cancel := context.WithTimeout(g.ctx, putTimeout)
 	defer cancel()
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,9 @@
 	for _, failed := range t.Events.Failed {
 		a.failed(t, failed, now)
 	}
+	for _, silent := range t.Events.Silent {
+		a.silent(t, silent, now)
+	}
 	for _, arrival := range t.Events.Arrivals {
 		a.arrive(t, arrival, now)
 	}
@@ -103,6 +107,7 @@
 	if !ok {
 		return a.end(flight, t.notRun(lentilmux.ReasonNoUpstream, fmt.Sprintf("nothing of %s has room, of %d upstreams", flight.Service, len(a.rows))))
 	}
+	flight.Moving, flight.Stuck = false, false
 	flight.Epoch, flight.Begun, flight.SentAt, flight.Last = leg.Epoch, false, now, leg.Upstream
 	flight.Sends++
 	t.hold(flight)
@@ -130,7 +135,7 @@
 // chain picks a path over upstreams that hold layers.
 func (a *Admit) chain(t *Tables, flight *FlightRow, model *lentilmux.EngineModel, leg *lentilmux.Leg, now time.Time) (ok bool) {
 	a.gather(t, flight.Service, now)
-	ask := lentilmux.ChainAsk{Model: model, Zone: t.Zones.Index(t.Self.Zone), Prompt: flight.Prompt, Answer: expected(flight, model)}
+	ask := lentilmux.ChainAsk{Model: model, Layers: lentilmux.LayerRange{Last: model.Layers - 1}, Zone: t.Zones.Index(t.Self.Zone), Prompt: flight.Prompt, Answer: expected(flight, model)}
 	parts, first, ok := a.Chains.Choose(ask, a.nodes, a.parts[:0])
 	a.parts = parts[:0]
 	if !ok {
@@ -146,6 +151,7 @@
 			Upstream: row.ID, Load: Load{Streams: 1, Waiting: ask.Prompt, Reserved: memory * int64(part.Layers.Len())},
 		})
 	}
+	flight.Path = leg.Path
 	leg.Upstream, leg.Addr = leg.Path[0].Upstream, leg.Path[0].Addr
 	leg.First = min(max(3*first, t.Limits.FirstLeast), t.Limits.FirstMost)
 	leg.Gap = t.Limits.GapMost
@@ -278,6 +284,65 @@
 	}
 }
 
+// silent decides what to do about a leg without progress: it is replaced only
+// if it cannot go on and another one may be sent; else it waits.
+func (a *Admit) silent(t *Tables, silent SilentLegRow, now time.Time) {
+	flight := t.Flights.Find(silent.Request)
+	if flight == nil || flight.Epoch != silent.Epoch {
+		t.Answer(silent.Ticket, lentilmux.WaitAnswer{})
+		return
+	}
+	failed := FailedLegRow{
+		LegFailedMsg: lentilmux.LegFailedMsg{Request: silent.Request, Epoch: silent.Epoch, Kind: lentilmux.FailureTimeout, Delivered: silent.Delivered},
+		Ticket:       silent.Ticket,
+	}
+	if !a.lost(t, flight, now) || !flight.Route.Kind.Repeatable() || !a.again(t, flight, failed, now) {
+		t.Answer(silent.Ticket, lentilmux.WaitAnswer{Wait: t.Limits.WaitSilent})
+	}
+}
+
+// lost reports whether a silent leg will not go on: its first upstream is dead,
+// another one is and the request could not be moved, or a call waits too long.
+func (a *Admit) lost(t *Tables, flight *FlightRow, now time.Time) bool {
+	if len(flight.Path) == 0 {
+		return true
+	}
+	if t.dead(flight.Path[0].Upstream) {
+		return true
+	}
+	if flight.Moving || !flight.Stuck && flight.Moves < t.Limits.MovesMost {
+		return false
+	}
+	for _, hop := range flight.Path {
+		if t.dead(hop.Upstream) {
+			return true
+		}
+	}
+	return flight.Stuck
+}
+
+// again replaces a leg that is still under way, if there is another one.
+func (a *Admit) again(t *Tables, flight *FlightRow, failed FailedLegRow, now time.Time) (sent bool) {
+	ran, runs := flight.Ran, flight.Runs
+	flight.Ran, flight.Runs = true, flight.Runs+1
+	reason, detail := a.resend(t, flight, failed, now)
+	if reason == "" {
+		parts, path := slices.Clone(flight.Parts), flight.Path
+		t.release(flight)
+		flight.advance(t, failed.Delivered)
+		if a.send(t, flight, failed.Ticket, now) == nil {
+			t.Decide(lentilmux.Decision{What: "leg_replaced", Subject: string(flight.ID), Chosen: flight.Last, Reason: fmt.Sprintf("silent at %s, delivered=%d", pathText(path), failed.Delivered)})
+			return true
+		}
+		flight.Parts, flight.Path = parts, path
+		t.hold(flight)
+		detail = "no other path"
+	}
+	flight.Ran, flight.Runs = ran, runs
+	t.Decide(lentilmux.Decision{What: "leg_waits", Subject: string(flight.ID), Chosen: flight.Last, Reason: detail})
+	return false
+}
+
 // resend decides whether a request may have another leg; an empty reason means
 // that it may.
 func (a *Admit) resend(t *Tables, flight *FlightRow, failed FailedLegRow, now time.Time) (reason lentilmux.Reason, detail string) {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -14,6 +14,12 @@
 	Ticket lentilmux.Ticket
 }
 
+// SilentLegRow is a request that asks what to do about its silent leg.
+type SilentLegRow struct {
+	lentilmux.LegSilentMsg
+	Ticket lentilmux.Ticket
+}
+
 // Events are the messages of one tick.
 type Events struct {
 	Knowledge []lentilmux.KnowledgeMsg
@@ -24,6 +30,8 @@
 	Arrivals  []ArrivalRow
 	Begun     []lentilmux.LegBegunMsg
 	Failed    []FailedLegRow
+	Silent    []SilentLegRow
+	Moved     []lentilmux.RepathMsg
 	Done      []lentilmux.LegDoneMsg
 	Leave     bool
 }
@@ -47,6 +55,10 @@
 		e.Begun = append(e.Begun, x)
 	case lentilmux.LegFailedMsg:
 		e.Failed = append(e.Failed, FailedLegRow{LegFailedMsg: x, Ticket: envelope.Ticket})
+	case lentilmux.LegSilentMsg:
+		e.Silent = append(e.Silent, SilentLegRow{LegSilentMsg: x, Ticket: envelope.Ticket})
+	case lentilmux.RepathMsg:
+		e.Moved = append(e.Moved, x)
 	case lentilmux.LegDoneMsg:
 		e.Done = append(e.Done, x)
 	case lentilmux.LeaveMsg:
@@ -61,6 +73,7 @@
 	clear(e.Digests)
 	*e = Events{
 		Knowledge: e.Knowledge[:0], Unheard: e.Unheard[:0], Digests: e.Digests[:0], Reports: e.Reports[:0],
-		Placed: e.Placed[:0], Arrivals: e.Arrivals[:0], Begun: e.Begun[:0], Failed: e.Failed[:0], Done: e.Done[:0],
+		Placed: e.Placed[:0], Arrivals: e.Arrivals[:0], Begun: e.Begun[:0], Failed: e.Failed[:0],
+		Silent: e.Silent[:0], Moved: e.Moved[:0], Done: e.Done[:0],
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -73,6 +73,7 @@
 	for _, option := range options {
 		option(s)
 	}
+	admit := &Admit{Chains: s.chains, Dispatch: s.dispatch}
 	s.systems = []System{
 		&Learn{},
 		&Hear{},
@@ -80,7 +81,8 @@
 		&Suspect{},
 		&Place{Ranges: s.ranges},
 		&Order{},
-		&Admit{Chains: s.chains, Dispatch: s.dispatch},
+		&Move{Admit: admit},
+		admit,
 		&Inspect{},
 		&Share{},
 		&Readiness{},
--- a/fleet/flights.go
+++ b/fleet/flights.go
@@ -21,6 +21,10 @@
 	Last      string // upstream of the last leg
 	Delivered int    // events that the caller had when the last leg began
 	Parts     []FlightPart
+	Path      []lentilmux.Hop
+	Moving    bool // whether a move to another path is under way
+	Stuck     bool // whether a move was refused
+	Moves     int
 	SentAt    time.Time
 	First     time.Duration // expected until the first event of the leg
 }
--- a/fleet/hear.go
+++ b/fleet/hear.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"time"
 
+	"github.com/juju/errors"
+
 	"lentilmux.example/lentilmux"
 )
 
@@ -48,10 +51,8 @@
 	t.Zones.Index(vm.Zone)
 	h.count(t, vm, d.Loads)
 	for _, id := range d.Suspects {
-		row := t.Members.Find(id)
-		if row != nil && row.SuspectUntil.IsZero() && now.Sub(row.ReportedAt) > t.Limits.SuspectFirst {
-			t.suspect(row, now, "suspected by "+d.VM)
-			row.Hearsay = true
+		if row := t.Members.Find(id); row != nil && !row.Dead {
+			t.ask(row, now)
 		}
 	}
 }
@@ -88,14 +89,13 @@
 		return
 	}
 	if msg.Err != nil {
-		if !row.SuspectUntil.IsZero() {
-			t.suspect(row, now, msg.Err.Error())
-		}
+		h.miss(t, row, msg.Err, now)
 		return
 	}
 	r := msg.Report
+	row.Misses, row.Dead = 0, false
 	if !row.SuspectUntil.IsZero() {
-		row.SuspectUntil, row.Strikes = time.Time{}, 0
+		row.SuspectUntil = time.Time{}
 		t.Decide(lentilmux.Decision{What: "upstream_trusted", Subject: row.ID, Reason: "it reported"})
 	}
 	if r.Pace > 0 && (r.Pace > 1.2*row.Slow || row.Slow > 1.2*r.Pace) {
@@ -108,6 +108,24 @@
 	}
 }
 
+// miss counts an unanswered question. One that is refused says at once that
+// nobody is there; a late answer may have been lost on the way.
+func (h *Hear) miss(t *Tables, row *MemberRow, err error, now time.Time) {
+	row.Misses++
+	var step *lentilmux.StepError
+	refused := errors.As(err, &step) && step.Kind == lentilmux.FailureDial && !errors.Is(err, context.DeadlineExceeded)
+	if !refused && row.Misses < t.Limits.MissesMost {
+		row.AskedAt = time.Time{}
+		t.ask(row, now)
+		return
+	}
+	if !row.Dead {
+		row.Dead = true
+		t.Decide(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d questions without an answer: %v", row.Misses, err)})
+	}
+	t.suspect(row, now, "no answer")
+}
+
 // placed takes the answer to an order.
 func (h *Hear) placed(t *Tables, msg lentilmux.PlaceMsg, now time.Time) {
 	row := t.Members.Find(msg.Upstream)
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -109,7 +109,7 @@
 	}
 	if restarted {
 		row.Targeted, row.Orders, row.OrderedAt = false, 0, time.Time{}
-		row.SuspectUntil, row.SuspectFor, row.Strikes, row.Slow = time.Time{}, 0, 0, 1
+		row.SuspectUntil, row.SuspectFor, row.Misses, row.Dead, row.Slow = time.Time{}, 0, 0, false, 1
 	}
 	t.Zones.Index(row.Zone)
 	switch {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -25,9 +25,12 @@
 	PoisonMost     int           // crashes after which a request is not sent again
 	PoisonMemory   time.Duration // for which crashes of a request are remembered
 	AnnounceEvery  time.Duration // between two records of this VM in the store
-	PulseSilence   time.Duration // without progress, after which an upstream is blamed for a silent path
-	StrikesMost    int           // unclear signs that make an upstream suspect
-	StrikesForget  time.Duration // after which an unclear sign counts no more
+	PulseSilence   time.Duration // without progress, after which an upstream of a silent path is asked
+	AskAgain       time.Duration // between two questions because of signs
+	MissesMost     int           // unanswered questions in a row that make an upstream suspect
+	WaitSilent     time.Duration // between two reports of a silent leg
+	MovesMost      int           // moves of one request to other paths
+	HangAfter      time.Duration // without progress, after which one that answers questions counts as hanging
 	ShareToMost    int           // VMs that get each digest
 	DrainNotReady  time.Duration // from the start of a planned stop until it may end
 	DrainMost      time.Duration // the longest time of a planned stop
@@ -43,13 +46,13 @@
 		RetrySlack:     100,
 		RetryWindow:    10 * time.Second,
 		SendsMost:      4,
-		FirstLeast:     300 * time.Millisecond,
-		FirstMost:      1200 * time.Millisecond,
-		GapMost:        600 * time.Millisecond,
+		FirstLeast:     250 * time.Millisecond,
+		FirstMost:      600 * time.Millisecond,
+		GapMost:        250 * time.Millisecond,
 		ShareEvery:     150 * time.Millisecond,
 		SilentAfter:    2 * time.Second,
 		SuspectFirst:   400 * time.Millisecond,
-		SuspectMost:    4 * time.Second,
+		SuspectMost:    time.Second,
 		InspectEvery:   time.Second,
 		GatherFor:      700 * time.Millisecond,
 		GatherMost:     3 * time.Second,
@@ -58,9 +61,12 @@
 		PoisonMost:     3,
 		PoisonMemory:   2 * time.Minute,
 		AnnounceEvery:  30 * time.Second,
-		PulseSilence:   250 * time.Millisecond,
-		StrikesMost:    2,
-		StrikesForget:  3 * time.Second,
+		PulseSilence:   200 * time.Millisecond,
+		AskAgain:       300 * time.Millisecond,
+		MissesMost:     2,
+		WaitSilent:     200 * time.Millisecond,
+		MovesMost:      3,
+		HangAfter:      900 * time.Millisecond,
 		ShareToMost:    12,
 		DrainNotReady:  3500 * time.Millisecond,
 		DrainMost:      7 * time.Second,
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -20,9 +20,8 @@
 
 	SuspectUntil time.Time // takes no work before; zero if it is trusted
 	SuspectFor   time.Duration
-	Hearsay      bool // whether another VM suspects it, and this one had no sign
-	Strikes      int
-	StruckAt     time.Time
+	Misses       int  // questions in a row that it did not answer
+	Dead         bool // whether requests on it have to move
 
 	Slow       float64 // how many times slower than its card it says it is
 	ReportedAt time.Time
--- /dev/null
+++ b/fleet/move.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/dispatch"
+)
+
+// Move takes requests off upstreams that died: another upstream runs the lost
+// layers, all others of the path keep what they have. It reads Members and
+// Events.Moved and writes Flights.
+type Move struct {
+	Admit *Admit
+}
+
+// Run implements [System].
+func (m *Move) Run(t *Tables, now time.Time) {
+	for _, msg := range t.Events.Moved {
+		m.moved(t, msg)
+	}
+	if !m.anyDead(t) {
+		return
+	}
+	for _, flight := range t.Flights.Rows {
+		if len(flight.Path) > 1 && !flight.Moving && flight.Moves < t.Limits.MovesMost {
+			m.flight(t, flight, now)
+		}
+	}
+}
+
+func (m *Move) anyDead(t *Tables) bool {
+	return slices.ContainsFunc(t.Members.Rows, func(row *MemberRow) bool { return row.Dead })
+}
+
+// dead reports whether an upstream of a path is lost.
+func (t *Tables) dead(id string) bool {
+	row := t.Members.Find(id)
+	return row == nil || row.Dead
+}
+
+// flight moves a request off the first dead upstream of its path but its first,
+// whose connection carries the answer.
+func (m *Move) flight(t *Tables, flight *FlightRow, now time.Time) {
+	if t.dead(flight.Path[0].Upstream) {
+		return
+	}
+	for i := 1; i < len(flight.Path); i++ {
+		if !t.dead(flight.Path[i].Upstream) {
+			continue
+		}
+		path, parts, ok := m.detour(t, flight, i, now)
+		if !ok {
+			return
+		}
+		m.order(t, flight, path, parts)
+		return
+	}
+}
+
+// detour replaces one hop of a path by others that are not on it.
+func (m *Move) detour(t *Tables, flight *FlightRow, lost int, now time.Time) (path []lentilmux.Hop, parts []FlightPart, ok bool) {
+	service := t.Rules.Service(flight.Service)
+	if service == nil || service.Engine == nil {
+		return nil, nil, false
+	}
+	m.Admit.gather(t, flight.Service, now)
+	for i, row := range m.Admit.rows {
+		if slices.ContainsFunc(flight.Path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) {
+			m.Admit.nodes[i].Capacity = 0
+		}
+	}
+	ask := lentilmux.ChainAsk{
+		Model: service.Engine, Layers: flight.Path[lost].Layers, Joined: true, Zone: t.zoneOf(flight.Path[lost-1].Upstream),
+		Prompt: flight.Prompt, Answer: expected(flight, service.Engine),
+	}
+	chosen, _, ok := m.Admit.Chains.Choose(ask, m.Admit.nodes, nil)
+	if !ok {
+		return nil, nil, false
+	}
+	memory := dispatch.Memory(ask.Prompt, ask.Answer)
+	path = slices.Clone(flight.Path[:lost])
+	parts = slices.Clone(flight.Parts[:lost])
+	for _, part := range chosen {
+		row := m.Admit.rows[part.Node]
+		path = append(path, lentilmux.Hop{Upstream: row.ID, Addr: row.Addr, Layers: part.Layers})
+		parts = append(parts, FlightPart{Upstream: row.ID, Load: Load{Streams: 1, Reserved: memory * int64(part.Layers.Len())}})
+	}
+	return append(path, flight.Path[lost+1:]...), append(parts, flight.Parts[lost+1:]...), true
+}
+
+// zoneOf returns the index of an upstream's availability zone.
+func (t *Tables) zoneOf(id string) int {
+	if row := t.Members.Find(id); row != nil {
+		return t.Zones.Index(row.Zone)
+	}
+	return t.Zones.Index(t.Self.Zone)
+}
+
+// order asks for the move and counts the request at its new upstreams.
+func (m *Move) order(t *Tables, flight *FlightRow, path []lentilmux.Hop, parts []FlightPart) {
+	t.Decide(lentilmux.Decision{What: "request_moved", Subject: string(flight.ID), Chosen: pathText(path), Reason: "from " + pathText(flight.Path)})
+	t.release(flight)
+	flight.Path, flight.Parts = path, parts
+	t.hold(flight)
+	flight.Moving = true
+	flight.Moves++
+	t.Add(lentilmux.RepathEffect{Request: flight.ID, Epoch: flight.Epoch, Path: path})
+}
+
+// moved takes the answer to a move. A request that was not moved may be sent
+// again when its silence is reported.
+func (m *Move) moved(t *Tables, msg lentilmux.RepathMsg) {
+	flight := t.Flights.Find(msg.Request)
+	if flight == nil || flight.Epoch != msg.Epoch {
+		return
+	}
+	flight.Moving = false
+	if !msg.Accepted {
+		flight.Stuck = true
+		t.Decide(lentilmux.Decision{What: "move_refused", Subject: string(flight.ID), Reason: fmt.Sprint(msg.Err)})
+	}
+}
--- a/forward.go
+++ b/forward.go
@@ -66,6 +66,19 @@
 	Delivered int            // events that the caller has
 }
 
+// LegSilentMsg reports a leg without progress, which is still under way. The
+// answer is a [WaitAnswer], or a [LegAnswer] that replaces the leg.
+type LegSilentMsg struct {
+	Request   RequestID
+	Epoch     Epoch
+	Delivered int // events that the caller has
+}
+
+// WaitAnswer lets a silent leg go on.
+type WaitAnswer struct {
+	Wait time.Duration // until it is reported again
+}
+
 // LegDoneMsg reports the end of a request. No answer is given.
 type LegDoneMsg struct {
 	Request RequestID
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -87,6 +88,10 @@
 			if failed == nil {
 				return
 			}
+			if next := run.next.Load(); next != nil {
+				answer = lentilmux.LegAnswer{Leg: *next}
+				continue
+			}
 			answer, err = r.node.Ask(ctx, *failed)
 		default:
 			err = errors.Errorf("unexpected answer %T", answer)
@@ -108,6 +113,26 @@
 	body   []byte // of the failure kept, in case nothing better comes
 	last   time.Time
 	result Result
+
+	delivered atomic.Int64                  // events that the caller has
+	next      atomic.Pointer[lentilmux.Leg] // replaces the leg that was found silent
+}
+
+// silent tells the node of a leg without progress. It returns how long to wait
+// before it does so again; a leg that is replaced is ended.
+func (r *run) silent(ctx context.Context, leg lentilmux.Leg, end context.CancelCauseFunc) (wait time.Duration) {
+	answer, err := r.relay.node.Ask(ctx, lentilmux.LegSilentMsg{Request: leg.Request, Epoch: leg.Epoch, Delivered: int(r.delivered.Load())})
+	if err != nil {
+		return 0 // the leg has ended
+	}
+	switch x := answer.(type) {
+	case lentilmux.WaitAnswer:
+		return x.Wait
+	case lentilmux.LegAnswer:
+		r.next.Store(&x.Leg)
+		end(errSilent)
+	}
+	return 0
 }
 
 // done reports the end of the request to the node.
@@ -154,7 +179,9 @@
 	defer cancel()
 	legCtx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	watch := newWatch(leg.First, func() { end(errSilent) })
+	r.next.Store(nil)
+	watch := newWatch(leg.First)
+	watch.start(func() (wait time.Duration) { return r.silent(legCtx, leg, end) })
 	defer watch.stop()
 	delivery, err := r.carrier.Send(legCtx, leg, r.after)
 	if err != nil {
@@ -240,6 +267,7 @@
 	r.last = now
 	r.result.Events++
 	r.after = number
+	r.delivered.Add(1)
 }
 
 // unsuccessful handles an answer that is no success. The failure of an upstream
--- a/knowledge.go
+++ b/knowledge.go
@@ -114,6 +114,9 @@
 	// Place gives an order. It returns false if the order does not fit the
 	// upstream's state.
 	Place(ctx context.Context, upstream string, addr netip.AddrPort, order RangeOrder) (accepted bool, err error)
+	// Repath moves a request that runs to another path with the same first
+	// hop. It returns false if the upstream does not do it.
+	Repath(ctx context.Context, request RequestID, path []Hop) (accepted bool, err error)
 }
 
 // ReportEffect asks an upstream for its state.
@@ -144,6 +147,21 @@
 	Err      error
 }
 
+// RepathEffect moves a request that runs to another path.
+type RepathEffect struct {
+	Request RequestID
+	Epoch   Epoch
+	Path    []Hop
+}
+
+// RepathMsg reports what became of a move.
+type RepathMsg struct {
+	Request  RequestID
+	Epoch    Epoch
+	Accepted bool
+	Err      error
+}
+
 // UpstreamLoad is what one VM has under way at one upstream.
 type UpstreamLoad struct {
 	Upstream string
--- a/placement/ranges.go
+++ b/placement/ranges.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"lentilmux.example/lentilmux"
 )
@@ -19,6 +20,9 @@
 	lent = 0.08
 	// floor keeps the cost of an uncovered layer finite, in requests a second.
 	floor = 0.02
+	// lossWeight weighs what a layer costs when its largest holder is lost
+	// against what it costs when all are there.
+	lossWeight = 0.15
 )
 
 // Ranges spreads layers so that in every availability zone the requests a
@@ -32,9 +36,18 @@
 	model  *lentilmux.EngineModel
 	zones  int
 	grains int
-	length int // layers of a grain
-	carry  []float64
-	total  []float64
+	length int       // layers of a grain
+	carry  []float64 // requests a second, by zone and grain
+	total  []float64 // the same of all zones
+	most   []float64 // of the largest holder, by zone and grain
+	held   []holding
+}
+
+// holding is a range that counts.
+type holding struct {
+	zone   int
+	layers lentilmux.LayerRange
+	rate   float64
 }
 
 // Spread implements [lentilmux.RangePlacement].
@@ -45,7 +58,7 @@
 	for i, n := range nodes {
 		if n.Held {
 			ranges[i], placed[i] = n.Holds, true
-			s.add(n, n.Holds, 1)
+			s.add(n, n.Holds)
 		}
 	}
 	for round := range rounds {
@@ -55,12 +68,12 @@
 				continue
 			}
 			if placed[i] {
-				s.add(n, ranges[i], -1)
+				s.remove(n, ranges[i])
 			}
 			best := s.best(n)
 			changed = changed || !placed[i] || best != ranges[i]
 			ranges[i], placed[i] = best, true
-			s.add(n, best, 1)
+			s.add(n, best)
 		}
 		if round > 0 && !changed {
 			break
@@ -74,7 +87,7 @@
 	count := (model.Layers + length - 1) / length
 	return &spread{
 		model: model, zones: max(zones, 1), grains: count, length: length,
-		carry: make([]float64, max(zones, 1)*count), total: make([]float64, count),
+		carry: make([]float64, max(zones, 1)*count), most: make([]float64, max(zones, 1)*count), total: make([]float64, count),
 	}
 }
 
@@ -108,20 +121,44 @@
 	return math.Pow(product, 1/float64(len(s.model.Cards)))
 }
 
-// add counts a node's range, or takes it off again.
-func (s *spread) add(n lentilmux.RangeNode, layers lentilmux.LayerRange, sign float64) {
-	rate := sign * s.rate(n.Card, layers.Len())
+// add counts a node's range.
+func (s *spread) add(n lentilmux.RangeNode, layers lentilmux.LayerRange) {
+	rate := s.rate(n.Card, layers.Len())
+	s.held = append(s.held, holding{zone: n.Zone, layers: layers, rate: rate})
 	for g := layers.First / s.length; g <= layers.Last/s.length && g < s.grains; g++ {
-		s.carry[n.Zone*s.grains+g] += rate
+		at := n.Zone*s.grains + g
+		s.carry[at] += rate
 		s.total[g] += rate
+		s.most[at] = math.Max(s.most[at], rate)
+	}
+}
+
+// remove takes a node's range off again.
+func (s *spread) remove(n lentilmux.RangeNode, layers lentilmux.LayerRange) {
+	rate := s.rate(n.Card, layers.Len())
+	i := slices.Index(s.held, holding{zone: n.Zone, layers: layers, rate: rate})
+	s.held = slices.Delete(s.held, i, i+1)
+	for g := layers.First / s.length; g <= layers.Last/s.length && g < s.grains; g++ {
+		at := n.Zone*s.grains + g
+		s.carry[at] -= rate
+		s.total[g] -= rate
+		s.most[at] = 0
+		for _, h := range s.held {
+			if h.zone == n.Zone && h.layers.First/s.length <= g && g <= h.layers.Last/s.length {
+				s.most[at] = math.Max(s.most[at], h.rate)
+			}
+		}
 	}
 }
 
 // cost is what a layer costs a zone that carries so many requests a second
 // through it.
 func (s *spread) cost(zone, g int, extra float64) float64 {
-	own := s.carry[zone*s.grains+g]
-	return 1 / (own + extra + lent*(s.total[g]-own) + floor)
+	at := zone*s.grains + g
+	own := s.carry[at]
+	others := lent*(s.total[g]-own) + floor
+	left := own + extra - math.Max(s.most[at], extra)
+	return 1/(own+extra+others) + lossWeight/(left+others)
 }
 
 // best returns the range of a node that lowers the cost most.
@@ -146,14 +183,7 @@
 	return best
 }
 
-// gain is how much a rate at one grain lowers the cost of its own zone, and a
-// little that of the others.
+// gain is how much a rate at one grain lowers the cost of its own zone.
 func (s *spread) gain(zone, g int, rate float64) float64 {
-	gain := s.cost(zone, g, 0) - s.cost(zone, g, rate)
-	for other := range s.zones {
-		if other != zone {
-			gain += s.cost(other, g, 0) - s.cost(other, g, lent*rate)
-		}
-	}
-	return gain
+	return s.cost(zone, g, 0) - s.cost(zone, g, rate)
 }
