End a planned stop's intake before three seconds

Change: listeners close 2.7 s after the signal; the balancer has noticed by then (two misses at 1 s).

--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -68,7 +68,7 @@
 		MovesMost:      3,
 		HangAfter:      900 * time.Millisecond,
 		ShareToMost:    12,
-		DrainNotReady:  3500 * time.Millisecond,
+		DrainNotReady:  2700 * time.Millisecond,
 		DrainMost:      7 * time.Second,
 		ReportUntilOld: 3 * time.Second,
 	}
