Let reads of the store wait longer, and probe silent connections instead

Change: reads wait for news 1.3 s (configuration), 10 s (upstreams) and 25 s (entry VMs); keep-alive probes end silent connections.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -20,9 +20,14 @@
 )
 
 const (
-	// vmsWait is how long a read of the entry VMs' records waits for news;
-	// their age does not matter.
-	vmsWait = 20 * time.Second
+	// rulesWaitPart is the part of the age up to which configuration is used
+	// that a read of it waits for news. What one read told is as old as two
+	// waits when the next is answered.
+	rulesWaitPart = 0.4
+	// membersWait is how long a read of the upstreams' entries waits for news.
+	membersWait = 10 * time.Second
+	// vmsWait is the same of the entry VMs' records.
+	vmsWait = 25 * time.Second
 	// effectTimeout bounds an order.
 	effectTimeout = 600 * time.Millisecond
 	// reportTimeout bounds a report, whose lateness is a sign of failure
@@ -136,11 +141,7 @@
 	running.Go(func() { g.node.Run(ctx) })
 	running.Go(func() { g.digests.Run(ctx, g.node, g.badDigest) })
 	for stream, decode := range g.peers.Decode {
-		wait := time.Duration(0)
-		if stream == lentilmux.StreamVMs {
-			wait = vmsWait
-		}
-		follower := platformlog.NewFollower(g.peers.Log, g.node, g.config.Clock, stream, decode, wait)
+		follower := platformlog.NewFollower(g.peers.Log, g.node, g.config.Clock, stream, decode, g.wait(stream))
 		running.Go(func() { follower.Run(ctx) })
 	}
 	select {
@@ -174,6 +175,20 @@
 	}
 }
 
+// wait returns how long a read of a stream waits for news. That of the
+// configuration is answered well before what is known becomes too old; the age
+// of the others does not matter.
+func (g *Gateway) wait(stream lentilmux.Stream) time.Duration {
+	switch stream {
+	case lentilmux.StreamRules:
+		return time.Duration(rulesWaitPart * float64(g.config.Limits.KnowledgeMost))
+	case lentilmux.StreamMembers:
+		return membersWait
+	default:
+		return vmsWait
+	}
+}
+
 func (g *Gateway) badDigest(from netip.AddrPort, err error) {
 	g.lines.write(lentilmux.Decision{What: "digest_ignored", Subject: from.String(), Reason: err.Error()})
 }
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// followWait is how long a read of a compacted stream waits for news. The
-	// answer of a quiet one renews the age of what is known.
-	followWait = 800 * time.Millisecond
 	// followSpacing is the least time between two reads of a stream, which
 	// bounds the reads of a busy one.
 	followSpacing = 250 * time.Millisecond
@@ -39,11 +36,9 @@
 }
 
 // NewFollower returns a follower of one stream. The clock has to go on while
-// the VM is suspended. A wait of zero takes the usual one.
+// the VM is suspended. A read waits for news as long as wait says; the answer
+// about a quiet stream renews the age of what is known.
 func NewFollower(log lentilmux.KeyedLog, node lentilmux.Asker, clock func() time.Time, stream lentilmux.Stream, decode Decode, wait time.Duration) *Follower {
-	if wait == 0 {
-		wait = followWait
-	}
 	return &Follower{log: log, node: node, clock: clock, stream: stream, decode: decode, wait: wait}
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -56,10 +56,13 @@
 	return func(t *http.Transport, _ *net.Dialer) { t.MaxIdleConnsPerHost = count }
 }
 
-// WithSilence ends connections on which sent bytes stay without an
-// acknowledgement for so long.
+// WithSilence ends connections whose other end gives no sign of life for so
+// long, with bytes under way or without.
 func WithSilence(timeout time.Duration) Option {
-	return func(_ *http.Transport, d *net.Dialer) { d.Control = userTimeout(timeout) }
+	return func(_ *http.Transport, d *net.Dialer) {
+		d.Control = userTimeout(timeout)
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: timeout / 2, Interval: timeout / 4, Count: 2}
+	}
 }
 
 // NewClient returns a client with no connections. It follows no redirects,
