Do not take an upstream's older report for the loss of its layers

Reports lag 200 ms; a report asked for right after an entry said that layers are held still said none, upstreams that hold nothing were not asked again, and the next VM to lead placed them anew while they served. Ruled out: the store's dropped history, which no entry regressed after.

Change: a report changes a range only a second after the entry. Machines are ready up to 3 s of age and honour keys up to 4.25 s, so that one lost read of the configuration turns nobody away; a read after a failed one does not wait.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// rulesWaitPart is the part of the age up to which configuration is used
-	// that a read of it waits for news. What one read told is as old as two
+	// rulesWaitPart is the part of the age up to which this VM is ready a read of
+	// the configuration waits for news. What one read told is as old as two
 	// waits when the next is answered.
-	rulesWaitPart = 0.4
+	rulesWaitPart = 0.34
 	// membersWait is how long a read of the upstreams' entries waits for news.
 	membersWait = 10 * time.Second
 	// vmsWait is the same of the entry VMs' records.
@@ -181,7 +181,7 @@
 func (g *Gateway) wait(stream lentilmux.Stream) time.Duration {
 	switch stream {
 	case lentilmux.StreamRules:
-		return time.Duration(rulesWaitPart * float64(g.config.Limits.KnowledgeMost))
+		return time.Duration(rulesWaitPart * float64(g.config.Limits.ReadyMost))
 	case lentilmux.StreamMembers:
 		return membersWait
 	default:
--- a/fleet/hear.go
+++ b/fleet/hear.go
@@ -102,12 +102,33 @@
 		t.Decide(lentilmux.Decision{What: "upstream_pace", Subject: row.ID, Chosen: fmt.Sprintf("%.2f", r.Pace), Reason: fmt.Sprintf("was %.2f", row.Slow)})
 	}
 	row.Slow, row.ReportedAt, row.Orders = max(r.Pace, 1), now, r.Orders
-	row.Held, row.Holds = r.Held, r.Holds
+	h.layers(t, row, r, now)
 	if row.Targeted && !r.Busy && (!r.Held || r.Holds != row.Target) && now.Sub(row.OrderedAt) > t.Limits.OrderTimeout {
 		row.Targeted = false
 	}
 }
 
+// layers takes the range that an upstream reports, unless its entry was renewed
+// so short a time ago that the report may be older.
+func (h *Hear) layers(t *Tables, row *MemberRow, r lentilmux.UpstreamReport, now time.Time) {
+	if r.Held == row.Held && r.Holds == row.Holds || r.Busy || now.Sub(row.EntryAt) < t.Limits.ReportLag {
+		return
+	}
+	t.Decide(lentilmux.Decision{
+		What: "layers_reported", Subject: row.ID, Chosen: layersText(r.Holds, r.Held),
+		Reason: fmt.Sprintf("was %s, orders=%d", layersText(row.Holds, row.Held), r.Orders),
+	})
+	row.Held, row.Holds = r.Held, r.Holds
+}
+
+// layersText writes a range for the log.
+func layersText(layers lentilmux.LayerRange, held bool) string {
+	if !held {
+		return "none"
+	}
+	return fmt.Sprintf("%d-%d", layers.First, layers.Last)
+}
+
 // miss counts an unanswered question. One that is refused says at once that
 // nobody is there; a late answer may have been lost on the way.
 func (h *Hear) miss(t *Tables, row *MemberRow, err error, now time.Time) {
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -103,7 +103,7 @@
 		layers = row.Holds
 	}
 	row = t.Members.Put(member)
-	row.Offset, row.GoneAt = offset, time.Time{}
+	row.Offset, row.GoneAt, row.EntryAt = offset, time.Time{}, now
 	if !known {
 		row.Seen = now
 	}
@@ -117,8 +117,8 @@
 		t.Decide(lentilmux.Decision{What: "upstream_met", Subject: row.ID, Chosen: row.Addr.String(), Reason: fmt.Sprintf("service %s zone %s card %s", row.Service, row.Zone, row.Card)})
 	case leaving:
 		t.Decide(lentilmux.Decision{What: "upstream_leaving", Subject: row.ID, Reason: "announced"})
-	case row.Held && (!held || layers != row.Holds):
-		t.Decide(lentilmux.Decision{What: "layers_held", Subject: row.ID, Chosen: fmt.Sprintf("%d-%d", row.Holds.First, row.Holds.Last), Reason: "entry"})
+	case row.Held != held || layers != row.Holds:
+		t.Decide(lentilmux.Decision{What: "layers_held", Subject: row.ID, Chosen: layersText(row.Holds, row.Held), Reason: "entry, was " + layersText(layers, held)})
 	}
 }
 
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -5,6 +5,7 @@
 // Limits are the figures that the systems keep to.
 type Limits struct {
 	KnowledgeMost  time.Duration // age of the configuration up to which keys are honoured
+	ReadyMost      time.Duration // the same up to which the balancer may send callers
 	SettleAfter    time.Duration // from the store's return until missing upstreams count as gone
 	RetryRatio     float64       // sends beyond the first of each request, by requests
 	RetrySlack     float64       // the same, beside the ratio, of all VMs together
@@ -34,13 +35,15 @@
 	ShareToMost    int           // VMs that get each digest
 	DrainNotReady  time.Duration // from the start of a planned stop until it may end
 	DrainMost      time.Duration // the longest time of a planned stop
+	ReportLag      time.Duration // for which an upstream's report may be older than its entry
 	ReportUntilOld time.Duration // age of an upstream's report up to which it counts
 }
 
 // DefaultLimits returns the limits for a deployment that says nothing else.
 func DefaultLimits() Limits {
 	return Limits{
-		KnowledgeMost:  3 * time.Second,
+		KnowledgeMost:  4 * time.Second,
+		ReadyMost:      3 * time.Second,
 		SettleAfter:    2 * time.Second,
 		RetryRatio:     0.2,
 		RetrySlack:     100,
@@ -70,6 +73,7 @@
 		ShareToMost:    12,
 		DrainNotReady:  2700 * time.Millisecond,
 		DrainMost:      7 * time.Second,
+		ReportLag:      time.Second,
 		ReportUntilOld: 3 * time.Second,
 	}
 }
@@ -87,7 +91,9 @@
 const (
 	// knowledgePart is the part of RevokeWithin up to which knowledge is used;
 	// the rest covers a request's way and a slow clock.
-	knowledgePart = 0.66
+	knowledgePart = 0.85
+	// readyPart is the part up to which the balancer may send callers.
+	readyPart = 0.6
 	// slackPart is the part of the retry slack that is used, since VMs that
 	// restart forget what they spent.
 	slackPart = 0.6
@@ -101,6 +107,7 @@
 func (l Limits) Within(b Bounds) Limits {
 	if b.RevokeWithin > 0 {
 		l.KnowledgeMost = time.Duration(knowledgePart * float64(b.RevokeWithin))
+		l.ReadyMost = time.Duration(readyPart * float64(b.RevokeWithin))
 	}
 	if b.StopGrace > 0 {
 		l.DrainMost = time.Duration(drainPart * float64(b.StopGrace))
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -10,10 +10,11 @@
 // MemberRow is one upstream.
 type MemberRow struct {
 	lentilmux.Member
-	Offset uint64    // of its newest entry
-	Seen   time.Time // when it was first met
-	GoneAt time.Time // when its missing entry counts; zero while it has one
-	Pulse  *lentilmux.Pulse
+	Offset  uint64    // of its newest entry
+	Seen    time.Time // when it was first met
+	EntryAt time.Time // when its newest entry was read
+	GoneAt  time.Time // when its missing entry counts; zero while it has one
+	Pulse   *lentilmux.Pulse
 
 	Own   Load // of this VM
 	Peers Load // of the other VMs, as last heard
--- a/fleet/readiness.go
+++ b/fleet/readiness.go
@@ -21,8 +21,8 @@
 		t.Add(lentilmux.ReadinessEffect{Ready: ready, Reason: reason})
 		t.Decide(lentilmux.Decision{What: "readiness", Subject: t.Self.Name, Chosen: map[bool]string{true: "ready", false: "not_ready"}[ready], Reason: reason})
 	}
-	if t.Rules.Known && !t.Stale(now) {
-		t.WakeAt(t.Knowledge.Rules.AsOf.Add(t.Limits.KnowledgeMost + time.Millisecond))
+	if t.Self.Ready {
+		t.WakeAt(t.Knowledge.Rules.AsOf.Add(t.Limits.ReadyMost + time.Millisecond))
 	}
 }
 
@@ -35,7 +35,7 @@
 		return "no configuration yet"
 	case t.Knowledge.Members.AsOf.IsZero():
 		return "no upstreams known yet"
-	case t.Stale(now):
+	case now.Sub(t.Knowledge.Rules.AsOf) > t.Limits.ReadyMost:
 		return "configuration too old"
 	default:
 		return ""
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -14,9 +14,9 @@
 	// bounds the reads of a busy one.
 	followSpacing = 250 * time.Millisecond
 	// followTimeout bounds a read beyond its wait.
-	followTimeout = 700 * time.Millisecond
+	followTimeout = 500 * time.Millisecond
 	// followRetry is the pause after a read that failed.
-	followRetry = 300 * time.Millisecond
+	followRetry = 150 * time.Millisecond
 )
 
 // Decode makes a fact of an entry. An entry that cannot be read gives a fact
@@ -33,6 +33,7 @@
 	stream lentilmux.Stream
 	decode Decode
 	wait   time.Duration
+	failed bool // whether the last read failed, so that the next must not wait
 }
 
 // NewFollower returns a follower of one stream. The clock has to go on while
@@ -57,12 +58,13 @@
 		}
 		switch {
 		case err == nil:
-			listed = true
+			listed, f.failed = true, false
 			err = f.node.Send(ctx, msg)
 		case errors.Is(err, lentilmux.ErrTruncated):
 			listed = false
 			continue
 		default:
+			f.failed = true
 			err = f.node.Send(ctx, lentilmux.KnowledgeFailedMsg{Stream: f.stream, Err: err})
 			sleep(ctx, followRetry)
 		}
@@ -106,10 +108,14 @@
 // follow reads what came since next.
 func (f *Follower) follow(ctx context.Context, next uint64) (msg lentilmux.KnowledgeMsg, end uint64, err error) {
 	defer errors.DeferredAnnotatef(&err, "following %s", f.stream)
-	ctx, cancel := context.WithTimeout(ctx, f.wait+followTimeout)
+	wait := f.wait
+	if f.failed {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+followTimeout)
 	defer cancel()
 	msg = lentilmux.KnowledgeMsg{Stream: f.stream, AsOf: f.clock()}
-	page, err := f.log.Follow(ctx, f.stream, next, f.wait)
+	page, err := f.log.Follow(ctx, f.stream, next, wait)
 	if err != nil {
 		return msg, next, err
 	}
