Bound questions to upstreams and space the reads of the store

Change: at most 150 questions a second because of signs, over all VMs; another VM's word that an upstream is dead is believed unless there was progress; a leg's silence is measured against the path's expected gap; an upstream that refused work gets none for 250 ms; reads of a busy stream are spaced by 0.4 s (configuration) and 0.7 s (upstreams).

--- a/chain.go
+++ b/chain.go
@@ -103,11 +103,17 @@
 	Layers LayerRange
 }
 
+// ChainPace is how fast a path is expected to be.
+type ChainPace struct {
+	First time.Duration // to the first event
+	Gap   time.Duration // between events
+}
+
 // ChainChoice picks the upstreams that run a request's layers in order.
 type ChainChoice interface {
-	// Choose appends the parts of the cheapest path to path, with the
-	// expected time to the first event. It returns false if no path has room.
-	Choose(ask ChainAsk, nodes []ChainNode, path []ChainPart) (chosen []ChainPart, first time.Duration, ok bool)
+	// Choose appends the parts of the cheapest path to path, with what is
+	// expected of it. It returns false if no path has room.
+	Choose(ask ChainAsk, nodes []ChainNode, path []ChainPart) (chosen []ChainPart, pace ChainPace, ok bool)
 }
 
 // RangeNode is an upstream as the placement of ranges sees it.
--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -57,14 +57,14 @@
 }
 
 // Choose implements [lentilmux.ChainChoice].
-func (c *Chains) Choose(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, path []lentilmux.ChainPart) (chosen []lentilmux.ChainPart, first time.Duration, ok bool) {
+func (c *Chains) Choose(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, path []lentilmux.ChainPart) (chosen []lentilmux.ChainPart, pace lentilmux.ChainPace, ok bool) {
 	c.weigh(ask, nodes)
 	last := c.walk(ask, nodes)
 	if last < 0 {
-		return path, 0, false
+		return path, pace, false
 	}
 	chosen = c.trace(nodes, path, last)
-	return chosen, firstEvent(ask, nodes, chosen[len(path):]), true
+	return chosen, paceOf(ask, nodes, chosen[len(path):]), true
 }
 
 // weigh computes what a layer costs at each node, and the cuts between ranges.
@@ -258,21 +258,23 @@
 	return count
 }
 
-// firstEvent estimates the time until a path's first event.
-func firstEvent(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, path []lentilmux.ChainPart) time.Duration {
+// paceOf estimates how fast a path is.
+func paceOf(ask lentilmux.ChainAsk, nodes []lentilmux.ChainNode, path []lentilmux.ChainPart) (pace lentilmux.ChainPace) {
 	m := ask.Model
-	var seconds float64
+	var read, event float64 // seconds
 	for i, part := range path {
 		n := &nodes[part.Node]
 		share := float64(part.Layers.Len()) / float64(m.Layers)
-		seconds += share * n.Factor * float64(ask.Prompt+n.Waiting) / m.ReadPerSecond
-		seconds += share * n.Pace * float64(max(m.Stride, 1)) * (m.Step.Seconds() + float64(n.Streams)*m.StepPerStream.Seconds())
+		read += share * n.Factor * float64(ask.Prompt+n.Waiting) / m.ReadPerSecond
+		event += share * n.Pace * float64(max(m.Stride, 1)) * (m.Step.Seconds() + float64(n.Streams)*m.StepPerStream.Seconds())
 		if i > 0 {
-			seconds += float64(ask.Prompt) * float64(m.ActivationBytes) * 8 / max(m.PipeBitRate, 1) * crossed(nodes, path, i)
+			read += float64(ask.Prompt) * float64(m.ActivationBytes) * 8 / max(m.PipeBitRate, 1) * crossed(nodes, path, i)
 		}
-		seconds += localDelay.Seconds() * float64(max(m.Stride, 1))
+		event += localDelay.Seconds() * float64(max(m.Stride, 1))
 	}
-	return time.Duration(seconds * float64(time.Second))
+	pace.Gap = time.Duration(event * float64(time.Second))
+	pace.First = time.Duration(read*float64(time.Second)) + pace.Gap
+	return pace
 }
 
 // crossed is 1 if a part of a path is in another zone than the one before.
--- a/dispatch/chain_test.go
+++ b/dispatch/chain_test.go
@@ -34,12 +34,12 @@
 	var out strings.Builder
 	ask := lentilmux.ChainAsk{Model: chainModel(8), Layers: lentilmux.LayerRange{Last: 7}, Prompt: 700, Answer: 200}
 	show := func(what string, ask lentilmux.ChainAsk, nodes ...lentilmux.ChainNode) {
-		path, first, ok := dispatch.NewChains(1).Choose(ask, nodes, nil)
+		path, pace, ok := dispatch.NewChains(1).Choose(ask, nodes, nil)
 		fmt.Fprintf(&out, "%s: ", what)
 		for _, part := range path {
 			fmt.Fprintf(&out, "%d:%d-%d ", part.Node, part.Layers.First, part.Layers.Last)
 		}
-		fmt.Fprintf(&out, "found=%t first=%s\n", ok, first.Round(time.Millisecond))
+		fmt.Fprintf(&out, "found=%t first=%s gap=%s\n", ok, pace.First.Round(time.Millisecond), pace.Gap.Round(time.Millisecond))
 	}
 	fast, slow := node(0, 0, 3, 2), node(0, 0, 3, 8)
 	tail := node(0, 4, 7, 2)
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -20,14 +20,19 @@
 )
 
 const (
-	// rulesWaitPart is the part of the age up to which this VM is ready a read of
-	// the configuration waits for news. What one read told is as old as two
-	// waits when the next is answered.
-	rulesWaitPart = 0.34
-	// membersWait is how long a read of the upstreams' entries waits for news.
-	membersWait = 10 * time.Second
-	// vmsWait is the same of the entry VMs' records.
-	vmsWait = 25 * time.Second
+	// rulesWaitPart is the part of the age up to which this VM is ready that a
+	// read of the configuration waits for news. What one read told is as old as
+	// two waits when the next is answered.
+	rulesWaitPart = 0.42
+	// rulesSpacing is the least time between two such reads.
+	rulesSpacing = 400 * time.Millisecond
+	// membersWait and membersSpacing are the same for the upstreams' entries,
+	// whose age does not matter.
+	membersWait    = 10 * time.Second
+	membersSpacing = 700 * time.Millisecond
+	// vmsWait and vmsSpacing are the same for the entry VMs' records.
+	vmsWait    = 25 * time.Second
+	vmsSpacing = 3 * time.Second
 	// effectTimeout bounds an order.
 	effectTimeout = 600 * time.Millisecond
 	// reportTimeout bounds a report, whose lateness is a sign of failure
@@ -140,7 +145,7 @@
 	running.Go(func() { g.node.Run(ctx) })
 	running.Go(func() { g.digests.Run(ctx, g.node, g.badDigest) })
 	for stream, decode := range g.peers.Decode {
-		follower := platformlog.NewFollower(g.peers.Log, g.node, g.config.Clock, stream, decode, g.wait(stream))
+		follower := platformlog.NewFollower(g.peers.Log, g.node, g.config.Clock, stream, decode, g.pace(stream))
 		running.Go(func() { follower.Run(ctx) })
 	}
 	select {
@@ -174,17 +179,15 @@
 	}
 }
 
-// wait returns how long a read of a stream waits for news. That of the
-// configuration is answered well before what is known becomes too old; the age
-// of the others does not matter.
-func (g *Gateway) wait(stream lentilmux.Stream) time.Duration {
+// pace returns how often a stream is read.
+func (g *Gateway) pace(stream lentilmux.Stream) platformlog.Pace {
 	switch stream {
 	case lentilmux.StreamRules:
-		return time.Duration(rulesWaitPart * float64(g.config.Limits.ReadyMost))
+		return platformlog.Pace{Wait: time.Duration(rulesWaitPart * float64(g.config.Limits.ReadyMost)), Spacing: rulesSpacing}
 	case lentilmux.StreamMembers:
-		return membersWait
+		return platformlog.Pace{Wait: membersWait, Spacing: membersSpacing}
 	default:
-		return vmsWait
+		return platformlog.Pace{Wait: vmsWait, Spacing: vmsSpacing}
 	}
 }
 
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -136,7 +137,7 @@
 func (a *Admit) chain(t *Tables, flight *FlightRow, model *lentilmux.EngineModel, leg *lentilmux.Leg, now time.Time) (ok bool) {
 	a.gather(t, flight.Service, now)
 	ask := lentilmux.ChainAsk{Model: model, Layers: lentilmux.LayerRange{Last: model.Layers - 1}, Zone: t.Zones.Index(t.Self.Zone), Prompt: flight.Prompt, Answer: expected(flight, model)}
-	parts, first, ok := a.Chains.Choose(ask, a.nodes, a.parts[:0])
+	parts, pace, ok := a.Chains.Choose(ask, a.nodes, a.parts[:0])
 	a.parts = parts[:0]
 	if !ok {
 		return false
@@ -153,12 +154,11 @@
 	}
 	flight.Path = leg.Path
 	leg.Upstream, leg.Addr = leg.Path[0].Upstream, leg.Path[0].Addr
-	leg.First = min(max(3*first, t.Limits.FirstLeast), t.Limits.FirstMost)
-	leg.Gap = t.Limits.GapMost
-	flight.First = first
+	leg.First = min(max(3*pace.First, t.Limits.SilentLeast), t.Limits.SilentMost)
+	leg.Gap = min(max(4*pace.Gap, t.Limits.SilentLeast), t.Limits.SilentMost)
 	t.Decide(lentilmux.Decision{
 		What: "path_chosen", Subject: string(flight.ID), Chosen: pathText(leg.Path),
-		Reason: fmt.Sprintf("leg=%d prompt=%d answer=%d first=%dms of %d", leg.Epoch, ask.Prompt, ask.Answer, first.Milliseconds(), len(a.nodes)),
+		Reason: fmt.Sprintf("leg=%d prompt=%d answer=%d first=%dms gap=%dms of %d", leg.Epoch, ask.Prompt, ask.Answer, pace.First.Milliseconds(), pace.Gap.Milliseconds(), len(a.nodes)),
 	})
 	return true
 }
@@ -167,7 +167,7 @@
 func (a *Admit) gather(t *Tables, service string, now time.Time) {
 	a.nodes, a.rows = a.nodes[:0], a.rows[:0]
 	for _, row := range t.Members.Rows {
-		if row.Service != service || !row.Held || !row.Usable(now) {
+		if row.Service != service || !row.Held || !row.Usable(now) || now.Before(row.FullUntil) {
 			continue
 		}
 		model, card := t.Engine(row)
@@ -230,7 +230,7 @@
 	leg.Upstream, leg.Addr = row.ID, row.Addr
 	leg.Pulses = append(leg.Pulses, row.Pulse)
 	if flight.Route.Kind == lentilmux.CallRepeatable && flight.Runs+1 < flight.Route.Attempts {
-		leg.First = max(2*flight.Route.Goal, t.Limits.FirstLeast)
+		leg.First = max(2*flight.Route.Goal, t.Limits.SilentLeast)
 	}
 	flight.Parts = append(flight.Parts[:0], FlightPart{Upstream: row.ID, Load: Load{Streams: 1}})
 	t.Decide(lentilmux.Decision{
@@ -260,6 +260,9 @@
 		return
 	}
 	t.release(flight)
+	if failed.NotRun && failed.Answered {
+		t.full(flight, failed.Culprit, now)
+	}
 	if !failed.NotRun {
 		flight.Ran = true
 		flight.Runs++
@@ -343,6 +346,19 @@
 	return false
 }
 
+// full keeps new work from an upstream that refused some for a while: the one
+// that the answer blames, or the first of the leg.
+func (t *Tables) full(flight *FlightRow, culprit netip.AddrPort, now time.Time) {
+	row := t.Members.At(culprit)
+	if row == nil {
+		row = t.Members.Find(flight.Last)
+	}
+	if row != nil {
+		row.FullUntil = now.Add(t.Limits.FullFor)
+		t.Decide(lentilmux.Decision{What: "upstream_full", Subject: row.ID, Chosen: t.Limits.FullFor.String(), Reason: "it refused " + string(flight.ID)})
+	}
+}
+
 // resend decides whether a request may have another leg; an empty reason means
 // that it may.
 func (a *Admit) resend(t *Tables, flight *FlightRow, failed FailedLegRow, now time.Time) (reason lentilmux.Reason, detail string) {
--- a/fleet/flights.go
+++ b/fleet/flights.go
@@ -26,7 +26,6 @@
 	Stuck     bool // whether a move was refused
 	Moves     int
 	SentAt    time.Time
-	First     time.Duration // expected until the first event of the leg
 }
 
 // FlightPart is what a request holds at one upstream.
--- a/fleet/hear.go
+++ b/fleet/hear.go
@@ -52,11 +52,22 @@
 	h.count(t, vm, d.Loads)
 	for _, id := range d.Suspects {
 		if row := t.Members.Find(id); row != nil && !row.Dead {
-			t.ask(row, now)
+			h.hearsay(t, row, d.VM, now)
 		}
 	}
 }
 
+// hearsay handles another VM's word that an upstream is dead. It is believed
+// unless this VM saw progress or an answer of late.
+func (h *Hear) hearsay(t *Tables, row *MemberRow, vm string, now time.Time) {
+	if now.Sub(row.Pulse.Last()) < t.Limits.PulseSilence || now.Sub(row.ReportedAt) < t.Limits.AskAgain {
+		return
+	}
+	row.Dead, row.Hearsay = true, true
+	t.Decide(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: "word of " + vm})
+	t.suspect(row, now, "word of "+vm)
+}
+
 // count replaces a VM's loads in the members' rows.
 func (h *Hear) count(t *Tables, vm *VMRow, loads []lentilmux.UpstreamLoad) {
 	for _, load := range vm.Loads {
@@ -93,7 +104,7 @@
 		return
 	}
 	r := msg.Report
-	row.Misses, row.Dead = 0, false
+	row.Misses, row.Dead, row.Hearsay = 0, false, false
 	if !row.SuspectUntil.IsZero() {
 		row.SuspectUntil = time.Time{}
 		t.Decide(lentilmux.Decision{What: "upstream_trusted", Subject: row.ID, Reason: "it reported"})
@@ -140,6 +151,7 @@
 		t.ask(row, now)
 		return
 	}
+	row.Hearsay = false
 	if !row.Dead {
 		row.Dead = true
 		t.Decide(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d questions without an answer: %v", row.Misses, err)})
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -11,9 +11,10 @@
 	RetrySlack     float64       // the same, beside the ratio, of all VMs together
 	RetryWindow    time.Duration // in which they are counted
 	SendsMost      int           // sends of one request
-	FirstLeast     time.Duration // silence before the first event that is always borne
-	FirstMost      time.Duration // silence before the first event that is never borne
-	GapMost        time.Duration // silence between two events that is never borne
+	SilentLeast    time.Duration // silence of a leg that is never reported
+	SilentMost     time.Duration // silence of a leg that is always reported
+	FullFor        time.Duration // for which one that refused work gets none
+	AsksMost       float64       // questions a second because of signs, of all VMs
 	ShareEvery     time.Duration // between two load digests
 	SilentAfter    time.Duration // without a digest, until a VM counts as gone
 	SuspectFirst   time.Duration // until a suspected upstream is asked again
@@ -49,15 +50,16 @@
 		RetrySlack:     100,
 		RetryWindow:    10 * time.Second,
 		SendsMost:      4,
-		FirstLeast:     250 * time.Millisecond,
-		FirstMost:      600 * time.Millisecond,
-		GapMost:        250 * time.Millisecond,
+		SilentLeast:    250 * time.Millisecond,
+		SilentMost:     600 * time.Millisecond,
+		FullFor:        250 * time.Millisecond,
+		AsksMost:       150,
 		ShareEvery:     150 * time.Millisecond,
 		SilentAfter:    2 * time.Second,
 		SuspectFirst:   400 * time.Millisecond,
 		SuspectMost:    time.Second,
 		InspectEvery:   time.Second,
-		GatherFor:      700 * time.Millisecond,
+		GatherFor:      1500 * time.Millisecond,
 		GatherMost:     3 * time.Second,
 		OrderTimeout:   1500 * time.Millisecond,
 		RefusalPause:   500 * time.Millisecond,
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -21,8 +21,10 @@
 
 	SuspectUntil time.Time // takes no work before; zero if it is trusted
 	SuspectFor   time.Duration
-	Misses       int  // questions in a row that it did not answer
-	Dead         bool // whether requests on it have to move
+	FullUntil    time.Time // refused work of late; takes none before
+	Misses       int       // questions in a row that it did not answer
+	Dead         bool      // whether requests on it have to move
+	Hearsay      bool      // whether that is another VM's word
 
 	Slow       float64 // how many times slower than its card it says it is
 	ReportedAt time.Time
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -56,7 +56,7 @@
 				Upstream: row.ID, Streams: row.Own.Streams, Waiting: row.Own.Waiting, Reserved: row.Own.Reserved, Slow: slow,
 			})
 		}
-		if row.Dead {
+		if row.Dead && !row.Hearsay {
 			d.Suspects = append(d.Suspects, row.ID)
 		}
 	}
--- a/fleet/suspect.go
+++ b/fleet/suspect.go
@@ -84,7 +84,7 @@
 	if now.Sub(row.AskedAt) < t.Limits.AskAgain {
 		return
 	}
-	if model, _ := t.Engine(row); model == nil {
+	if model, _ := t.Engine(row); model == nil || !t.Asks.take(now, t.Limits.AsksMost/float64(t.Live(now))) {
 		return
 	}
 	row.AskedAt = now
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -32,6 +32,7 @@
 	Budgets   Budgets
 	Poisons   Poisons
 	Zones     Zones
+	Asks      Asks
 	Events    Events
 
 	effects []lentilmux.Effect
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// followSpacing is the least time between two reads of a stream, which
-	// bounds the reads of a busy one.
-	followSpacing = 250 * time.Millisecond
 	// followTimeout bounds a read beyond its wait.
 	followTimeout = 500 * time.Millisecond
 	// followRetry is the pause after a read that failed.
@@ -23,6 +20,12 @@
 // that says why.
 type Decode func(entry lentilmux.KeyedEntry) (fact lentilmux.Fact)
 
+// Pace is how often a stream is read.
+type Pace struct {
+	Wait    time.Duration // for news, of one read
+	Spacing time.Duration // the least time between two reads, for a busy stream
+}
+
 // Follower keeps a node informed of a compacted stream: first of its newest
 // entries, then of each change. Every message tells when the read was sent,
 // since the answer is no newer than that.
@@ -32,15 +35,15 @@
 	clock  func() time.Time
 	stream lentilmux.Stream
 	decode Decode
-	wait   time.Duration
+	pace   Pace
 	failed bool // whether the last read failed, so that the next must not wait
 }
 
 // NewFollower returns a follower of one stream. The clock has to go on while
-// the VM is suspended. A read waits for news as long as wait says; the answer
-// about a quiet stream renews the age of what is known.
-func NewFollower(log lentilmux.KeyedLog, node lentilmux.Asker, clock func() time.Time, stream lentilmux.Stream, decode Decode, wait time.Duration) *Follower {
-	return &Follower{log: log, node: node, clock: clock, stream: stream, decode: decode, wait: wait}
+// the VM is suspended. The answer about a quiet stream renews the age of what
+// is known.
+func NewFollower(log lentilmux.KeyedLog, node lentilmux.Asker, clock func() time.Time, stream lentilmux.Stream, decode Decode, pace Pace) *Follower {
+	return &Follower{log: log, node: node, clock: clock, stream: stream, decode: decode, pace: pace}
 }
 
 // Run follows the stream until ctx ends or the node stops.
@@ -70,7 +73,7 @@
 		if err != nil {
 			return
 		}
-		sleep(ctx, followSpacing-time.Since(started))
+		sleep(ctx, f.pace.Spacing-time.Since(started))
 	}
 }
 
@@ -107,7 +110,7 @@
 // follow reads what came since next.
 func (f *Follower) follow(ctx context.Context, next uint64) (msg lentilmux.KnowledgeMsg, end uint64, err error) {
 	defer errors.DeferredAnnotatef(&err, "following %s", f.stream)
-	wait := f.wait
+	wait := f.pace.Wait
 	if f.failed {
 		wait = 0
 	}
