--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -15,7 +15,7 @@
 	localDelay = 200 * time.Microsecond
 	// pipeShare is the part of a pipe between availability zones that one
 	// request may count on.
-	pipeShare = 0.04
+	pipeShare = 0.01
 	// entryCost is what a first upstream in another availability zone adds, in
 	// seconds of one request; only the request and its events cross.
 	entryCost = 0.02
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -25,7 +25,7 @@
 		return
 	}
 	for _, flight := range t.Flights.Rows {
-		if len(flight.Path) > 1 && !flight.Moving && flight.Moves < t.Limits.MovesMost {
+		if len(flight.Path) > 1 && !flight.Moving && !flight.Stuck && flight.Moves < t.Limits.MovesMost {
 			m.flight(t, flight, now)
 		}
 	}
@@ -53,6 +53,8 @@
 		}
 		path, parts, ok := m.detour(t, flight, i, now)
 		if !ok {
+			flight.Stuck = true
+			t.Decide(lentilmux.Decision{What: "move_refused", Subject: string(flight.ID), Chosen: flight.Path[i].Upstream, Reason: "nobody of the zone has its layers and room"})
 			return
 		}
 		m.order(t, flight, path, parts)
@@ -60,20 +62,23 @@
 	}
 }
 
-// detour replaces one hop of a path by others that are not on it.
+// detour replaces one hop of a path by others of the same availability zone
+// that are not on it. What was read so far would have to cross to another zone,
+// which takes longer than to read it there from the beginning.
 func (m *Move) detour(t *Tables, flight *FlightRow, lost int, now time.Time) (path []lentilmux.Hop, parts []FlightPart, ok bool) {
 	service := t.Rules.Service(flight.Service)
 	if service == nil || service.Engine == nil {
 		return nil, nil, false
 	}
 	m.Admit.gather(t, flight.Service, now)
+	zone := t.zoneOf(flight.Path[lost-1].Upstream)
 	for i, row := range m.Admit.rows {
-		if slices.ContainsFunc(flight.Path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) {
+		if m.Admit.nodes[i].Zone != zone || slices.ContainsFunc(flight.Path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) {
 			m.Admit.nodes[i].Capacity = 0
 		}
 	}
 	ask := lentilmux.ChainAsk{
-		Model: service.Engine, Layers: flight.Path[lost].Layers, Joined: true, Zone: t.zoneOf(flight.Path[lost-1].Upstream),
+		Model: service.Engine, Layers: flight.Path[lost].Layers, Joined: true, Zone: zone,
 		Prompt: flight.Prompt, Answer: expected(flight, service.Engine),
 	}
 	chosen, _, ok := m.Admit.Chains.Choose(ask, m.Admit.nodes, nil)
