Bound what crosses between availability zones by the pipes

Change: paths stay in a zone while one has room; crossing takes from a bucket of half the pipe's rate, split over the VMs; else the request is refused before it runs.

--- a/chain.go
+++ b/chain.go
@@ -91,6 +91,7 @@
 type ChainAsk struct {
 	Model  *EngineModel
 	Layers LayerRange // that the path has to run
+	Within bool       // whether the path has to stay in one availability zone
 	Joined bool       // whether the path goes on from another upstream
 	Zone   int        // of the entry VM, or of the upstream before
 	Prompt int        // tokens to read
--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -175,7 +175,7 @@
 		cost, from = c.cost[row+node], node
 	}
 	for _, other := range c.zones {
-		if other < 0 || other == node {
+		if other < 0 || other == node || ask.Within && nodes[other].Zone != nodes[node].Zone {
 			continue
 		}
 		if by := c.cost[row+other] + hopCost(ask, nodes[other].Zone != nodes[node].Zone, ask.Prompt); by < cost {
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -137,8 +137,7 @@
 func (a *Admit) chain(t *Tables, flight *FlightRow, model *lentilmux.EngineModel, leg *lentilmux.Leg, now time.Time) (ok bool) {
 	a.gather(t, flight.Service, now)
 	ask := lentilmux.ChainAsk{Model: model, Layers: lentilmux.LayerRange{Last: model.Layers - 1}, Zone: t.Zones.Index(t.Self.Zone), Prompt: flight.Prompt, Answer: expected(flight, model)}
-	parts, pace, ok := a.Chains.Choose(ask, a.nodes, a.parts[:0])
-	a.parts = parts[:0]
+	parts, pace, ok := a.choose(t, ask, now)
 	if !ok {
 		return false
 	}
@@ -163,6 +162,29 @@
 	return true
 }
 
+// choose picks a path inside one availability zone, or else one that crosses,
+// as long as the pipes between zones bear it.
+func (a *Admit) choose(t *Tables, ask lentilmux.ChainAsk, now time.Time) (parts []lentilmux.ChainPart, pace lentilmux.ChainPace, ok bool) {
+	ask.Within = true
+	parts, pace, ok = a.Chains.Choose(ask, a.nodes, a.parts[:0])
+	a.parts = parts[:0]
+	if ok {
+		return parts, pace, true
+	}
+	bits := float64(ask.Prompt) * float64(ask.Model.ActivationBytes) * 8
+	perSecond := t.Limits.PipePart * ask.Model.PipeBitRate / float64(t.Live(now))
+	if !t.Pipes.take(now, perSecond, pipesBurst*perSecond, bits) {
+		return parts, pace, false
+	}
+	ask.Within = false
+	parts, pace, ok = a.Chains.Choose(ask, a.nodes, a.parts[:0])
+	a.parts = parts[:0]
+	return parts, pace, ok
+}
+
+// pipesBurst is how many seconds' share of the pipes may be used at once.
+const pipesBurst = 1.0
+
 // gather lists the upstreams of a service that may get new work.
 func (a *Admit) gather(t *Tables, service string, now time.Time) {
 	a.nodes, a.rows = a.nodes[:0], a.rows[:0]
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -14,6 +14,7 @@
 	SilentLeast    time.Duration // silence of a leg that is never reported
 	SilentMost     time.Duration // silence of a leg that is always reported
 	FullFor        time.Duration // for which one that refused work gets none
+	PipePart       float64       // of the pipes between zones that paths may use
 	AsksMost       float64       // questions a second because of signs, of all VMs
 	ShareEvery     time.Duration // between two load digests
 	SilentAfter    time.Duration // without a digest, until a VM counts as gone
@@ -53,6 +54,7 @@
 		SilentLeast:    250 * time.Millisecond,
 		SilentMost:     600 * time.Millisecond,
 		FullFor:        250 * time.Millisecond,
+		PipePart:       0.5,
 		AsksMost:       150,
 		ShareEvery:     150 * time.Millisecond,
 		SilentAfter:    2 * time.Second,
--- a/fleet/suspect.go
+++ b/fleet/suspect.go
@@ -6,6 +6,9 @@
 	"lentilmux.example/lentilmux"
 )
 
+// asksBurst is how many questions may go out at once.
+const asksBurst = 8
+
 // Suspect finds out which upstream a failed or silent leg speaks against. Clear
 // signs keep new work from an upstream; unclear ones only make it be asked,
 // since its answer tells. It reads Events.Failed, Events.Silent and Flights and
@@ -84,7 +87,7 @@
 	if now.Sub(row.AskedAt) < t.Limits.AskAgain {
 		return
 	}
-	if model, _ := t.Engine(row); model == nil || !t.Asks.take(now, t.Limits.AsksMost/float64(t.Live(now))) {
+	if model, _ := t.Engine(row); model == nil || !t.Asks.take(now, t.Limits.AsksMost/float64(t.Live(now)), asksBurst, 1) {
 		return
 	}
 	row.AskedAt = now
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -32,7 +32,8 @@
 	Budgets   Budgets
 	Poisons   Poisons
 	Zones     Zones
-	Asks      Asks
+	Asks      Bucket // questions because of signs
+	Pipes     Bucket // bits that may cross between availability zones
 	Events    Events
 
 	effects []lentilmux.Effect
