Space reads by the deployment's bounds, and let VMs lend each other retries

Cause: on the grown site 329 streams in 23 s were broken since a VM's own part of the retry budget (8 sends in 10 s of 970 for all) was spent, and each change of configuration was read within 0.4 s though 3 s are allowed. Change: load digests carry requests and repeats of the window; a VM may use four times its part while all together used less than half. Reads are spaced by 0.4 of the time in which a change has to be known.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -24,12 +24,9 @@
 	// read of the configuration waits for news. What one read told is as old as
 	// two waits when the next is answered.
 	rulesWaitPart = 0.42
-	// rulesSpacing is the least time between two such reads.
-	rulesSpacing = 400 * time.Millisecond
-	// membersWait and membersSpacing are the same for the upstreams' entries,
-	// whose age does not matter.
-	membersWait    = 10 * time.Second
-	membersSpacing = 700 * time.Millisecond
+	// membersWait is the same for the upstreams' entries, whose age does not
+	// matter.
+	membersWait = 10 * time.Second
 	// vmsWait and vmsSpacing are the same for the entry VMs' records.
 	vmsWait    = 25 * time.Second
 	vmsSpacing = 3 * time.Second
@@ -183,9 +180,9 @@
 func (g *Gateway) pace(stream lentilmux.Stream) platformlog.Pace {
 	switch stream {
 	case lentilmux.StreamRules:
-		return platformlog.Pace{Wait: time.Duration(rulesWaitPart * float64(g.config.Limits.ReadyMost)), Spacing: rulesSpacing}
+		return platformlog.Pace{Wait: time.Duration(rulesWaitPart * float64(g.config.Limits.ReadyMost)), Spacing: g.config.Limits.RulesSpacing}
 	case lentilmux.StreamMembers:
-		return platformlog.Pace{Wait: membersWait, Spacing: membersSpacing}
+		return platformlog.Pace{Wait: membersWait, Spacing: g.config.Limits.MembersSpacing}
 	default:
 		return platformlog.Pace{Wait: vmsWait, Spacing: vmsSpacing}
 	}
--- a/entryvm/gateway_test.go
+++ b/entryvm/gateway_test.go
@@ -12,7 +12,7 @@
 // depend on it: a first plan must not miss upstreams that the next read tells
 // of, and one lost read must not make a VM turn not ready.
 func TestReadsKeepUpWithTheLimits(t *testing.T) {
-	limits := fleet.DefaultLimits().Within(fleet.Bounds{RevokeWithin: 5 * time.Second})
+	limits := fleet.DefaultLimits().Within(fleet.Bounds{RevokeWithin: 5 * time.Second, ApplyWithin: 3 * time.Second, LeaveWithin: 3 * time.Second})
 	g := &Gateway{config: GatewayConfig{Limits: limits}}
 	if members := g.pace(lentilmux.StreamMembers); limits.GatherFor < 2*members.Spacing {
 		t.Errorf("upstreams are gathered for %s, but read every %s", limits.GatherFor, members.Spacing)
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -394,8 +394,7 @@
 	case failed.Kind == lentilmux.FailureDial && failed.NotRun && !failed.Answered:
 		return "", "" // nothing arrived, so nothing counts
 	}
-	slack := t.Limits.RetrySlack / float64(max(t.Live(now), len(t.VMs.Rows)+1))
-	if !t.Budgets.Of(flight.Service).spend(now, t.Limits.RetryWindow, t.Limits.RetryRatio, slack) {
+	if !t.spend(flight.Service, now) {
 		return lentilmux.ReasonRetryBudget, "the retry budget is spent"
 	}
 	return "", ""
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -50,17 +50,53 @@
 	b.requests[b.turn(now, window)]++
 }
 
-// spend takes a repeat from the budget. It returns false if none is left.
-func (b *BudgetRow) spend(now time.Time, window time.Duration, ratio, slack float64) bool {
-	bucket := b.turn(now, window)
-	requests, repeats := 0, 0
+// sums returns the requests and repeats of the window.
+func (b *BudgetRow) sums(now time.Time, window time.Duration) (requests, repeats int) {
+	b.turn(now, window)
 	for i := range buckets {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats+1) > ratio*float64(requests)+slack {
-		return false
+	return requests, repeats
+}
+
+// spend takes a repeat from a service's budget. It returns false if none is
+// left. A VM may always use its own part; beyond that it draws on what the
+// others are known to have left, up to a few times its part, since all hear of
+// a fault at once and of each other's repeats a little later.
+func (t *Tables) spend(service string, now time.Time) bool {
+	row := t.Budgets.Of(service)
+	requests, repeats := row.sums(now, t.Limits.RetryWindow)
+	slack := t.Limits.RetrySlack / float64(max(t.Live(now), len(t.VMs.Rows)+1))
+	own := t.Limits.RetryRatio*float64(requests) + slack
+	if float64(repeats+1) > own {
+		if float64(repeats+1) > borrowMost*own || !t.lends(service, requests, repeats, now) {
+			return false
+		}
 	}
-	b.repeats[bucket]++
+	row.repeats[row.turn(now, t.Limits.RetryWindow)]++
 	return true
 }
+
+const (
+	// borrowMost is how many times its own part of a budget a VM may use.
+	borrowMost = 4
+	// lentPart is the part of the whole budget up to which VMs borrow.
+	lentPart = 0.5
+)
+
+// lends reports whether all VMs together have used little of a budget.
+func (t *Tables) lends(service string, requests, repeats int, now time.Time) bool {
+	for _, vm := range t.VMs.Rows {
+		if !t.heard(vm, now) {
+			continue
+		}
+		for _, sends := range vm.Sends {
+			if sends.Service == service {
+				requests += sends.Requests
+				repeats += sends.Repeats
+			}
+		}
+	}
+	return float64(repeats+1) <= lentPart*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack)
+}
--- a/fleet/hear.go
+++ b/fleet/hear.go
@@ -47,7 +47,7 @@
 		t.Decide(lentilmux.Decision{What: "vm_met", Subject: d.VM, Chosen: d.Addr.String(), Reason: "digest"})
 	}
 	vm.Incarnation, vm.Sequence, vm.Heard = d.Incarnation, d.Sequence, now
-	vm.Zone, vm.Addr, vm.Draining, vm.Stale = d.Zone, d.Addr, d.Draining, d.Stale
+	vm.Zone, vm.Addr, vm.Draining, vm.Stale, vm.Sends = d.Zone, d.Addr, d.Draining, d.Stale, d.Sends
 	t.Zones.Index(vm.Zone)
 	h.count(t, vm, d.Loads)
 	for _, id := range d.Suspects {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -21,6 +21,8 @@
 	SuspectFirst   time.Duration // until a suspected upstream is asked again
 	SuspectMost    time.Duration
 	InspectEvery   time.Duration // between two reports of an upstream
+	RulesSpacing   time.Duration // the least time between two reads of the configuration
+	MembersSpacing time.Duration // the same of the upstreams' entries
 	GatherFor      time.Duration // without news of upstreams, until layers are first placed
 	GatherMost     time.Duration // until layers are first placed in any case
 	OrderTimeout   time.Duration // until an order that shows no effect is given again
@@ -61,8 +63,10 @@
 		SuspectFirst:   400 * time.Millisecond,
 		SuspectMost:    time.Second,
 		InspectEvery:   time.Second,
+		RulesSpacing:   400 * time.Millisecond,
+		MembersSpacing: 700 * time.Millisecond,
 		GatherFor:      1500 * time.Millisecond,
-		GatherMost:     3 * time.Second,
+		GatherMost:     5 * time.Second,
 		OrderTimeout:   1500 * time.Millisecond,
 		RefusalPause:   500 * time.Millisecond,
 		PoisonMost:     3,
@@ -85,6 +89,8 @@
 // Bounds are the figures that a deployment promises to its users. A zero keeps
 // the default that follows from it.
 type Bounds struct {
+	ApplyWithin  time.Duration // from a configuration's acceptance until it is in force everywhere
+	LeaveWithin  time.Duration // from an upstream's announcement until it gets nothing new
 	RevokeWithin time.Duration // from a key's removal until it is refused everywhere
 	StopGrace    time.Duration // from the signal of a planned stop to the process's end
 	RetryRatio   float64
@@ -98,6 +104,11 @@
 	knowledgePart = 0.85
 	// readyPart is the part up to which the balancer may send callers.
 	readyPart = 0.6
+	// spacingPart is the part of the time in which something has to be known
+	// everywhere that may pass between two reads of it.
+	spacingPart = 0.4
+	// gatherSpacings is for how many reads without news upstreams are gathered.
+	gatherSpacings = 2
 	// slackPart is the part of the retry slack that is used, since VMs that
 	// restart forget what they spent.
 	slackPart = 0.6
@@ -113,6 +124,13 @@
 		l.KnowledgeMost = time.Duration(knowledgePart * float64(b.RevokeWithin))
 		l.ReadyMost = time.Duration(readyPart * float64(b.RevokeWithin))
 	}
+	if b.ApplyWithin > 0 {
+		l.RulesSpacing = time.Duration(spacingPart * float64(b.ApplyWithin))
+	}
+	if b.LeaveWithin > 0 {
+		l.MembersSpacing = time.Duration(spacingPart * float64(b.LeaveWithin))
+		l.GatherFor = gatherSpacings * l.MembersSpacing
+	}
 	if b.StopGrace > 0 {
 		l.DrainMost = time.Duration(drainPart * float64(b.StopGrace))
 		l.DrainNotReady = min(l.DrainNotReady, l.DrainMost/2)
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -60,6 +60,12 @@
 			d.Suspects = append(d.Suspects, row.ID)
 		}
 	}
+	for _, budget := range t.Budgets.Rows {
+		requests, repeats := budget.sums(now, t.Limits.RetryWindow)
+		if requests+repeats > 0 {
+			d.Sends = append(d.Sends, lentilmux.ServiceSends{Service: budget.Service, Requests: requests, Repeats: repeats})
+		}
+	}
 	return d
 }
 
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -18,6 +18,7 @@
 	Draining    bool
 	Stale       bool
 	Loads       []lentilmux.UpstreamLoad // as counted in the members' rows
+	Sends       []lentilmux.ServiceSends
 }
 
 // VMs is the table of the other entry VMs.
--- a/knowledge.go
+++ b/knowledge.go
@@ -183,6 +183,14 @@
 	Stale       bool // whether the sender lost touch with the store
 	Loads       []UpstreamLoad
 	Suspects    []string // upstreams that the sender holds to be dead
+	Sends       []ServiceSends
+}
+
+// ServiceSends counts what one VM sent to one service in the retry window.
+type ServiceSends struct {
+	Service  string
+	Requests int
+	Repeats  int // sends beyond the first of each request
 }
 
 // LoadDigestMsg carries a digest of another VM.
--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -92,6 +92,9 @@
 			Upstream: l.Upstream, Streams: int32(l.Streams), Waiting: int32(l.Waiting), Reserved: l.Reserved, Slow: l.Slow,
 		})
 	}
+	for _, s := range d.Sends {
+		m.Sends = append(m.Sends, &peerpb.ServiceSends{Service: s.Service, Requests: int32(s.Requests), Repeats: int32(s.Repeats)})
+	}
 	return m
 }
 
@@ -118,5 +121,8 @@
 			Upstream: l.GetUpstream(), Streams: int(l.GetStreams()), Waiting: int(l.GetWaiting()), Reserved: l.GetReserved(), Slow: l.GetSlow(),
 		})
 	}
+	for _, s := range m.GetSends() {
+		d.Sends = append(d.Sends, lentilmux.ServiceSends{Service: s.GetService(), Requests: int(s.GetRequests()), Repeats: int(s.GetRepeats())})
+	}
 	return d, nil
 }
