Sum load digests by relays in a large fleet

Change: above 16 VMs the two lowest names of each zone are relays; they sum their zone, exchange sums, and tell their zone the sum of all.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -29,7 +29,7 @@
 	membersWait = 10 * time.Second
 	// vmsWait and vmsSpacing are the same for the entry VMs' records.
 	vmsWait    = 25 * time.Second
-	vmsSpacing = 3 * time.Second
+	vmsSpacing = time.Second
 	// effectTimeout bounds an order.
 	effectTimeout = 600 * time.Millisecond
 	// reportTimeout bounds a report, whose lateness is a sign of failure
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"lentilmux.example/lentilmux"
 )
 
 // buckets is the number of parts into which the retry window is cut, plus the
@@ -80,23 +82,30 @@
 
 const (
 	// borrowMost is how many times its own part of a budget a VM may use.
-	borrowMost = 4
+	borrowMost = 3
 	// lentPart is the part of the whole budget up to which VMs borrow.
-	lentPart = 0.5
+	lentPart = 0.3
 )
 
 // lends reports whether all VMs together have used little of a budget.
 func (t *Tables) lends(service string, requests, repeats int, now time.Time) bool {
-	for _, vm := range t.VMs.Rows {
-		if !t.heard(vm, now) {
-			continue
-		}
-		for _, sends := range vm.Sends {
-			if sends.Service == service {
-				requests += sends.Requests
-				repeats += sends.Repeats
-			}
+	if t.Whole.fresh(now, t.Limits.SilentAfter) {
+		requests, repeats = countSends(t.Whole.Sends, service, 0, 0) // this VM's own are among them
+	} else {
+		for _, vm := range t.sources(now) {
+			requests, repeats = countSends(vm.Sends, service, requests, repeats)
 		}
 	}
 	return float64(repeats+1) <= lentPart*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack)
 }
+
+// countSends adds the counts of a service.
+func countSends(sends []lentilmux.ServiceSends, service string, requests, repeats int) (int, int) {
+	for _, s := range sends {
+		if s.Service == service {
+			requests += s.Requests
+			repeats += s.Repeats
+		}
+	}
+	return requests, repeats
+}
--- a/fleet/hear.go
+++ b/fleet/hear.go
@@ -19,12 +19,17 @@
 	for _, digest := range t.Events.Digests {
 		h.digest(t, digest, now)
 	}
+	lost := false
 	for _, vm := range t.VMs.Rows {
 		if len(vm.Loads) > 0 && !t.heard(vm, now) {
-			h.count(t, vm, nil)
+			vm.Loads = nil
+			lost = true
 			t.Decide(lentilmux.Decision{What: "vm_lost", Subject: vm.Name, Reason: fmt.Sprintf("silent for %s", now.Sub(vm.Heard).Round(time.Millisecond))})
 		}
 	}
+	if lost || len(t.Events.Digests) > 0 {
+		h.tally(t, now)
+	}
 	for _, msg := range t.Events.Reports {
 		h.report(t, msg, now)
 	}
@@ -46,10 +51,14 @@
 	if !t.heard(vm, now) {
 		t.Decide(lentilmux.Decision{What: "vm_met", Subject: d.VM, Chosen: d.Addr.String(), Reason: "digest"})
 	}
-	vm.Incarnation, vm.Sequence, vm.Heard = d.Incarnation, d.Sequence, now
+	vm.Incarnation, vm.Sequence, vm.Heard, vm.TriedAt = d.Incarnation, d.Sequence, now, time.Time{}
 	vm.Zone, vm.Addr, vm.Draining, vm.Stale, vm.Sends = d.Zone, d.Addr, d.Draining, d.Stale, d.Sends
 	t.Zones.Index(vm.Zone)
-	h.count(t, vm, d.Loads)
+	if d.Scope == lentilmux.ScopeFleet {
+		h.whole(t, d, now)
+	} else {
+		vm.Scope, vm.VMs, vm.Loads, vm.Suspects = d.Scope, d.VMs, d.Loads, d.Suspects
+	}
 	for _, id := range d.Suspects {
 		if row := t.Members.Find(id); row != nil && !row.Dead {
 			h.hearsay(t, row, d.VM, now)
@@ -68,23 +77,40 @@
 	t.suspect(row, now, "word of "+vm)
 }
 
-// count replaces a VM's loads in the members' rows.
-func (h *Hear) count(t *Tables, vm *VMRow, loads []lentilmux.UpstreamLoad) {
-	for _, load := range vm.Loads {
-		if row := t.Members.Find(load.Upstream); row != nil {
-			row.Peers.add(loadOf(load), -1)
+// whole takes a relay's sum of all VMs' work. Only one relay is listened to at a
+// time.
+func (h *Hear) whole(t *Tables, d lentilmux.LoadDigest, now time.Time) {
+	if t.Whole.From < d.VM && t.Whole.fresh(now, t.Limits.SilentAfter) {
+		return
+	}
+	t.Whole = Whole{From: d.VM, Heard: now, VMs: d.VMs, Loads: d.Loads, Sends: d.Sends}
+}
+
+// tally counts in the members' rows what other VMs have under way.
+func (h *Hear) tally(t *Tables, now time.Time) {
+	for _, row := range t.Members.Rows {
+		row.Peers = Load{}
+	}
+	if t.relayed() && !t.isRelay(now) {
+		h.add(t, t.Whole.Loads)
+		for _, row := range t.Members.Rows {
+			row.Peers.add(row.Own, -1) // the sum has this VM's own work in it
 		}
+		return
+	}
+	for _, vm := range t.sources(now) {
+		h.add(t, vm.Loads)
 	}
-	vm.Loads = vm.Loads[:0]
+}
+
+// add counts loads in the members' rows.
+func (h *Hear) add(t *Tables, loads []lentilmux.UpstreamLoad) {
 	for _, load := range loads {
-		row := t.Members.Find(load.Upstream)
-		if row == nil {
-			continue
-		}
-		row.Peers.add(loadOf(load), 1)
-		vm.Loads = append(vm.Loads, load)
-		if load.Slow > 0 {
-			row.Slow = load.Slow
+		if row := t.Members.Find(load.Upstream); row != nil {
+			row.Peers.add(loadOf(load), 1)
+			if load.Slow > 0 {
+				row.Slow = load.Slow
+			}
 		}
 	}
 }
--- a/fleet/inspect.go
+++ b/fleet/inspect.go
@@ -16,7 +16,10 @@
 	if t.Self.Draining || !t.Rules.Known {
 		return
 	}
-	place, count := t.rank(now)
+	place, count, ok := t.rank(now)
+	if !ok {
+		return
+	}
 	for _, row := range t.Members.Rows {
 		if !row.Held || !row.Usable(now) || int(lentilmux.FingerprintOf(row.ID)%lentilmux.Fingerprint(count)) != place {
 			continue
@@ -28,18 +31,3 @@
 		t.Add(lentilmux.ReportEffect{Upstream: row.ID, Addr: row.Addr})
 	}
 }
-
-// rank returns this VM's place among those that are heard, and their number.
-func (t *Tables) rank(now time.Time) (place, count int) {
-	count = 1
-	for _, vm := range t.VMs.Rows {
-		if !t.heard(vm, now) || vm.Draining {
-			continue
-		}
-		count++
-		if vm.Name < t.Self.Name {
-			place++
-		}
-	}
-	return place, count
-}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -36,7 +36,9 @@
 	WaitSilent     time.Duration // between two reports of a silent leg
 	MovesMost      int           // moves of one request to other paths
 	HangAfter      time.Duration // without progress, after which one that answers questions counts as hanging
-	ShareToMost    int           // VMs that get each digest
+	MeshMost       int           // VMs that all send their digests to one another; more use relays
+	RelaysEach     int           // relays of an availability zone
+	RelayRetry     time.Duration // after which a relay that was silent is tried again
 	DrainNotReady  time.Duration // from the start of a planned stop until it may end
 	DrainMost      time.Duration // the longest time of a planned stop
 	ReportLag      time.Duration // for which an upstream's report may be older than its entry
@@ -71,14 +73,16 @@
 		RefusalPause:   500 * time.Millisecond,
 		PoisonMost:     3,
 		PoisonMemory:   2 * time.Minute,
-		AnnounceEvery:  30 * time.Second,
+		AnnounceEvery:  10 * time.Minute,
 		PulseSilence:   200 * time.Millisecond,
 		AskAgain:       300 * time.Millisecond,
 		MissesMost:     2,
 		WaitSilent:     200 * time.Millisecond,
 		MovesMost:      3,
 		HangAfter:      900 * time.Millisecond,
-		ShareToMost:    12,
+		MeshMost:       16,
+		RelaysEach:     2,
+		RelayRetry:     10 * time.Second,
 		DrainNotReady:  2700 * time.Millisecond,
 		DrainMost:      7 * time.Second,
 		ReportLag:      time.Second,
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -2,18 +2,19 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilmux.example/lentilmux"
 )
 
 // Share tells the other entry VMs what this one has under way, and the store
-// where it is. It reads Members and VMs.
+// where it is. A relay passes on sums instead. It reads Members, VMs and
+// Budgets.
 type Share struct {
 	sequence  uint64
 	sent      time.Time
 	announced time.Time
-	next      int // index of the VM that gets the next digest first
 }
 
 // Run implements [System].
@@ -32,18 +33,38 @@
 	}
 	s.sent = now
 	t.WakeAt(now.Add(t.Limits.ShareEvery))
-	to := s.receivers(t)
+	own := s.own(t, now)
+	switch {
+	case !t.relayed():
+		names := make([]string, 0, len(t.VMs.Rows))
+		for _, vm := range t.VMs.Rows {
+			names = append(names, vm.Name)
+		}
+		s.send(t, own, t.addrs(names, now))
+	case t.isRelay(now):
+		zone := s.sum(t, own, lentilmux.ScopeZone, now)
+		s.send(t, zone, t.addrs(t.otherRelays(now), now))
+		s.send(t, s.sum(t, own, lentilmux.ScopeFleet, now), t.addrs(t.zoneVMs(), now))
+		s.send(t, own, t.addrs(t.relays(t.Self.Zone, now), now))
+	default:
+		s.send(t, own, t.addrs(t.relays(t.Self.Zone, now), now))
+	}
+}
+
+// send numbers a digest and sends it.
+func (s *Share) send(t *Tables, digest lentilmux.LoadDigest, to []netip.AddrPort) {
 	if len(to) == 0 {
 		return
 	}
 	s.sequence++
-	t.Add(lentilmux.LoadDigestEffect{Digest: s.digest(t, now), To: to})
+	digest.Sequence = s.sequence
+	t.Add(lentilmux.LoadDigestEffect{Digest: digest, To: to})
 }
 
-// digest lists the upstreams with work of this VM, or of which it has news.
-func (s *Share) digest(t *Tables, now time.Time) (d lentilmux.LoadDigest) {
+// own lists the upstreams with work of this VM, or of which it has news.
+func (s *Share) own(t *Tables, now time.Time) (d lentilmux.LoadDigest) {
 	d = lentilmux.LoadDigest{
-		VM: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation, Sequence: s.sequence,
+		VM: t.Self.Name, VMs: 1, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
 		Draining: t.Self.Draining, Stale: t.Stale(now),
 	}
 	for _, row := range t.Members.Rows {
@@ -61,23 +82,65 @@
 		}
 	}
 	for _, budget := range t.Budgets.Rows {
-		requests, repeats := budget.sums(now, t.Limits.RetryWindow)
-		if requests+repeats > 0 {
+		if requests, repeats := budget.sums(now, t.Limits.RetryWindow); requests+repeats > 0 {
 			d.Sends = append(d.Sends, lentilmux.ServiceSends{Service: budget.Service, Requests: requests, Repeats: repeats})
 		}
 	}
 	return d
 }
 
-// receivers returns the VMs that get a digest: all of a small fleet, in turn of
-// a large one.
-func (s *Share) receivers(t *Tables) (to []netip.AddrPort) {
-	count := len(t.VMs.Rows)
-	for range min(count, t.Limits.ShareToMost) {
-		s.next = (s.next + 1) % count
-		if addr := t.VMs.Rows[s.next].Addr; addr.IsValid() {
-			to = append(to, addr)
+// sum adds what other VMs told to this one's own digest: those of the zone, or
+// all, of which other zones come as sums.
+func (s *Share) sum(t *Tables, own lentilmux.LoadDigest, scope lentilmux.DigestScope, now time.Time) (d lentilmux.LoadDigest) {
+	d = own
+	d.Scope = scope
+	d.Loads, d.Sends, d.Suspects = slices.Clone(own.Loads), slices.Clone(own.Sends), slices.Clone(own.Suspects)
+	at := make(map[string]int, len(d.Loads))
+	for i, load := range d.Loads {
+		at[load.Upstream] = i
+	}
+	for _, vm := range t.sources(now) {
+		if scope == lentilmux.ScopeZone && vm.Zone != t.Self.Zone {
+			continue
+		}
+		d.VMs += vm.VMs
+		addLoads(&d, at, vm.Loads)
+		addSends(&d, vm.Sends)
+		for _, id := range vm.Suspects {
+			if !slices.Contains(d.Suspects, id) {
+				d.Suspects = append(d.Suspects, id)
+			}
+		}
+	}
+	return d
+}
+
+// addLoads adds loads to a digest by upstream.
+func addLoads(d *lentilmux.LoadDigest, at map[string]int, loads []lentilmux.UpstreamLoad) {
+	for _, load := range loads {
+		i, ok := at[load.Upstream]
+		if !ok {
+			at[load.Upstream] = len(d.Loads)
+			d.Loads = append(d.Loads, load)
+			continue
+		}
+		sum := &d.Loads[i]
+		sum.Streams += load.Streams
+		sum.Waiting += load.Waiting
+		sum.Reserved += load.Reserved
+		sum.Slow = max(sum.Slow, load.Slow)
+	}
+}
+
+// addSends adds counts to a digest by service.
+func addSends(d *lentilmux.LoadDigest, sends []lentilmux.ServiceSends) {
+	for _, s := range sends {
+		i := slices.IndexFunc(d.Sends, func(known lentilmux.ServiceSends) bool { return known.Service == s.Service })
+		if i < 0 {
+			d.Sends = append(d.Sends, s)
+			continue
 		}
+		d.Sends[i].Requests += s.Requests
+		d.Sends[i].Repeats += s.Repeats
 	}
-	return to
 }
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -28,6 +28,7 @@
 	Rules     Rules
 	Members   Members
 	VMs       VMs
+	Whole     Whole
 	Flights   Flights
 	Budgets   Budgets
 	Poisons   Poisons
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -17,8 +17,12 @@
 	Heard       time.Time // of its last digest; zero for one that was never heard
 	Draining    bool
 	Stale       bool
-	Loads       []lentilmux.UpstreamLoad // as counted in the members' rows
+	Scope       lentilmux.DigestScope // of its last digest
+	VMs         int                   // that its last digest sums up
+	Loads       []lentilmux.UpstreamLoad
 	Sends       []lentilmux.ServiceSends
+	Suspects    []string  // upstreams that it holds to be dead
+	TriedAt     time.Time // when digests were first sent to it without hearing it; zero if it is heard
 }
 
 // VMs is the table of the other entry VMs.
@@ -49,8 +53,25 @@
 	return row
 }
 
-// Live returns how many VMs, with this one, were heard of late.
+// Whole is what a relay last told of all VMs' work.
+type Whole struct {
+	From  string // the relay
+	Heard time.Time
+	VMs   int
+	Loads []lentilmux.UpstreamLoad
+	Sends []lentilmux.ServiceSends
+}
+
+// fresh reports whether a relay told of all VMs of late.
+func (w *Whole) fresh(now time.Time, limit time.Duration) bool {
+	return !w.Heard.IsZero() && now.Sub(w.Heard) <= limit
+}
+
+// Live returns how many VMs, with this one, are at work.
 func (t *Tables) Live(now time.Time) (count int) {
+	if t.Whole.fresh(now, t.Limits.SilentAfter) {
+		return max(t.Whole.VMs, 1)
+	}
 	count = 1
 	for _, vm := range t.VMs.Rows {
 		if t.heard(vm, now) {
--- a/knowledge.go
+++ b/knowledge.go
@@ -171,9 +171,24 @@
 	Slow     float64 // how slow it says it is, if the sender asked it; 0 if not
 }
 
+// DigestScope says whose work a load digest sums up.
+type DigestScope int
+
+// The scopes.
+const (
+	// ScopeVM is the sender's own work.
+	ScopeVM DigestScope = iota
+	// ScopeZone is the work of all VMs of the sender's availability zone.
+	ScopeZone
+	// ScopeFleet is the work of all VMs.
+	ScopeFleet
+)
+
 // LoadDigest is what entry VMs tell each other of the work that they have under
 // way, whole each time, so that a lost one does no harm.
 type LoadDigest struct {
+	Scope       DigestScope
+	VMs         int // that are summed up
 	VM          string
 	Zone        string
 	Addr        netip.AddrPort
--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -85,7 +85,7 @@
 func loadToWire(d lentilmux.LoadDigest) *peerpb.LoadDigest {
 	m := &peerpb.LoadDigest{
 		Vm: d.VM, Zone: d.Zone, Addr: d.Addr.String(), Incarnation: d.Incarnation, Sequence: d.Sequence,
-		Draining: d.Draining, Stale: d.Stale, Suspects: d.Suspects,
+		Draining: d.Draining, Stale: d.Stale, Suspects: d.Suspects, Scope: int32(d.Scope), Vms: int32(d.VMs),
 	}
 	for _, l := range d.Loads {
 		m.Loads = append(m.Loads, &peerpb.UpstreamLoad{
@@ -115,6 +115,7 @@
 	d = lentilmux.LoadDigest{
 		VM: m.GetVm(), Zone: m.GetZone(), Addr: addr, Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(),
 		Draining: m.GetDraining(), Stale: m.GetStale(), Suspects: m.GetSuspects(),
+		Scope: lentilmux.DigestScope(m.GetScope()), VMs: int(m.GetVms()),
 	}
 	for _, l := range m.GetLoads() {
 		d.Loads = append(d.Loads, lentilmux.UpstreamLoad{
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -51,7 +51,7 @@
 	}
 	_ = stray.Close()
 	digest := lentilmux.LoadDigest{
-		VM: "entry-1", Zone: "kochi", Addr: sender.Addr(), Incarnation: 7, Sequence: 3, Draining: true, Stale: true,
+		Scope: lentilmux.ScopeZone, VMs: 4, VM: "entry-1", Zone: "kochi", Addr: sender.Addr(), Incarnation: 7, Sequence: 3, Draining: true, Stale: true,
 		Loads:    []lentilmux.UpstreamLoad{{Upstream: "w1", Streams: 2, Waiting: 700, Reserved: 1 << 40, Slow: 3}},
 		Suspects: []string{"w2"},
 		Sends:    []lentilmux.ServiceSends{{Service: "desk-llm", Requests: 40, Repeats: 3}},
