Read the store less often on every VM

Change: a read is spaced by 0.6 of the time in which a change has to be known, knowledge is used up to 0.9 (keys) and 0.8 (ready) of the time until a key must be dead, and failed reads back off to 0.9 s.

--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -105,12 +105,12 @@
 const (
 	// knowledgePart is the part of RevokeWithin up to which knowledge is used;
 	// the rest covers a request's way and a slow clock.
-	knowledgePart = 0.85
+	knowledgePart = 0.9
 	// readyPart is the part up to which the balancer may send callers.
-	readyPart = 0.6
+	readyPart = 0.8
 	// spacingPart is the part of the time in which something has to be known
 	// everywhere that may pass between two reads of it.
-	spacingPart = 0.4
+	spacingPart = 0.6
 	// gatherSpacings is for how many reads without news upstreams are gathered.
 	gatherSpacings = 2
 	// slackPart is the part of the retry slack that is used, since VMs that
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -12,8 +12,10 @@
 const (
 	// followTimeout bounds a read beyond its wait.
 	followTimeout = 500 * time.Millisecond
-	// followRetry is the pause after a read that failed.
-	followRetry = 150 * time.Millisecond
+	// followRetry is the pause after a read that failed; it doubles with each
+	// further one up to followRetryMost.
+	followRetry     = 150 * time.Millisecond
+	followRetryMost = 900 * time.Millisecond
 )
 
 // Decode makes a fact of an entry. An entry that cannot be read gives a fact
@@ -36,7 +38,7 @@
 	stream lentilmux.Stream
 	decode Decode
 	pace   Pace
-	failed bool // whether the last read failed, so that the next must not wait
+	retry  time.Duration // the last pause after a read that failed; zero if it did not
 }
 
 // NewFollower returns a follower of one stream. The clock has to go on while
@@ -61,14 +63,14 @@
 		}
 		switch {
 		case err == nil:
-			listed, f.failed = true, false
+			listed, f.retry = true, 0
 			err = f.node.Send(ctx, msg)
 		case errors.Is(err, lentilmux.ErrTruncated):
 			listed, err = false, nil
 		default:
-			f.failed = true
+			f.retry = min(max(2*f.retry, followRetry), followRetryMost)
 			err = f.node.Send(ctx, lentilmux.KnowledgeFailedMsg{Stream: f.stream, Err: err})
-			sleep(ctx, followRetry)
+			sleep(ctx, f.retry)
 		}
 		if err != nil {
 			return
@@ -111,8 +113,8 @@
 func (f *Follower) follow(ctx context.Context, next uint64) (msg lentilmux.KnowledgeMsg, end uint64, err error) {
 	defer errors.DeferredAnnotatef(&err, "following %s", f.stream)
 	wait := f.pace.Wait
-	if f.failed {
-		wait = 0
+	if f.retry > 0 {
+		wait = 0 // news of whether the store answers comes first
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followTimeout)
 	defer cancel()
