Show relays and their zone's VMs in scenarios

Two scenarios: a VM that takes a relay's sum, and one that is a relay, with two relays of the other zone of which one counts.

--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -47,6 +47,7 @@
 	offset  uint64
 	epochs  map[string]lentilmux.Epoch
 	fleet   *fleet.Tables
+	sent    []string // digests of the last tick that sent any
 	out     strings.Builder
 }
 
@@ -136,10 +137,12 @@
 	case "lost":
 		return lentilmux.KnowledgeFailedMsg{Stream: lentilmux.Stream(name), Err: errors.New("no answer")}, nil
 	case "vm":
-		return lentilmux.LoadDigestMsg{Digest: lentilmux.LoadDigest{
-			VM: name, Zone: "thrissur", Addr: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: uint64(number(fields["incarnation"])),
-			Sequence: uint64(number(fields["sequence"])), Suspects: strings.FieldsFunc(fields["suspects"], func(r rune) bool { return r == ',' }),
-		}}, nil
+		return lentilmux.LoadDigestMsg{Digest: digest(name, fields)}, nil
+	case "vmrecord":
+		return s.knowledge(lentilmux.StreamVMs, now, lentilmux.Fact{Key: name, VM: &lentilmux.VMRecord{Name: name, Zone: fields["zone"], Addr: vmAddr(name)}}), nil
+	case "show":
+		s.show(name)
+		return nil, nil
 	case "arrive":
 		return lentilmux.InboundMsg{Inbound: inbound(name, fields, now)}, nil
 	case "begun":
@@ -168,6 +171,52 @@
 	return nil, errors.Errorf("unknown event %q", words[1])
 }
 
+// digest makes another VM's digest of a line.
+func digest(name string, fields map[string]string) lentilmux.LoadDigest {
+	d := lentilmux.LoadDigest{
+		VM: name, VMs: max(number(fields["vms"]), 1), Zone: "thrissur", Addr: vmAddr(name), Incarnation: uint64(number(fields["incarnation"])),
+		Sequence: uint64(number(fields["sequence"])), Suspects: strings.FieldsFunc(fields["suspects"], func(r rune) bool { return r == ',' }),
+		Scope: map[string]lentilmux.DigestScope{"zone": lentilmux.ScopeZone, "fleet": lentilmux.ScopeFleet}[fields["scope"]],
+	}
+	if fields["zone"] != "" {
+		d.Zone = fields["zone"]
+	}
+	if upstream, streams, ok := strings.Cut(fields["loads"], ":"); ok {
+		d.Loads = []lentilmux.UpstreamLoad{{Upstream: upstream, Streams: number(streams), Reserved: 10}}
+	}
+	return d
+}
+
+// vmAddr is the address of a VM named entry- and a number.
+func vmAddr(name string) netip.AddrPort {
+	_, count, _ := strings.Cut(name, "-")
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number(count))}), 7000)
+}
+
+// show prints what the VMs have under way at an upstream, or the last digests
+// that were sent.
+func (s *scenario) show(name string) {
+	if row := s.fleet.Members.Find(name); row != nil {
+		fmt.Fprintf(&s.out, "         %s: own %d, others %d streams\n", name, row.Own.Streams, row.Peers.Streams)
+		return
+	}
+	for _, sent := range s.sent {
+		fmt.Fprintf(&s.out, "         %s\n", sent)
+	}
+}
+
+// scopes are the words for whose work a digest sums up.
+var scopes = [...]string{"vm", "zone", "fleet"}
+
+// sending notes a digest that goes out, for the last tick that sent any.
+func (s *scenario) sending(x lentilmux.LoadDigestEffect) {
+	text := fmt.Sprintf("digest of %s, %d VMs, to %v:", scopes[x.Digest.Scope], x.Digest.VMs, x.To)
+	for _, load := range x.Digest.Loads {
+		text += fmt.Sprintf(" %s %d", load.Upstream, load.Streams)
+	}
+	s.sent = append(s.sent, text)
+}
+
 func (s *scenario) knowledge(stream lentilmux.Stream, now time.Time, fact lentilmux.Fact) lentilmux.Msg {
 	s.offset++
 	fact.Offset = s.offset
@@ -212,7 +261,14 @@
 		fmt.Fprintf(&s.out, "  due at once: the loop would spin\n")
 		s.due = now.Add(time.Millisecond)
 	}
+	fresh := true
 	for _, effect := range effects {
+		if x, ok := effect.(lentilmux.LoadDigestEffect); ok {
+			if fresh {
+				s.sent, fresh = nil, false
+			}
+			s.sending(x)
+		}
 		if text := s.text(effect); text != "" {
 			fmt.Fprintf(&s.out, "%8s %s\n", now.Sub(s.start), text)
 		}
