Tell a new process at an address from the upstream before it

Its process had ended and another one answered at its address before its entry was renewed: the report made it trusted again, every order was refused, and each refusal was followed by a report and the next order at once. Scenarios another_process and refused_order failed first.

--- a/fleet/hear.go
+++ b/fleet/hear.go
@@ -130,6 +130,10 @@
 		return
 	}
 	r := msg.Report
+	if !r.Born.IsZero() && !r.Born.Equal(row.Born) {
+		h.replaced(t, row, r, now)
+		return
+	}
 	row.Misses, row.Dead, row.Hearsay = 0, false, false
 	if !row.SuspectUntil.IsZero() {
 		row.SuspectUntil = time.Time{}
@@ -138,6 +142,9 @@
 	if r.Pace > 0 && (r.Pace > 1.2*row.Slow || row.Slow > 1.2*r.Pace) {
 		t.Decide(lentilmux.Decision{What: "upstream_pace", Subject: row.ID, Chosen: fmt.Sprintf("%.2f", r.Pace), Reason: fmt.Sprintf("was %.2f", row.Slow)})
 	}
+	if r.Orders != row.Orders {
+		row.RefusedAt = time.Time{} // what it expects is known now
+	}
 	row.Slow, row.ReportedAt, row.Orders, row.Unclear = max(r.Pace, 1), now, r.Orders, false
 	h.layers(t, row, r, now)
 	if row.Targeted && !r.Busy && (!r.Held || r.Holds != row.Target) && now.Sub(row.OrderedAt) > t.Limits.OrderTimeout {
@@ -145,6 +152,17 @@
 	}
 }
 
+// replaced handles the report of another process than the one that the entry
+// tells of: that one has ended, and its address serves an upstream whose entry
+// is still to come.
+func (h *Hear) replaced(t *Tables, row *MemberRow, r lentilmux.UpstreamReport, now time.Time) {
+	if !row.Dead {
+		row.Dead = true
+		t.Decide(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("a process of %s answers, not that of %s", r.Born.UTC().Format(time.RFC3339Nano), row.Born.UTC().Format(time.RFC3339Nano))})
+	}
+	t.suspect(row, now, "another process answers")
+}
+
 // layers takes the range that an upstream reports, unless its entry was renewed
 // so short a time ago that the report may be older.
 func (h *Hear) layers(t *Tables, row *MemberRow, r lentilmux.UpstreamReport, now time.Time) {
@@ -196,7 +214,7 @@
 		t.Decide(lentilmux.Decision{What: "order_unanswered", Subject: row.ID, Reason: msg.Err.Error()})
 	case !msg.Accepted:
 		// Its state is not what was expected: ask it before anything else.
-		row.Targeted, row.Unclear = false, true
+		row.Targeted, row.Unclear, row.RefusedAt = false, true, now
 		row.AskedAt = now
 		t.Add(lentilmux.ReportEffect{Upstream: row.ID, Addr: row.Addr})
 		t.Decide(lentilmux.Decision{What: "order_refused", Subject: row.ID, Reason: fmt.Sprintf("expected %d orders before", msg.Order.Orders)})
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -35,7 +35,6 @@
 	MissesMost     int           // unanswered questions in a row that make an upstream suspect
 	WaitSilent     time.Duration // between two reports of a silent leg
 	MovesMost      int           // moves of one request to other paths
-	HangAfter      time.Duration // without progress, after which one that answers questions counts as hanging
 	MeshMost       int           // VMs that all send their digests to one another; more use relays
 	RelaysEach     int           // relays of an availability zone
 	RelayRetry     time.Duration // after which a relay that was silent is tried again
@@ -79,7 +78,6 @@
 		MissesMost:     2,
 		WaitSilent:     200 * time.Millisecond,
 		MovesMost:      3,
-		HangAfter:      900 * time.Millisecond,
 		MeshMost:       16,
 		RelaysEach:     2,
 		RelayRetry:     10 * time.Second,
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -34,6 +34,7 @@
 	Targeted  bool
 	Orders    int       // orders that it has accepted since its start
 	OrderedAt time.Time // of the last order; zero if none was given
+	RefusedAt time.Time // when it last refused an order; no other one follows at once
 	Unclear   bool      // whether its state has to be asked before the next order
 }
 
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -35,7 +35,7 @@
 	empty, any := 0, false
 	newest, oldest := time.Time{}, now
 	for _, row := range rows {
-		if row.Held || row.Targeted || row.Unclear {
+		if row.Held || row.Targeted || row.Unclear || now.Sub(row.RefusedAt) < t.Limits.OrderTimeout {
 			any = true
 			continue
 		}
@@ -54,7 +54,7 @@
 		t.WakeAt(ready)
 		return
 	}
-	p.target(t, service.Engine, rows)
+	p.target(t, service.Engine, rows, now)
 }
 
 // rows returns the upstreams of a service that may hold layers, by name.
@@ -72,7 +72,7 @@
 }
 
 // target sets the ranges of the empty upstreams.
-func (p *Place) target(t *Tables, model *lentilmux.EngineModel, rows []*MemberRow) {
+func (p *Place) target(t *Tables, model *lentilmux.EngineModel, rows []*MemberRow, now time.Time) {
 	nodes := make([]lentilmux.RangeNode, len(rows))
 	for i, row := range rows {
 		_, card := t.Engine(row)
@@ -83,7 +83,7 @@
 	}
 	for i, layers := range p.Ranges.Spread(model, t.Zones.Count(), nodes) {
 		row := rows[i]
-		if nodes[i].Held || row.Unclear || layers.Len() <= 0 {
+		if nodes[i].Held || row.Unclear || now.Sub(row.RefusedAt) < t.Limits.OrderTimeout || layers.Len() <= 0 {
 			continue
 		}
 		row.Target, row.Targeted, row.OrderedAt = layers, true, time.Time{}
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -245,7 +245,7 @@
 		}
 		return lentilmux.ReportMsg{Upstream: name, Err: &lentilmux.StepError{Kind: kind, Err: errors.New(fields["error"])}}
 	}
-	report := lentilmux.UpstreamReport{Orders: number(fields["orders"]), Pace: 1}
+	report := lentilmux.UpstreamReport{Orders: number(fields["orders"]), Pace: 1, Born: time.Unix(int64(number(fields["born"])), 0)}
 	report.Holds, report.Held = layers(fields["holds"])
 	if fields["pace"] != "" {
 		report.Pace = float64(number(fields["pace"]))
