--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -76,7 +76,7 @@
 		return lentilmux.RefusalAnswer{Refusal: lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonUpstreamFailed}}
 	}
 	return lentilmux.LegAnswer{Leg: lentilmux.Leg{
-		Request: "r", Epoch: before + 1, Kind: s.kind, Deadline: s.started.Add(2 * time.Second), First: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
+		Request: "r", Epoch: before + 1, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), First: 300 * time.Millisecond, Gap: 200 * time.Millisecond,
 		Pulses: []*lentilmux.Pulse{{}},
 	}}
 }
