--- a/engine/engine.go
+++ b/engine/engine.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -266,6 +267,9 @@
 	if errors.As(err, &opError) && opError.Op == "dial" {
 		return lentilmux.FailureDial
 	}
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		return lentilmux.FailureCrash // whatever code the client gave it
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeResourceExhausted, connect.CodeFailedPrecondition:
 		return lentilmux.FailureRefused
