Let relays read the store for the VMs of their zone

Change: in a fleet with relays the other VMs read at them, over Connect at the first internal port. A copy says how long before the question's arrival its own read was sent, so what is passed on is never taken for newer than it is, however late either message arrives.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -27,6 +27,17 @@
 	// membersWait is the same for the upstreams' entries, whose age does not
 	// matter.
 	membersWait = 10 * time.Second
+	// sharedRulesPart is rulesWaitPart where VMs read for one another, since what
+	// is passed on is as old as the waits of both.
+	sharedRulesPart = 0.2
+	// sharedSpacingPart is the part of the spacing of reads that is left for
+	// each of the two there.
+	sharedSpacingPart = 0.5
+	// sharedMembersWait is membersWait there.
+	sharedMembersWait = 2 * time.Second
+	// copyOldestPart is the part of the age up to which this VM is ready that
+	// the configuration may have which it passes on.
+	copyOldestPart = 0.5
 	// vmsWait and vmsSpacing are the same for the entry VMs' records.
 	vmsWait    = 25 * time.Second
 	vmsSpacing = time.Second
@@ -49,7 +60,7 @@
 	Zone        string
 	CallerAddr  netip.AddrPort // where callers connect
 	ReadyAddr   netip.AddrPort // where the balancer asks
-	DigestAddr  netip.AddrPort // where other VMs send load digests
+	DigestAddr  netip.AddrPort // where other VMs send load digests and read copies of streams
 	MetricsAddr netip.AddrPort // invalid for no metrics
 	MetricsPath string
 	ReadyPath   string
@@ -65,6 +76,7 @@
 type GatewayPeers struct {
 	Log    lentilmux.KeyedLog
 	Decode map[lentilmux.Stream]platformlog.Decode
+	Copies lentilmux.StreamCopies
 	Engine lentilmux.ChainEngine
 	// Front returns the handler of callers' requests.
 	Front func(relay *forward.Relay, state *GatewayState) http.Handler
@@ -92,6 +104,9 @@
 	metrics *metrics
 	lines   *decisionLog
 	digests *peer.Datagrams
+	copies  *platformlog.Copies
+	log     *platformlog.Nearby
+	shared  atomic.Bool // whether VMs read for one another
 
 	ctx   context.Context // of the run; set before the first effect
 	leave chan struct{}
@@ -106,6 +121,8 @@
 		return nil, err
 	}
 	g.state.bodyMost.Store(defaultBodyMost)
+	g.copies = platformlog.NewCopies(config.Clock, part(config.Limits.ReadyMost, copyOldestPart))
+	g.log = platformlog.NewNearby(peers.Log, peers.Copies, g.copies, config.Clock, g.badCopy)
 	model := fleet.New(fleet.Self{
 		Name: config.Name, Zone: config.Zone, Addr: config.DigestAddr, Incarnation: uint64(config.Clock().UnixNano()), Started: config.Clock(),
 	}, config.Limits)
@@ -142,7 +159,7 @@
 	running.Go(func() { g.node.Run(ctx) })
 	running.Go(func() { g.digests.Run(ctx, g.node, g.badDigest) })
 	for stream, decode := range g.peers.Decode {
-		follower := platformlog.NewFollower(g.peers.Log, g.node, g.config.Clock, stream, decode, g.pace(stream))
+		follower := platformlog.NewFollower(g.log, g.node, g.config.Clock, stream, decode, g.pace)
 		running.Go(func() { follower.Run(ctx) })
 	}
 	select {
@@ -177,17 +194,31 @@
 }
 
 // pace returns how often a stream is read.
-func (g *Gateway) pace(stream lentilmux.Stream) platformlog.Pace {
+func (g *Gateway) pace(stream lentilmux.Stream) (pace platformlog.Pace) {
+	limits, rulesPart, spacingPart := &g.config.Limits, rulesWaitPart, 1.0
+	wait := membersWait
+	if g.shared.Load() {
+		rulesPart, spacingPart, wait = sharedRulesPart, sharedSpacingPart, sharedMembersWait
+	}
 	switch stream {
 	case lentilmux.StreamRules:
-		return platformlog.Pace{Wait: time.Duration(rulesWaitPart * float64(g.config.Limits.ReadyMost)), Spacing: g.config.Limits.RulesSpacing}
+		return platformlog.Pace{Wait: part(limits.ReadyMost, rulesPart), Spacing: part(limits.RulesSpacing, spacingPart)}
 	case lentilmux.StreamMembers:
-		return platformlog.Pace{Wait: membersWait, Spacing: g.config.Limits.MembersSpacing}
+		return platformlog.Pace{Wait: wait, Spacing: part(limits.MembersSpacing, spacingPart)}
 	default:
 		return platformlog.Pace{Wait: vmsWait, Spacing: vmsSpacing}
 	}
 }
 
+// part returns a part of a duration.
+func part(whole time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(whole))
+}
+
+func (g *Gateway) badCopy(addr netip.AddrPort, err error) {
+	g.lines.write(lentilmux.Decision{What: "copy_unread", Subject: addr.String(), Chosen: "store", Reason: err.Error()})
+}
+
 func (g *Gateway) badDigest(from netip.AddrPort, err error) {
 	g.lines.write(lentilmux.Decision{What: "digest_ignored", Subject: from.String(), Reason: err.Error()})
 }
@@ -207,6 +238,9 @@
 		if err := g.digests.Send(x.Digest, x.To); err != nil {
 			g.lines.write(lentilmux.Decision{What: "digest_unsent", Subject: g.config.Name, Reason: err.Error()})
 		}
+	case lentilmux.SourceEffect:
+		g.shared.Store(x.Shared)
+		g.log.Prefer(x.VMs)
 	case lentilmux.ReportEffect:
 		go g.report(x)
 	case lentilmux.PlaceEffect:
@@ -244,7 +278,7 @@
 	defer cancel()
 	value, err := platformlog.EncodeVM(x.VM)
 	if err == nil {
-		err = g.peers.Log.Put(ctx, x.Stream, x.Key, value)
+		err = g.log.Put(ctx, x.Stream, x.Key, value)
 	}
 	if err != nil {
 		g.lines.write(lentilmux.Decision{What: "record_unwritten", Subject: x.Key, Reason: err.Error()})
@@ -259,6 +293,7 @@
 	front   *http.Server
 	ready   *http.Server
 	metrics *http.Server
+	copies  *http.Server
 }
 
 // open listens on all addresses and serves them.
@@ -286,6 +321,12 @@
 			return err
 		}
 	}
+	copies := http.NewServeMux()
+	copies.Handle(peer.NewCopyHandler(g.copies))
+	s.copies = &http.Server{Handler: copies, ReadHeaderTimeout: g.config.HeaderWait, IdleTimeout: gatewayIdle}
+	if err := g.serve(s.copies, g.config.DigestAddr); err != nil {
+		return err
+	}
 	return g.serve(s.front, g.config.CallerAddr)
 }
 
@@ -305,7 +346,7 @@
 
 // close closes what is open at once.
 func (s *gatewayServers) close() {
-	for _, server := range []*http.Server{s.front, s.ready, s.metrics} {
+	for _, server := range []*http.Server{s.front, s.ready, s.metrics, s.copies} {
 		if server != nil {
 			_ = server.Close() // the process or the test ends anyway
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,6 +85,7 @@
 		admit,
 		&Inspect{},
 		&Share{},
+		&Source{},
 		&Readiness{},
 	}
 	return s
--- a/knowledge.go
+++ b/knowledge.go
@@ -11,6 +11,9 @@
 // ErrTruncated reports that the log has dropped the entries asked for.
 const ErrTruncated = errors.ConstError("entries are no longer in the log")
 
+// ErrBehind reports that another VM's copy of a stream is too old to be used.
+const ErrBehind = errors.ConstError("copy of the stream is behind")
+
 // The compacted streams that the system uses.
 const (
 	// StreamRules carries the operators' configuration.
@@ -38,6 +41,32 @@
 	Entries []KeyedEntry
 	End     uint64 // the offset that the next entry will get
 	More    bool   // whether Newest has more behind the last key
+	// Lag is how long before the read was sent what it tells was the newest;
+	// zero for an answer of the log itself.
+	Lag time.Duration
+}
+
+// CopyRead asks for entries of a VM's copy of a compacted stream.
+type CopyRead struct {
+	Stream Stream
+	Whole  bool          // the newest entries of all keys, not just those from From on
+	From   uint64        // a copy that does not reach this offset is behind
+	Wait   time.Duration // for the first entry
+}
+
+// StreamCopies reads the copies that other entry VMs keep of compacted streams.
+type StreamCopies interface {
+	// Read asks the VM at addr. It returns [ErrBehind] if the VM has lost touch
+	// with the log, and [ErrTruncated] if its copy does not tell of all changes
+	// from the offset on.
+	Read(ctx context.Context, addr netip.AddrPort, read CopyRead) (page KeyedPage, err error)
+}
+
+// SourceEffect sets where this VM reads compacted streams: at one of other VMs,
+// or at the log if there are none.
+type SourceEffect struct {
+	VMs    []netip.AddrPort
+	Shared bool // whether VMs read for one another
 }
 
 // KeyedEntry is an entry of a compacted stream. Without a value it drops the
--- /dev/null
+++ b/peer/copies_test.go
@@ -0,0 +1,69 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/peer"
+	"lentilmux.example/lentilmux/service"
+)
+
+// copyReader answers every question in the same way and writes it down.
+type copyReader struct {
+	out  *strings.Builder
+	page lentilmux.KeyedPage
+	err  error
+}
+
+func (r *copyReader) Read(_ context.Context, read lentilmux.CopyRead) (page lentilmux.KeyedPage, err error) {
+	fmt.Fprintf(r.out, "asked %+v\n", read)
+	return r.page, r.err
+}
+
+// TestCopiesArriveAsGiven compares questions and answers between two VMs over
+// loopback with the golden file.
+func TestCopiesArriveAsGiven(t *testing.T) {
+	read := lentilmux.CopyRead{Stream: lentilmux.StreamMembers, From: 17, Wait: 800 * time.Millisecond}
+	cases := []struct {
+		name   string
+		read   lentilmux.CopyRead
+		reader copyReader
+	}{
+		{"entries", read, copyReader{page: lentilmux.KeyedPage{End: 1 << 40, Lag: 3 * time.Millisecond, Entries: []lentilmux.KeyedEntry{
+			{Key: "a", Value: []byte("\x00\xff"), Offset: 18}, {Key: "b", Offset: 1<<40 - 1},
+		}}}},
+		{"newer than the question", lentilmux.CopyRead{Stream: lentilmux.StreamRules, Whole: true}, copyReader{page: lentilmux.KeyedPage{Lag: -time.Second}}},
+		{"behind", read, copyReader{err: lentilmux.ErrBehind}},
+		{"truncated", read, copyReader{err: lentilmux.ErrTruncated}},
+		{"another error", read, copyReader{err: errors.New("broken")}},
+	}
+	var out strings.Builder
+	client := peer.NewCopies(service.NewClient())
+	for _, c := range cases {
+		fmt.Fprintf(&out, "== %s\n", c.name)
+		c.reader.out = &out
+		mux := http.NewServeMux()
+		mux.Handle(peer.NewCopyHandler(&c.reader))
+		server := httptest.NewServer(mux)
+		addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+		page, err := client.Read(t.Context(), addr, c.read)
+		if err != nil {
+			text := strings.ReplaceAll(err.Error(), addr.String(), "ADDR")
+			fmt.Fprintf(&out, "error %s; truncated=%t behind=%t\n", text, errors.Is(err, lentilmux.ErrTruncated), errors.Is(err, lentilmux.ErrBehind))
+		} else {
+			fmt.Fprintf(&out, "end %d lag %s entries %+v\n", page.End, page.Lag, page.Entries)
+		}
+		server.Close()
+	}
+	goldie.New(t).Assert(t, "copies", []byte(out.String()))
+}
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -24,6 +24,8 @@
 const (
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "lentilmux.peer.v1.PeerService"
+	// CopyServiceName is the fully-qualified name of the CopyService service.
+	CopyServiceName = "lentilmux.peer.v1.CopyService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -38,6 +40,8 @@
 	PeerServiceExchangeProcedure = "/lentilmux.peer.v1.PeerService/Exchange"
 	// PeerServiceSnapshotProcedure is the fully-qualified name of the PeerService's Snapshot RPC.
 	PeerServiceSnapshotProcedure = "/lentilmux.peer.v1.PeerService/Snapshot"
+	// CopyServiceReadProcedure is the fully-qualified name of the CopyService's Read RPC.
+	CopyServiceReadProcedure = "/lentilmux.peer.v1.CopyService/Read"
 )
 
 // PeerServiceClient is a client for the lentilmux.peer.v1.PeerService service.
@@ -139,3 +143,75 @@
 func (UnimplementedPeerServiceHandler) Snapshot(context.Context, *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilmux.peer.v1.PeerService.Snapshot is not implemented"))
 }
+
+// CopyServiceClient is a client for the lentilmux.peer.v1.CopyService service.
+type CopyServiceClient interface {
+	// Read returns entries of this VM's copy and waits for the first.
+	Read(context.Context, *connect.Request[peerpb.CopyReadRequest]) (*connect.Response[peerpb.CopyReadResponse], error)
+}
+
+// NewCopyServiceClient constructs a client for the lentilmux.peer.v1.CopyService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCopyServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CopyServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	copyServiceMethods := peerpb.File_peer_peerpb_peer_proto.Services().ByName("CopyService").Methods()
+	return &copyServiceClient{
+		read: connect.NewClient[peerpb.CopyReadRequest, peerpb.CopyReadResponse](
+			httpClient,
+			baseURL+CopyServiceReadProcedure,
+			connect.WithSchema(copyServiceMethods.ByName("Read")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// copyServiceClient implements CopyServiceClient.
+type copyServiceClient struct {
+	read *connect.Client[peerpb.CopyReadRequest, peerpb.CopyReadResponse]
+}
+
+// Read calls lentilmux.peer.v1.CopyService.Read.
+func (c *copyServiceClient) Read(ctx context.Context, req *connect.Request[peerpb.CopyReadRequest]) (*connect.Response[peerpb.CopyReadResponse], error) {
+	return c.read.CallUnary(ctx, req)
+}
+
+// CopyServiceHandler is an implementation of the lentilmux.peer.v1.CopyService service.
+type CopyServiceHandler interface {
+	// Read returns entries of this VM's copy and waits for the first.
+	Read(context.Context, *connect.Request[peerpb.CopyReadRequest]) (*connect.Response[peerpb.CopyReadResponse], error)
+}
+
+// NewCopyServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCopyServiceHandler(svc CopyServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	copyServiceMethods := peerpb.File_peer_peerpb_peer_proto.Services().ByName("CopyService").Methods()
+	copyServiceReadHandler := connect.NewUnaryHandler(
+		CopyServiceReadProcedure,
+		svc.Read,
+		connect.WithSchema(copyServiceMethods.ByName("Read")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/lentilmux.peer.v1.CopyService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CopyServiceReadProcedure:
+			copyServiceReadHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCopyServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedCopyServiceHandler struct{}
+
+func (UnimplementedCopyServiceHandler) Read(context.Context, *connect.Request[peerpb.CopyReadRequest]) (*connect.Response[peerpb.CopyReadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lentilmux.peer.v1.CopyService.Read is not implemented"))
+}
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -37,14 +37,14 @@
 	clock  func() time.Time
 	stream lentilmux.Stream
 	decode Decode
-	pace   Pace
+	pace   func(stream lentilmux.Stream) Pace
 	retry  time.Duration // the last pause after a read that failed; zero if it did not
 }
 
 // NewFollower returns a follower of one stream. The clock has to go on while
 // the VM is suspended. The answer about a quiet stream renews the age of what
-// is known.
-func NewFollower(log lentilmux.KeyedLog, node lentilmux.Asker, clock func() time.Time, stream lentilmux.Stream, decode Decode, pace Pace) *Follower {
+// is known. The pace is asked for before each read.
+func NewFollower(log lentilmux.KeyedLog, node lentilmux.Asker, clock func() time.Time, stream lentilmux.Stream, decode Decode, pace func(stream lentilmux.Stream) Pace) *Follower {
 	return &Follower{log: log, node: node, clock: clock, stream: stream, decode: decode, pace: pace}
 }
 
@@ -75,7 +75,7 @@
 		if err != nil {
 			return
 		}
-		sleep(ctx, f.pace.Spacing-time.Since(started))
+		sleep(ctx, f.pace(f.stream).Spacing-time.Since(started))
 	}
 }
 
@@ -92,6 +92,7 @@
 		}
 		if part == 0 {
 			next = page.End
+			msg.AsOf = msg.AsOf.Add(-page.Lag)
 		}
 		for _, entry := range page.Entries {
 			msg.Facts = append(msg.Facts, f.decode(entry))
@@ -112,7 +113,7 @@
 // follow reads what came since next.
 func (f *Follower) follow(ctx context.Context, next uint64) (msg lentilmux.KnowledgeMsg, end uint64, err error) {
 	defer errors.DeferredAnnotatef(&err, "following %s", f.stream)
-	wait := f.pace.Wait
+	wait := f.pace(f.stream).Wait
 	if f.retry > 0 {
 		wait = 0 // news of whether the store answers comes first
 	}
@@ -123,6 +124,7 @@
 	if err != nil {
 		return msg, next, err
 	}
+	msg.AsOf = msg.AsOf.Add(-page.Lag)
 	for _, entry := range page.Entries {
 		msg.Facts = append(msg.Facts, f.decode(entry))
 		next = entry.Offset + 1
--- a/platformlog/follower_test.go
+++ b/platformlog/follower_test.go
@@ -108,7 +108,10 @@
 			defer cancel()
 			s := &keyedScript{started: time.Now(), answers: c.answers}
 			decode := func(e lentilmux.KeyedEntry) lentilmux.Fact { return lentilmux.Fact{Key: e.Key, Offset: e.Offset} }
-			platformlog.NewFollower(s, s, time.Now, lentilmux.StreamRules, decode, platformlog.Pace{Wait: wait, Spacing: 250 * time.Millisecond}).Run(ctx)
+			pace := func(lentilmux.Stream) platformlog.Pace {
+				return platformlog.Pace{Wait: wait, Spacing: 250 * time.Millisecond}
+			}
+			platformlog.NewFollower(s, s, time.Now, lentilmux.StreamRules, decode, pace).Run(ctx)
 			fmt.Fprintf(&out, "== %s\n%s", c.name, s.out.String())
 		})
 	}
