Choose zones by slow signals, and not all the same one

Change: costs of whole zones vary from request to request, prompts that wait elsewhere count a quarter since the knowledge of them is older than they are, and running streams count double.

Zones still swing when memory is short.

--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -27,9 +27,19 @@
 	// writtenPart is the part of an answer that counts as memory, since it
 	// grows while the request runs.
 	writtenPart = 0.75
+	// waitingPart is the part of the prompts waiting elsewhere that counts. What
+	// a VM knows of them is older than the time it takes to read them, so all of
+	// it would send everybody from one zone to the other by turns.
+	waitingPart = 0.25
+	// streamWeight weighs the time that a request adds to each of those that
+	// run already.
+	streamWeight = 4
 	// jitter varies costs so that VMs with the same knowledge do not all pick
 	// the same path.
 	jitter = 0.06
+	// zoneJitter does the same for whole availability zones. VMs learn of one
+	// another's choices late, so zones of nearly the same cost have to share.
+	zoneJitter = 0.5
 )
 
 // Memory returns the tokens for which a request needs memory in each layer.
@@ -48,6 +58,7 @@
 	cost   []float64 // of the way to a node, by interval and node
 	from   []int     // the node of the interval before, by interval and node
 	open   []int     // nodes with room, the cheapest of each zone and range
+	vary   []float64 // factor of a zone's costs
 	zones  []int     // cheapest node of each zone in the last interval
 }
 
@@ -75,7 +86,7 @@
 	perStream := m.StepPerStream.Seconds() + m.StepPerContext.Seconds()*context/1000
 	c.layer = c.layer[:0]
 	c.cuts = append(c.cuts[:0], ask.Layers.First, ask.Layers.Last+1)
-	c.open = c.open[:0]
+	c.open, c.vary = c.open[:0], c.vary[:0]
 	c.groups.reset(len(nodes))
 	for i := range nodes {
 		n := &nodes[i]
@@ -88,10 +99,10 @@
 			c.layer = append(c.layer, math.Inf(1))
 			continue
 		}
-		step := n.Pace * (m.Step.Seconds() + 2*float64(n.Streams+1)*perStream)
-		read := n.Factor * float64(ask.Prompt+n.Waiting) / m.ReadPerSecond
+		step := n.Pace * (m.Step.Seconds() + streamWeight*float64(n.Streams+1)*perStream)
+		read := n.Factor * (float64(ask.Prompt) + waitingPart*float64(n.Waiting)) / m.ReadPerSecond
 		cost := (float64(ask.Answer)*step + read) / float64(m.Layers) / (fillEdge - fill)
-		c.layer = append(c.layer, cost*(1+jitter*c.random.Float64()))
+		c.layer = append(c.layer, cost*c.varied(n.Zone)*(1+jitter*c.random.Float64()))
 		c.admit(nodes, i)
 	}
 	for _, i := range c.open {
@@ -105,6 +116,14 @@
 	c.cuts = slices.Compact(c.cuts)
 }
 
+// varied returns the factor of a zone's costs for this request.
+func (c *Chains) varied(zone int) float64 {
+	for zone >= len(c.vary) {
+		c.vary = append(c.vary, 1+zoneJitter*c.random.Float64())
+	}
+	return c.vary[zone]
+}
+
 // admit lists a node unless one of the same zone and range is cheaper. Nodes
 // that may not be the first of a path are a group of their own.
 func (c *Chains) admit(nodes []lentilmux.ChainNode, i int) {
--- a/dispatch/chain_test.go
+++ b/dispatch/chain_test.go
@@ -62,6 +62,32 @@
 	goldie.New(t).Assert(t, "chains", []byte(out.String()))
 }
 
+// TestZonesShare compares how a hundred requests spread over availability zones
+// while what VMs know of one another's work does not change.
+func TestZonesShare(t *testing.T) {
+	var out strings.Builder
+	ask := lentilmux.ChainAsk{Model: chainModel(8), Layers: lentilmux.LayerRange{Last: 7}, Prompt: 700, Answer: 200, Within: true}
+	for _, busier := range []int{0, 2000, 10000, 100000} {
+		counts := make([]int, 3)
+		chains := dispatch.NewChains(1)
+		var nodes []lentilmux.ChainNode
+		for zone := range counts {
+			for _, n := range []lentilmux.ChainNode{node(zone, 0, 3, 2), node(zone, 4, 7, 2)} {
+				if zone == 0 {
+					n.Waiting = busier
+				}
+				nodes = append(nodes, n)
+			}
+		}
+		for range 100 {
+			path, _, _ := chains.Choose(ask, nodes, nil)
+			counts[nodes[path[0].Node].Zone]++
+		}
+		fmt.Fprintf(&out, "%d more tokens wait in the first zone: %v\n", busier, counts)
+	}
+	goldie.New(t).Assert(t, "zones", []byte(out.String()))
+}
+
 // BenchmarkChains chooses paths at the size of today and at the size to come.
 func BenchmarkChains(b *testing.B) {
 	for _, count := range []int{33, 2400} {
