Share requests over zones by the inverse square of their costs

Cause: a zone still got nothing for a second and everything in the next as soon as its cost was half again that of the others. Change: a zone's costs vary by the root of an exponential draw, so that each gets requests in proportion to the inverse square of its costs, with no edge. The log line of a path names how full its fullest upstream is.

Ruled out by that line: memory; while firsts came late the fullest upstreams of the paths were at 0.7 of it.

--- a/chain.go
+++ b/chain.go
@@ -108,6 +108,7 @@
 type ChainPace struct {
 	First time.Duration // to the first event
 	Gap   time.Duration // between events
+	Fill  float64       // of the memory of the fullest upstream, with the request
 }
 
 // ChainChoice picks the upstreams that run a request's layers in order.
--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -37,9 +37,6 @@
 	// jitter varies costs so that VMs with the same knowledge do not all pick
 	// the same path.
 	jitter = 0.06
-	// zoneJitter does the same for whole availability zones. VMs learn of one
-	// another's choices late, so zones of nearly the same cost have to share.
-	zoneJitter = 0.5
 )
 
 // Memory returns the tokens for which a request needs memory in each layer.
@@ -58,6 +55,7 @@
 	cost   []float64 // of the way to a node, by interval and node
 	from   []int     // the node of the interval before, by interval and node
 	open   []int     // nodes with room, the cheapest of each zone and range
+	fill   []float64 // of a node's memory with the request
 	vary   []float64 // factor of a zone's costs
 	zones  []int     // cheapest node of each zone in the last interval
 }
@@ -75,7 +73,11 @@
 		return path, pace, false
 	}
 	chosen = c.trace(nodes, path, last)
-	return chosen, paceOf(ask, nodes, chosen[len(path):]), true
+	pace = paceOf(ask, nodes, chosen[len(path):])
+	for _, part := range chosen[len(path):] {
+		pace.Fill = max(pace.Fill, c.fill[part.Node])
+	}
+	return chosen, pace, true
 }
 
 // weigh computes what a layer costs at each node, and the cuts between ranges.
@@ -84,17 +86,17 @@
 	need := Memory(ask.Prompt, ask.Answer)
 	context := float64(m.UsualPrompt) + float64(m.UsualAnswer)/2
 	perStream := m.StepPerStream.Seconds() + m.StepPerContext.Seconds()*context/1000
-	c.layer = c.layer[:0]
+	c.layer, c.fill = c.layer[:0], c.fill[:0]
 	c.cuts = append(c.cuts[:0], ask.Layers.First, ask.Layers.Last+1)
 	c.open, c.vary = c.open[:0], c.vary[:0]
 	c.groups.reset(len(nodes))
 	for i := range nodes {
 		n := &nodes[i]
-		if n.Capacity <= 0 || n.Pace <= 0 {
-			c.layer = append(c.layer, math.Inf(1))
-			continue
+		fill := math.Inf(1)
+		if n.Capacity > 0 && n.Pace > 0 {
+			fill = (float64(n.Reserved) + float64(need)*float64(min(n.Holds.Len(), ask.Layers.Len()))) / float64(n.Capacity)
 		}
-		fill := (float64(n.Reserved) + float64(need)*float64(min(n.Holds.Len(), ask.Layers.Len()))) / float64(n.Capacity)
+		c.fill = append(c.fill, fill)
 		if fill > fillMost {
 			c.layer = append(c.layer, math.Inf(1))
 			continue
@@ -116,10 +118,12 @@
 	c.cuts = slices.Compact(c.cuts)
 }
 
-// varied returns the factor of a zone's costs for this request.
+// varied returns the factor of a zone's costs for this request. VMs learn of one
+// another's choices late, so zones share the requests by the inverse square of
+// their costs instead of all going to the cheapest.
 func (c *Chains) varied(zone int) float64 {
 	for zone >= len(c.vary) {
-		c.vary = append(c.vary, 1+zoneJitter*c.random.Float64())
+		c.vary = append(c.vary, math.Sqrt(c.random.ExpFloat64()))
 	}
 	return c.vary[zone]
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -33,7 +33,7 @@
 	leg.Gap = min(max(4*pace.Gap, t.Limits.SilentLeast), t.Limits.SilentMost)
 	t.Decide(lentilmux.Decision{
 		What: "path_chosen", Subject: string(flight.ID), Chosen: pathText(leg.Path),
-		Reason: fmt.Sprintf("leg=%d prompt=%d answer=%d first=%dms gap=%dms of %d", leg.Epoch, ask.Prompt, ask.Answer, pace.First.Milliseconds(), pace.Gap.Milliseconds(), len(a.nodes)),
+		Reason: fmt.Sprintf("leg=%d prompt=%d answer=%d first=%dms gap=%dms fill=%.2f of %d", leg.Epoch, ask.Prompt, ask.Answer, pace.First.Milliseconds(), pace.Gap.Milliseconds(), pace.Fill, len(a.nodes)),
 	})
 	return true
 }
