Put changed settings in force without a start

Cause: SIGHUP was noted and ignored; the file may also change without a signal. Change: the file is read at SIGHUP and when it has changed, looked at once a second. Bounds and memory are put in force as a whole; a file with mistakes, or with other names or addresses, is refused with the reason and what is in force stays. Nothing that runs is cut.

--- a/cmd/lentilmux/platform.go
+++ b/cmd/lentilmux/platform.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -21,28 +19,25 @@
 func servePlatform(ctx context.Context, cancel context.CancelFunc, o *options, logger *logrus.Logger) (err error) {
 	defer errors.DeferredAnnotatef(&err, "serving on the platform")
 	logger.SetOutput(os.Stdout)
-	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryMB<<20)))
-	}
+	limitMemory(settings)
 	gateway, err := platform.NewGateway(settings, uint16(*o.metricsPort), logger)
 	if err != nil {
 		return err
 	}
 	go stopOnSignal(gateway.Drain, cancel)
-	go ignoreReloads(logger)
+	reload := &reload{path: path, inForce: settings, gateway: gateway, logger: logger}
+	go reload.run(ctx)
 	return gateway.Run(ctx)
 }
 
-// ignoreReloads notes that the settings file has changed. What it holds of
-// names, addresses and bounds is read once, at the start.
-func ignoreReloads(logger *logrus.Logger) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	for range reloads {
-		logger.WithField("what", "settings_changed").Info("decision")
+// limitMemory bounds the runtime's memory by the settings.
+func limitMemory(settings platform.Settings) {
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryMB<<20)))
 	}
 }
--- /dev/null
+++ b/cmd/lentilmux/reload.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"lentilmux.example/lentilmux/fleet"
+	"lentilmux.example/lentilmux/platform"
+)
+
+// reloadEvery is the pause between two looks at the settings file, which may
+// change without a signal.
+const reloadEvery = time.Second
+
+// errFixed reports settings that only another start can put in force.
+const errFixed = errors.ConstError("names and addresses cannot change while the process runs")
+
+// limited is a gateway whose limits may change.
+type limited interface {
+	Limit(ctx context.Context, limits fleet.Limits) error
+}
+
+// reload puts changed settings in force, as a whole or not at all.
+type reload struct {
+	path    string
+	inForce platform.Settings
+	seen    os.FileInfo // of the file when it was last read; nil before
+	gateway limited
+	logger  *logrus.Logger
+}
+
+// run reads the file at each SIGHUP and when it has changed, until ctx ends.
+func (r *reload) run(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	r.changed()
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-signals:
+			r.changed()
+			r.read(ctx, "signal")
+		case <-ticker.C:
+			if r.changed() {
+				r.read(ctx, "file changed")
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// changed reports whether the file is another one than at the last call. A file
+// that is not there now is looked for again.
+func (r *reload) changed() bool {
+	info, err := os.Stat(r.path)
+	if err != nil {
+		return false
+	}
+	before := r.seen
+	r.seen = info
+	return before != nil && (!os.SameFile(before, info) || !before.ModTime().Equal(info.ModTime()) || before.Size() != info.Size())
+}
+
+// read puts the file in force, or says why it does not.
+func (r *reload) read(ctx context.Context, why string) {
+	line := r.logger.WithFields(logrus.Fields{"what": "settings_read", "subject": r.path, "reason": why})
+	settings, err := platform.ReadSettings(r.path)
+	if err == nil && settings.Fixed() != r.inForce.Fixed() {
+		err = errFixed
+	}
+	if err == nil {
+		err = r.gateway.Limit(ctx, settings.NodeLimits())
+	}
+	if err != nil {
+		line.WithFields(logrus.Fields{"chosen": "kept", "error": err.Error()}).Warn("decision")
+		return
+	}
+	limitMemory(settings)
+	r.inForce = settings
+	line.WithField("chosen", "in_force").Info("decision")
+}
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -107,6 +107,7 @@
 	copies  *platformlog.Copies
 	log     *platformlog.Nearby
 	shared  atomic.Bool // whether VMs read for one another
+	limits  atomic.Pointer[fleet.Limits]
 
 	ctx   context.Context // of the run; set before the first effect
 	leave chan struct{}
@@ -121,7 +122,8 @@
 		return nil, err
 	}
 	g.state.bodyMost.Store(defaultBodyMost)
-	g.copies = platformlog.NewCopies(config.Clock, part(config.Limits.ReadyMost, copyOldestPart))
+	g.limits.Store(&config.Limits)
+	g.copies = platformlog.NewCopies(config.Clock, func() time.Duration { return part(g.limits.Load().ReadyMost, copyOldestPart) })
 	g.log = platformlog.NewNearby(peers.Log, peers.Copies, g.copies, config.Clock, g.badCopy)
 	model := fleet.New(fleet.Self{
 		Name: config.Name, Zone: config.Zone, Addr: config.DigestAddr, Incarnation: uint64(config.Clock().UnixNano()), Started: config.Clock(),
@@ -138,6 +140,12 @@
 	g.once.Do(func() { close(g.leave) })
 }
 
+// Limit puts other limits in force while the VM runs. What runs goes on.
+func (g *Gateway) Limit(ctx context.Context, limits fleet.Limits) (err error) {
+	g.limits.Store(&limits)
+	return g.node.Send(ctx, fleet.LimitsMsg{Limits: limits})
+}
+
 // Run serves until ctx ends, which stops at once, or until a planned stop that
 // [Gateway.Drain] began is done.
 func (g *Gateway) Run(ctx context.Context) (err error) {
@@ -179,14 +187,15 @@
 	g.state.draining.Store(true)
 	// The node only fails when it stops itself.
 	_ = g.node.Send(ctx, lentilmux.LeaveMsg{})
-	timer := time.NewTimer(g.config.Limits.DrainNotReady)
+	limits := g.limits.Load()
+	timer := time.NewTimer(limits.DrainNotReady)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, g.config.Limits.DrainMost-g.config.Limits.DrainNotReady)
+	ctx, cancel := context.WithTimeout(ctx, limits.DrainMost-limits.DrainNotReady)
 	defer cancel()
 	if err := servers.front.Shutdown(ctx); err != nil {
 		g.lines.write(lentilmux.Decision{What: "stop_cut", Subject: g.config.Name, Reason: err.Error()})
@@ -195,7 +204,7 @@
 
 // pace returns how often a stream is read.
 func (g *Gateway) pace(stream lentilmux.Stream) (pace platformlog.Pace) {
-	limits, rulesPart, spacingPart := &g.config.Limits, rulesWaitPart, 1.0
+	limits, rulesPart, spacingPart := g.limits.Load(), rulesWaitPart, 1.0
 	wait := membersWait
 	if g.shared.Load() {
 		rulesPart, spacingPart, wait = sharedRulesPart, sharedSpacingPart, sharedMembersWait
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -20,6 +20,11 @@
 	Ticket lentilmux.Ticket
 }
 
+// LimitsMsg puts other limits in force.
+type LimitsMsg struct {
+	Limits Limits
+}
+
 // Events are the messages of one tick.
 type Events struct {
 	Knowledge []lentilmux.KnowledgeMsg
@@ -33,6 +38,7 @@
 	Silent    []SilentLegRow
 	Moved     []lentilmux.RepathMsg
 	Done      []lentilmux.LegDoneMsg
+	Limits    *Limits
 	Leave     bool
 }
 
@@ -61,6 +67,8 @@
 		e.Moved = append(e.Moved, x)
 	case lentilmux.LegDoneMsg:
 		e.Done = append(e.Done, x)
+	case LimitsMsg:
+		e.Limits = &x.Limits
 	case lentilmux.LeaveMsg:
 		e.Leave = true
 	}
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -7,13 +7,17 @@
 	"lentilmux.example/lentilmux"
 )
 
-// Learn takes in what reads of the store told: configuration, upstreams and
-// entry VMs. It reads Events.Knowledge and Events.Unheard and writes Knowledge,
-// Rules, Members, VMs and Zones.
+// Learn takes in new limits and what reads of the store told: configuration,
+// upstreams and entry VMs. It reads Events.Limits, Events.Knowledge and
+// Events.Unheard and writes Limits, Knowledge, Rules, Members, VMs and Zones.
 type Learn struct{}
 
 // Run implements [System].
 func (l *Learn) Run(t *Tables, now time.Time) {
+	if t.Events.Limits != nil {
+		t.Limits = *t.Events.Limits
+		t.Decide(lentilmux.Decision{What: "limits_installed", Subject: t.Self.Name, Reason: "settings changed"})
+	}
 	for _, failed := range t.Events.Unheard {
 		l.fail(t, failed)
 	}
--- a/platformlog/copies.go
+++ b/platformlog/copies.go
@@ -13,7 +13,7 @@
 // answer other VMs. All methods may be called at once.
 type Copies struct {
 	clock  func() time.Time
-	oldest time.Duration
+	oldest func() time.Duration
 
 	mu      sync.Mutex
 	streams map[lentilmux.Stream]*streamCopy
@@ -30,8 +30,8 @@
 }
 
 // NewCopies returns empty copies. They answer nobody with a configuration that
-// is older than oldest.
-func NewCopies(clock func() time.Time, oldest time.Duration) *Copies {
+// is older than what oldest says.
+func NewCopies(clock func() time.Time, oldest func() time.Duration) *Copies {
 	return &Copies{clock: clock, oldest: oldest, streams: make(map[lentilmux.Stream]*streamCopy), changed: make(chan struct{})}
 }
 
@@ -149,5 +149,5 @@
 		}
 	}
 	rules := c.streams[lentilmux.StreamRules]
-	return rules != nil && c.clock().Sub(rules.asOf) > c.oldest
+	return rules != nil && c.clock().Sub(rules.asOf) > c.oldest()
 }
--- a/platformlog/copies_test.go
+++ b/platformlog/copies_test.go
@@ -61,6 +61,7 @@
 func TestCopies(t *testing.T) {
 	const rules = lentilmux.StreamRules
 	ctx := context.Background()
+	oldest := func() time.Duration { return 2 * time.Second }
 	gone := lentilmux.KeyedEntry{Key: "b", Offset: 9}
 	cases := []struct {
 		name string
@@ -153,7 +154,7 @@
 	var out strings.Builder
 	for _, c := range cases {
 		synctest.Test(t, func(*testing.T) {
-			one, two := platformlog.NewCopies(time.Now, 2*time.Second), platformlog.NewCopies(time.Now, 2*time.Second)
+			one, two := platformlog.NewCopies(time.Now, oldest), platformlog.NewCopies(time.Now, oldest)
 			s := &copyScript{
 				keyedScript: keyedScript{started: time.Now()},
 				relays:      map[netip.AddrPort]*platformlog.Copies{relayOne: one, relayTwo: two}, silent: make(map[netip.AddrPort]bool),
@@ -161,7 +162,7 @@
 			failed := func(addr netip.AddrPort, err error) {
 				fmt.Fprintf(&s.out, "%6s %s of no use: %v\n", time.Since(s.started), addr.Addr(), errors.Cause(err))
 			}
-			near := platformlog.NewNearby(s, s, platformlog.NewCopies(time.Now, 2*time.Second), time.Now, failed)
+			near := platformlog.NewNearby(s, s, platformlog.NewCopies(time.Now, oldest), time.Now, failed)
 			near.Prefer([]netip.AddrPort{relayOne, relayTwo})
 			c.play(s, near, one, two)
 			fmt.Fprintf(&out, "== %s\n%s", c.name, s.out.String())
