Give more upstreams the first layers

Cause: an upstream takes 192 requests at once as the first of a path. The placement did not know of that and gave the first layers to two or three upstreams a zone, 1,344 places in all, while some 1,360 requests are under way. Change: what the first layers carry counts the places of their holders, over the time that a request stays; 2,304 places for the same upstreams.

TestFirstsTakeAll holds the places by zone.

--- a/chain.go
+++ b/chain.go
@@ -123,6 +123,7 @@
 	Upstream string
 	Zone     int
 	Card     Card
+	Slots    int // requests that it takes at once as the first of a path; zero for no bound
 	Holds    LayerRange
 	Held     bool // whether Holds stays as it is
 }
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -76,7 +76,7 @@
 	nodes := make([]lentilmux.RangeNode, len(rows))
 	for i, row := range rows {
 		_, card := t.Engine(row)
-		nodes[i] = lentilmux.RangeNode{Upstream: row.ID, Zone: t.Zones.Index(row.Zone), Card: card, Holds: row.Holds, Held: row.Held}
+		nodes[i] = lentilmux.RangeNode{Upstream: row.ID, Zone: t.Zones.Index(row.Zone), Card: card, Slots: row.Slots, Holds: row.Holds, Held: row.Held}
 		if row.Targeted {
 			nodes[i].Holds, nodes[i].Held = row.Target, true
 		}
--- a/placement/ranges.go
+++ b/placement/ranges.go
@@ -15,6 +15,9 @@
 	rounds = 6
 	// batch is the number of requests that a step is assumed to serve.
 	batch = 24
+	// waits is how many times longer a token takes than its steps, since it
+	// waits at each upstream for the pass under way.
+	waits = 2.5
 	// lent is the part of a layer's capacity in other availability zones that
 	// stands in where a zone has little of its own.
 	lent = 0.08
@@ -48,6 +51,15 @@
 	zone   int
 	layers lentilmux.LayerRange
 	rate   float64
+	first  float64 // the same of the first layers
+}
+
+// at returns the requests a second that count at a grain.
+func (h holding) at(g int) float64 {
+	if g == 0 {
+		return h.first
+	}
+	return h.rate
 }
 
 // Spread implements [lentilmux.RangePlacement].
@@ -101,14 +113,29 @@
 	step := card.Pace * (m.Step.Seconds()/batch + m.StepPerStream.Seconds() + m.StepPerContext.Seconds()*context)
 	work := share * (answer*step + card.ReadFactor*prompt/m.ReadPerSecond)
 	bySpeed := 1 / math.Max(work, 1e-9)
-	// A request holds memory for as long as its tokens take on a path of
-	// cards of middling pace.
-	held := answer * s.usualPace() * (m.Step.Seconds() + batch*m.StepPerStream.Seconds())
 	tokens := float64(m.CacheMost(card, layers)) / float64(layers)
-	byMemory := tokens / math.Max((prompt+answer/2)*held, 1e-9)
+	byMemory := tokens / math.Max((prompt+answer/2)*s.stay(), 1e-9)
 	return 1 / (1/bySpeed + 1/math.Max(byMemory, 1e-9))
 }
 
+// stay is for how long a request holds memory, in seconds: as long as the steps
+// of its tokens take on a path of cards of middling pace.
+func (s *spread) stay() float64 {
+	m := s.model
+	return float64(m.UsualAnswer) * s.usualPace() * (m.Step.Seconds() + batch*m.StepPerStream.Seconds())
+}
+
+// holding returns what a node with a range counts for. As the first of a path it
+// takes only so many requests at once.
+func (s *spread) holding(n lentilmux.RangeNode, layers lentilmux.LayerRange) (h holding) {
+	h = holding{zone: n.Zone, layers: layers, rate: s.rate(n.Card, layers.Len())}
+	h.first = h.rate
+	if n.Slots > 0 {
+		h.first = 1 / (1/h.rate + waits*s.stay()/float64(n.Slots))
+	}
+	return h
+}
+
 // usualPace is the geometric mean of the cards' paces.
 func (s *spread) usualPace() float64 {
 	if len(s.model.Cards) == 0 {
@@ -123,29 +150,29 @@
 
 // add counts a node's range.
 func (s *spread) add(n lentilmux.RangeNode, layers lentilmux.LayerRange) {
-	rate := s.rate(n.Card, layers.Len())
-	s.held = append(s.held, holding{zone: n.Zone, layers: layers, rate: rate})
+	h := s.holding(n, layers)
+	s.held = append(s.held, h)
 	for g := layers.First / s.length; g <= layers.Last/s.length && g < s.grains; g++ {
 		at := n.Zone*s.grains + g
-		s.carry[at] += rate
-		s.total[g] += rate
-		s.most[at] = math.Max(s.most[at], rate)
+		s.carry[at] += h.at(g)
+		s.total[g] += h.at(g)
+		s.most[at] = math.Max(s.most[at], h.at(g))
 	}
 }
 
 // remove takes a node's range off again.
 func (s *spread) remove(n lentilmux.RangeNode, layers lentilmux.LayerRange) {
-	rate := s.rate(n.Card, layers.Len())
-	i := slices.Index(s.held, holding{zone: n.Zone, layers: layers, rate: rate})
+	gone := s.holding(n, layers)
+	i := slices.Index(s.held, gone)
 	s.held = slices.Delete(s.held, i, i+1)
 	for g := layers.First / s.length; g <= layers.Last/s.length && g < s.grains; g++ {
 		at := n.Zone*s.grains + g
-		s.carry[at] -= rate
-		s.total[g] -= rate
+		s.carry[at] -= gone.at(g)
+		s.total[g] -= gone.at(g)
 		s.most[at] = 0
 		for _, h := range s.held {
 			if h.zone == n.Zone && h.layers.First/s.length <= g && g <= h.layers.Last/s.length {
-				s.most[at] = math.Max(s.most[at], h.rate)
+				s.most[at] = math.Max(s.most[at], h.at(g))
 			}
 		}
 	}
@@ -166,12 +193,12 @@
 	bestGain := math.Inf(-1)
 	most := min(s.model.LayersMost(n.Card)/s.length, s.grains)
 	for count := 1; count <= most; count++ {
-		rate := s.rate(n.Card, count*s.length)
+		h := s.holding(n, lentilmux.LayerRange{Last: count*s.length - 1})
 		gain := 0.0
 		for g := range s.grains {
-			gain += s.gain(n.Zone, g, rate)
+			gain += s.gain(n.Zone, g, h.at(g))
 			if g >= count {
-				gain -= s.gain(n.Zone, g-count, rate)
+				gain -= s.gain(n.Zone, g-count, h.at(g-count))
 			}
 			if g < count-1 || gain <= bestGain {
 				continue
--- a/placement/ranges_test.go
+++ b/placement/ranges_test.go
@@ -88,6 +88,32 @@
 	return false
 }
 
+// grown are the upstreams of one of our users after its growth.
+var grown = [][3]int{{2, 15, 12}, {4, 6, 14}, {2, 9, 22}}
+
+// TestFirstsTakeAll compares how many requests the upstreams with the first
+// layers take at once, by availability zone, with the golden file. 1,360 are
+// under way there at the usual load.
+func TestFirstsTakeAll(t *testing.T) {
+	model := fleetModel()
+	nodes := fleetNodes(model, grown)
+	for i := range nodes {
+		nodes[i].Slots = 192
+	}
+	var out strings.Builder
+	ranges := placement.Ranges{}.Spread(model, len(grown), nodes)
+	for zone := range grown {
+		slots := 0
+		for i, n := range nodes {
+			if n.Zone == zone && ranges[i].First == 0 {
+				slots += n.Slots
+			}
+		}
+		fmt.Fprintf(&out, "zone %d: %d\n", zone, slots)
+	}
+	goldie.New(t).Assert(t, "firsts", []byte(out.String()))
+}
+
 // TestRangesFit checks that nobody is given more than its card holds, and that
 // what is held stays.
 func TestRangesFit(t *testing.T) {
