Report the longest pause of a stream, and reload through one writer

Cause: what a caller saw as a pause was measured by the relay and told nobody; it now stands in the line of a request's end and in a histogram.

--- a/cmd/lentilmux/platform.go
+++ b/cmd/lentilmux/platform.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	go stopOnSignal(gateway.Drain, cancel)
-	reload := &reload{path: path, inForce: settings, gateway: gateway, logger: logger}
+	reload := &reload{path: path, inForce: settings, gateway: gateway}
 	go reload.run(ctx)
 	return gateway.Run(ctx)
 }
--- a/cmd/lentilmux/reload.go
+++ b/cmd/lentilmux/reload.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
+	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/fleet"
 	"lentilmux.example/lentilmux/platform"
 )
@@ -21,9 +21,10 @@
 // errFixed reports settings that only another start can put in force.
 const errFixed = errors.ConstError("names and addresses cannot change while the process runs")
 
-// limited is a gateway whose limits may change.
+// limited is a gateway whose limits may change, and its log.
 type limited interface {
 	Limit(ctx context.Context, limits fleet.Limits) error
+	Log(d lentilmux.Decision)
 }
 
 // reload puts changed settings in force, as a whole or not at all.
@@ -32,7 +33,6 @@
 	inForce platform.Settings
 	seen    os.FileInfo // of the file when it was last read; nil before
 	gateway limited
-	logger  *logrus.Logger
 }
 
 // run reads the file at each SIGHUP and when it has changed, until ctx ends.
@@ -72,7 +72,6 @@
 
 // read puts the file in force, or says why it does not.
 func (r *reload) read(ctx context.Context, why string) {
-	line := r.logger.WithFields(logrus.Fields{"what": "settings_read", "subject": r.path, "reason": why})
 	settings, err := platform.ReadSettings(r.path)
 	if err == nil && settings.Fixed() != r.inForce.Fixed() {
 		err = errFixed
@@ -81,10 +80,10 @@
 		err = r.gateway.Limit(ctx, settings.NodeLimits())
 	}
 	if err != nil {
-		line.WithFields(logrus.Fields{"chosen": "kept", "error": err.Error()}).Warn("decision")
+		r.gateway.Log(lentilmux.Decision{What: "settings_read", Subject: r.path, Chosen: "kept", Reason: why + ": " + err.Error()})
 		return
 	}
 	limitMemory(settings)
 	r.inForce = settings
-	line.WithField("chosen", "in_force").Info("decision")
+	r.gateway.Log(lentilmux.Decision{What: "settings_read", Subject: r.path, Chosen: "in_force", Reason: why})
 }
--- a/cmd/lentilmux/reload_test.go
+++ b/cmd/lentilmux/reload_test.go
@@ -9,8 +9,8 @@
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
-	"github.com/sirupsen/logrus"
 
+	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/fleet"
 	"lentilmux.example/lentilmux/platform"
 )
@@ -23,6 +23,10 @@
 	return nil
 }
 
+func (l limitsSeen) Log(d lentilmux.Decision) {
+	fmt.Fprintf(l.out, "  %s %s %s (%s)\n", d.What, d.Subject, d.Chosen, d.Reason)
+}
+
 // TestReload compares what becomes of changed settings with the golden file.
 func TestReload(t *testing.T) {
 	const text = `node_name = "entry-1"
@@ -55,10 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	logger := logrus.New()
-	logger.SetOutput(&out)
-	logger.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableColors: true, DisableQuote: true})
-	r := &reload{path: path, inForce: inForce, gateway: limitsSeen{&out}, logger: logger}
+	r := &reload{path: path, inForce: inForce, gateway: limitsSeen{&out}}
 	r.changed()
 	step := func(what, text string) {
 		fmt.Fprintf(&out, "== %s\n", what)
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -146,6 +146,9 @@
 	return g.node.Send(ctx, fleet.LimitsMsg{Limits: limits})
 }
 
+// Log writes a line beside those of the VM's own decisions.
+func (g *Gateway) Log(d lentilmux.Decision) { g.lines.write(d) }
+
 // Run serves until ctx ends, which stops at once, or until a planned stop that
 // [Gateway.Drain] began is done.
 func (g *Gateway) Run(ctx context.Context) (err error) {
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -26,6 +26,7 @@
 	decisions metric.Int64Counter
 	took      metric.Float64Histogram
 	first     metric.Float64Histogram
+	pause     metric.Float64Histogram
 }
 
 // newMetrics returns instruments that a Prometheus handler reads.
@@ -50,7 +51,10 @@
 	if m.took, err = meter.Float64Histogram("lentilmux_request_duration", metric.WithUnit("s"), metric.WithDescription("Time until a request ended.")); err != nil {
 		return nil, err
 	}
-	m.first, err = meter.Float64Histogram("lentilmux_first_token", metric.WithUnit("s"), metric.WithDescription("Time until the first token."))
+	if m.first, err = meter.Float64Histogram("lentilmux_first_token", metric.WithUnit("s"), metric.WithDescription("Time until the first token.")); err != nil {
+		return nil, err
+	}
+	m.pause, err = meter.Float64Histogram("lentilmux_longest_pause", metric.WithUnit("s"), metric.WithDescription("The longest time between two events of a stream."))
 	return m, err
 }
 
@@ -98,4 +102,7 @@
 	if r.First > 0 {
 		m.first.Record(ctx, r.First.Seconds())
 	}
+	if r.Gap > 0 {
+		m.pause.Record(ctx, r.Gap.Seconds())
+	}
 }
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -27,7 +27,7 @@
 		t.Flights.Remove(flight.ID)
 		t.Decide(lentilmux.Decision{
 			What: "request_done", Subject: string(msg.Request), Chosen: fmt.Sprint(msg.Status),
-			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms took=%dms", msg.Outcome, msg.Reason, flight.Route.Name, flight.Sends, msg.Events, msg.First.Milliseconds(), msg.Took.Milliseconds()),
+			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, flight.Route.Name, flight.Sends, msg.Events, msg.First.Milliseconds(), msg.Pause.Milliseconds(), msg.Took.Milliseconds()),
 		})
 	}
 }
--- a/forward.go
+++ b/forward.go
@@ -87,6 +87,7 @@
 	Status  int
 	Events  int
 	First   time.Duration // until the first byte of the answer; 0 without one
+	Pause   time.Duration // the longest between two events
 	Took    time.Duration
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -143,7 +143,7 @@
 	// The only errors are a stopped node and one that hangs.
 	_ = r.relay.node.Send(ctx, lentilmux.LegDoneMsg{
 		Request: r.inbound.ID, Outcome: r.result.Outcome, Reason: r.result.Reason, Status: r.result.Status,
-		Events: r.result.Events, First: r.result.First, Took: r.result.Took,
+		Events: r.result.Events, First: r.result.First, Pause: r.result.Gap, Took: r.result.Took,
 	})
 	r.relay.observe(r.result)
 }
