Shun upstreams that break sends, whatever they report

Change: two sends in a row that broke before an answer began keep an upstream from being the first of a path for 0.5 s, then ever longer, unless nothing else is left; only an answer that begins clears it. A request that is sent again starts at another first. Ruled out: suspecting it, since a report clears that at once.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -13,7 +13,12 @@
 func (a *Admit) chain(t *Tables, flight *FlightRow, model *lentilmux.EngineModel, leg *lentilmux.Leg, now time.Time) (ok bool) {
 	a.gather(t, flight.Service, now)
 	ask := lentilmux.ChainAsk{Model: model, Layers: lentilmux.LayerRange{Last: model.Layers - 1}, Zone: t.Zones.Index(t.Self.Zone), Prompt: flight.Prompt, Answer: expected(flight, model)}
+	closed := a.close(flight.Last, now)
 	parts, pace, ok := a.choose(t, ask, now)
+	if !ok && closed {
+		a.gather(t, flight.Service, now)
+		parts, pace, ok = a.choose(t, ask, now)
+	}
 	if !ok {
 		return false
 	}
@@ -123,7 +128,7 @@
 	if len(a.rows) == 0 {
 		return false
 	}
-	a.avoid(flight.Last)
+	a.shun(flight.Last, now)
 	row := a.rows[a.Dispatch.Pick(a.candidates)]
 	leg.Upstream, leg.Addr = row.ID, row.Addr
 	leg.Pulses = append(leg.Pulses, row.Pulse)
@@ -137,15 +142,3 @@
 	})
 	return true
 }
-
-// avoid takes the upstream of the last leg off the candidates if there are
-// others.
-func (a *Admit) avoid(id string) {
-	for i, row := range a.rows {
-		if row.ID == id && len(a.rows) > 1 {
-			a.rows = append(a.rows[:i], a.rows[i+1:]...)
-			a.candidates = append(a.candidates[:i], a.candidates[i+1:]...)
-			return
-		}
-	}
-}
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -16,6 +16,7 @@
 	for _, msg := range t.Events.Begun {
 		if flight := t.Flights.Find(msg.Request); flight != nil && flight.Epoch == msg.Epoch && !flight.Begun {
 			t.begun(flight)
+			t.answered(flight)
 		}
 	}
 	for _, msg := range t.Events.Done {
@@ -23,6 +24,9 @@
 		if flight == nil {
 			continue
 		}
+		if msg.Outcome == lentilmux.OutcomeAnswered {
+			t.answered(flight)
+		}
 		t.release(flight)
 		t.Flights.Remove(flight.ID)
 		t.Decide(lentilmux.Decision{
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -114,6 +114,7 @@
 	if restarted {
 		row.Targeted, row.Unclear, row.Orders, row.OrderedAt = false, false, 0, time.Time{}
 		row.SuspectUntil, row.SuspectFor, row.Misses, row.Dead, row.Slow = time.Time{}, 0, 0, false, 1
+		row.Breaks, row.ShunUntil = 0, time.Time{}
 	}
 	t.Zones.Index(row.Zone)
 	switch {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -20,6 +20,9 @@
 	SilentAfter    time.Duration // without a digest, until a VM counts as gone
 	SuspectFirst   time.Duration // until a suspected upstream is asked again
 	SuspectMost    time.Duration
+	BreaksMost     int           // sends that may break in a row before an upstream is shunned
+	ShunFirst      time.Duration // for which it is shunned then; doubles with each further one
+	ShunMost       time.Duration
 	InspectEvery   time.Duration // between two reports of an upstream
 	RulesSpacing   time.Duration // the least time between two reads of the configuration
 	MembersSpacing time.Duration // the same of the upstreams' entries
@@ -63,6 +66,9 @@
 		SilentAfter:    2 * time.Second,
 		SuspectFirst:   400 * time.Millisecond,
 		SuspectMost:    time.Second,
+		BreaksMost:     2,
+		ShunFirst:      500 * time.Millisecond,
+		ShunMost:       4 * time.Second,
 		InspectEvery:   time.Second,
 		RulesSpacing:   400 * time.Millisecond,
 		MembersSpacing: 700 * time.Millisecond,
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -22,6 +22,8 @@
 	SuspectUntil time.Time // takes no work before; zero if it is trusted
 	SuspectFor   time.Duration
 	FullUntil    time.Time // refused work of late; takes none before
+	Breaks       int       // sends in a row that broke before an answer began
+	ShunUntil    time.Time // is not the first of a path before, if there is another
 	Misses       int       // questions in a row that it did not answer
 	Dead         bool      // whether requests on it have to move
 	Hearsay      bool      // whether that is another VM's word
--- /dev/null
+++ b/fleet/shun.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// An upstream may report that it is well and still break every connection. What
+// it does to requests speaks against it then: it is shunned as the first of a
+// path after sends that broke in a row, and tried again after a while. Only an
+// answer that begins clears it, not a report.
+
+// broke counts a send that broke before an answer began.
+func (t *Tables) broke(row *MemberRow, now time.Time) {
+	row.Breaks++
+	more := row.Breaks - t.Limits.BreaksMost
+	if more < 0 {
+		return
+	}
+	pause := min(t.Limits.ShunFirst<<min(more, 8), t.Limits.ShunMost)
+	row.ShunUntil = now.Add(pause)
+	t.Decide(lentilmux.Decision{What: "upstream_shunned", Subject: row.ID, Chosen: pause.String(), Reason: fmt.Sprintf("%d sends in a row broke", row.Breaks)})
+}
+
+// answered notes that an answer began at the first upstream of a request.
+func (t *Tables) answered(f *FlightRow) {
+	if len(f.Parts) == 0 {
+		return
+	}
+	if row := t.Members.Find(f.Parts[0].Upstream); row != nil {
+		row.Breaks, row.ShunUntil = 0, time.Time{}
+	}
+}
+
+// shun takes upstreams off that are shunned, and the one of the last leg, if
+// others are left.
+func (a *Admit) shun(last string, now time.Time) {
+	kept := 0
+	for i, row := range a.rows {
+		if row.ID != last && !now.Before(row.ShunUntil) {
+			a.rows[kept], a.candidates[kept] = row, a.candidates[i]
+			kept++
+		}
+	}
+	if kept > 0 {
+		a.rows, a.candidates = a.rows[:kept], a.candidates[:kept]
+	}
+}
+
+// close keeps upstreams that are shunned, and the one of the last leg, from
+// being the first of a path. It returns whether there were any.
+func (a *Admit) close(last string, now time.Time) (any bool) {
+	for i, row := range a.rows {
+		if row.ID == last || now.Before(row.ShunUntil) {
+			a.nodes[i].Full, any = true, true
+		}
+	}
+	return any
+}
--- a/fleet/suspect.go
+++ b/fleet/suspect.go
@@ -48,6 +48,9 @@
 		t.suspect(first, now, "no connection")
 		t.ask(first, now)
 	default:
+		if msg.Kind == lentilmux.FailureCrash && !flight.Begun {
+			t.broke(first, now)
+		}
 		s.silence(t, flight, now)
 	}
 }
