Let requests that come just after a start wait for the first reads

Change: such requests wait, 1.5 s from the start and half of their time at most. One whose caller leaves is forgotten, also in the tick in which it came, where an admitted request was kept for good before.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -28,13 +28,16 @@
 	for _, silent := range t.Events.Silent {
 		a.silent(t, silent, now)
 	}
+	a.resume(t, now)
 	for _, arrival := range t.Events.Arrivals {
-		a.arrive(t, arrival, now)
+		if !t.gone(arrival.Inbound.ID) && !a.wait(t, arrival, now) {
+			a.decide(t, arrival, now)
+		}
 	}
 }
 
-// arrive admits a request or refuses it. What is refused here has not run.
-func (a *Admit) arrive(t *Tables, arrival ArrivalRow, now time.Time) {
+// decide admits a request or refuses it. What is refused here has not run.
+func (a *Admit) decide(t *Tables, arrival ArrivalRow, now time.Time) {
 	flight, refusal := a.admit(t, &arrival.Inbound, now)
 	if refusal == nil {
 		t.Budgets.Of(flight.Service).count(now, t.Limits.RetryWindow)
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -22,6 +22,7 @@
 	for _, msg := range t.Events.Done {
 		flight := t.Flights.Find(msg.Request)
 		if flight == nil {
+			t.forget(msg.Request)
 			continue
 		}
 		if msg.Outcome == lentilmux.OutcomeAnswered {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -29,6 +29,7 @@
 	GatherFor      time.Duration // without news of upstreams, until layers are first placed
 	GatherMost     time.Duration // until layers are first placed in any case
 	OrderTimeout   time.Duration // until an order that shows no effect is given again
+	HoldMost       time.Duration // from the start, for which requests wait for the first configuration
 	RefusalPause   time.Duration // after which a refused caller may come again
 	PoisonMost     int           // crashes after which a request is not sent again
 	PoisonMemory   time.Duration // for which crashes of a request are remembered
@@ -75,6 +76,7 @@
 		GatherFor:      1500 * time.Millisecond,
 		GatherMost:     5 * time.Second,
 		OrderTimeout:   1500 * time.Millisecond,
+		HoldMost:       1500 * time.Millisecond,
 		RefusalPause:   500 * time.Millisecond,
 		PoisonMost:     3,
 		PoisonMemory:   2 * time.Minute,
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -30,6 +30,7 @@
 	VMs       VMs
 	Whole     Whole
 	Flights   Flights
+	Held      []HeldRow
 	Budgets   Budgets
 	Poisons   Poisons
 	Zones     Zones
