Count the wait at each further upstream of a path

The longer the paths the slower the events, too: 54 ms over 7 upstreams, 83 over 10, 144 over 16. A further upstream cost only the way there, 0.2 ms a token. Change: it also costs the wait for the pass under way, 1.5 ms a token.

--- a/dispatch/chain.go
+++ b/dispatch/chain.go
@@ -13,6 +13,9 @@
 	// localDelay is the time that a token takes between two upstreams of one
 	// availability zone.
 	localDelay = 200 * time.Microsecond
+	// passWait is how long a token waits at each further upstream for the pass
+	// under way there.
+	passWait = 1500 * time.Microsecond
 	// pipeShare is the part of a pipe between availability zones that one
 	// request may count on.
 	pipeShare = 0.01
@@ -233,13 +236,13 @@
 // hopCost is what a change of upstream adds, in seconds of one request.
 func hopCost(ask lentilmux.ChainAsk, crossing bool, prompt int) float64 {
 	if !crossing {
-		return float64(ask.Answer) * localDelay.Seconds()
+		return float64(ask.Answer) * (localDelay + passWait).Seconds()
 	}
 	delay := localDelay
 	if len(ask.Model.ZoneDelays) > 0 {
 		delay = ask.Model.ZoneDelays[0].Delay
 	}
-	cost := float64(ask.Answer) * max(delay, localDelay).Seconds()
+	cost := float64(ask.Answer) * (max(delay, localDelay) + passWait).Seconds()
 	if ask.Model.PipeBitRate > 0 {
 		cost += float64(prompt) * float64(ask.Model.ActivationBytes) * 8 / (ask.Model.PipeBitRate * pipeShare)
 	}
--- a/platformlog/nearby.go
+++ b/platformlog/nearby.go
@@ -33,7 +33,7 @@
 	from   atomic.Pointer[[]netip.AddrPort]
 	avoid  atomic.Pointer[avoided]
 	lost   atomic.Pointer[time.Time]     // when a read of the log last failed
-	parts  map[lentilmux.Stream]*listing // unused by Follow, so that no lock is needed
+	parts  map[lentilmux.Stream]*listing // each used by its stream's follower only
 }
 
 // avoided is a VM whose copy was of no use.
