Let requests wait shortly for room while streams end

A refusal keeps its caller away for 0.5 s, which makes its answer late in any case. Change: a request without room waits up to 0.4 of its latency target and is tried again, oldest first, whenever a stream may have ended. It is refused at once if idle upstreams would not hold it either, or if more than 0.15 of the requests in flight wait already.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -31,24 +31,29 @@
 	a.resumePending(t, now)
 	for _, arrival := range t.Events.Arrivals {
 		if !t.endedThisTick(arrival.Inbound.ID) && !a.holdPending(t, arrival, now) {
-			a.admitOrRefuse(t, arrival, now)
+			a.admitOrRefuse(t, PendingRow{ArrivalRow: arrival}, now)
 		}
 	}
 }
 
-// admitOrRefuse sends the first attempt of a request or refuses it. A request
-// that is refused here has not run.
-func (a *AdmitRequests) admitOrRefuse(t *Tables, arrival ArrivalRow, now time.Time) {
-	request, refusal := a.admit(t, &arrival.Inbound, now)
+// admitOrRefuse sends the first attempt of a request, lets it wait for room or
+// refuses it. A request that is refused here has not run.
+func (a *AdmitRequests) admitOrRefuse(t *Tables, row PendingRow, now time.Time) {
+	request, refusal := a.admit(t, &row.Inbound, now)
 	if refusal == nil {
-		t.RetryBudgets.GetOrCreate(request.Service).countRequest(now, t.Limits.RetryWindow)
+		if !row.Admitted {
+			t.RetryBudgets.GetOrCreate(request.Service).countRequest(now, t.Limits.RetryWindow)
+		}
 		t.Requests.Put(request)
-		if refusal = a.sendAttempt(t, request, arrival.CorrelationID, now); refusal == nil {
+		if refusal = a.sendAttempt(t, request, row.CorrelationID, now); refusal == nil {
 			return
 		}
 		t.Requests.Remove(request.ID)
+		if refusal.Reason == lentilmux.ReasonNoUpstream && a.holdForRoom(t, row, request, now) {
+			return
+		}
 	}
-	a.refuse(t, arrival.Inbound.ID, arrival.CorrelationID, refusal, now)
+	a.refuse(t, row.Inbound.ID, row.CorrelationID, refusal, now)
 }
 
 // admit finds a request's route and workspace. It refuses requests without a
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -14,7 +14,7 @@
 // as first hop, unless that leaves no path.
 func (a *AdmitRequests) choosePath(t *Tables, request *RequestRow, model *lentilmux.ModelProfile, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
 	a.collectNodes(t, request.Service, now)
-	pathRequest := lentilmux.PathRequest{Model: model, Layers: lentilmux.LayerRange{Last: model.Layers - 1}, SourceZone: t.Zones.Index(t.Self.Zone), PromptTokens: request.PromptTokens, AnswerTokens: expectedAnswerTokens(request, model)}
+	pathRequest := newPathRequest(t, request, model)
 	excluded := a.excludeFirstHops(request.LastUpstream, now)
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
 	if !ok && excluded {
@@ -49,6 +49,15 @@
 	return true
 }
 
+// newPathRequest returns what a request needs of a path over all layers of a
+// model.
+func newPathRequest(t *Tables, request *RequestRow, model *lentilmux.ModelProfile) lentilmux.PathRequest {
+	return lentilmux.PathRequest{
+		Model: model, Layers: lentilmux.LayerRange{Last: model.Layers - 1}, SourceZone: t.Zones.Index(t.Self.Zone),
+		PromptTokens: request.PromptTokens, AnswerTokens: expectedAnswerTokens(request, model),
+	}
+}
+
 // selectPath selects a path within one availability zone. If there is none, it
 // selects one that crosses zones, as far as the bandwidth between zones allows.
 func (a *AdmitRequests) selectPath(t *Tables, pathRequest lentilmux.PathRequest, now time.Time) (hops []lentilmux.PathHop, estimate lentilmux.PathEstimate, ok bool) {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// mayFreeRoom reports whether an event of this tick can have freed capacity of
+// upstreams or changed what is known of it.
+func (e *Events) mayFreeRoom() bool {
+	return len(e.Done)+len(e.FailedAttempts)+len(e.Digests)+len(e.StreamUpdates)+len(e.Reports) > 0
+}
+
 // reset empties all lists and keeps their capacity.
 func (e *Events) reset() {
 	clear(e.StreamUpdates)
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -30,6 +30,8 @@
 	MaxPlacementDelay        time.Duration // after which layers are first placed even if new upstreams still appear
 	OrderTimeout             time.Duration // after which an order without visible effect is checked and sent again
 	MaxPendingDuration       time.Duration // from the start, in which requests wait for the first reads
+	RoomWaitFraction         float64       // fraction of a route's latency target for which a request may wait for room
+	MaxRoomWaiters           float64       // requests that may wait for room, as a fraction of those in flight
 	RefusalRetryAfter        time.Duration // after which a refused caller may retry
 	MaxCrashes               int           // upstream crashes after which a request is quarantined
 	CrashRetention           time.Duration // for which crashes of a request are remembered
@@ -77,6 +79,8 @@
 		MaxPlacementDelay:        5 * time.Second,
 		OrderTimeout:             1500 * time.Millisecond,
 		MaxPendingDuration:       1500 * time.Millisecond,
+		RoomWaitFraction:         0.4,
+		MaxRoomWaiters:           0.15,
 		RefusalRetryAfter:        500 * time.Millisecond,
 		MaxCrashes:               3,
 		CrashRetention:           2 * time.Minute,
--- a/fleet/pending.go
+++ b/fleet/pending.go
@@ -6,11 +6,12 @@
 	"lentilmux.example/lentilmux"
 )
 
-// PendingRow is a request that arrived before the first reads of the store and
-// waits for them.
+// PendingRow is a request that waits before its first attempt.
 type PendingRow struct {
 	ArrivalRow
-	Until time.Time // latest time at which the request is admitted or refused
+	Until    time.Time // latest time at which the request is admitted or refused
+	ForRoom  bool      // whether it waits for room at the upstreams, and not for the first reads of the store
+	Admitted bool      // whether its route and key were checked and the request was counted
 }
 
 // hasFirstReads reports whether configuration and upstreams have been read since
@@ -33,20 +34,77 @@
 	return true
 }
 
-// resumePending decides on queued requests once the first reads are done or
-// their wait is over.
+// resumePending decides on queued requests, oldest first: those that wait for
+// the first reads once these are done, those that wait for room whenever some
+// may have become free, and all of them when their wait is over.
 func (a *AdmitRequests) resumePending(t *Tables, now time.Time) {
-	stillPending := t.Pending[:0]
-	for _, row := range t.Pending {
-		if !t.hasFirstReads() && now.Before(row.Until) {
-			stillPending = append(stillPending, row)
+	if len(t.Pending) == 0 {
+		return
+	}
+	rows := t.Pending
+	t.Pending = nil
+	roomFreed := t.Events.mayFreeRoom()
+	for _, row := range rows {
+		ready := t.hasFirstReads()
+		if row.ForRoom {
+			ready = roomFreed
+		}
+		if !ready && now.Before(row.Until) {
+			t.Pending = append(t.Pending, row)
 			t.WakeAt(row.Until)
 			continue
 		}
-		a.admitOrRefuse(t, row.ArrivalRow, now)
+		a.admitOrRefuse(t, row, now)
+	}
+}
+
+// holdForRoom queues a request for which no upstream has room at the moment,
+// since streams end all the time and a refusal keeps its caller away for longer.
+// The request waits until RoomWaitFraction of its route's latency target has
+// passed. It does not wait if it would not fit into idle upstreams either, or if
+// so many requests wait already that this one would get no room in time.
+func (a *AdmitRequests) holdForRoom(t *Tables, row PendingRow, request *RequestRow, now time.Time) (pending bool) {
+	until := request.ReceivedAt.Add(time.Duration(t.Limits.RoomWaitFraction * float64(request.Route.FirstByteTarget)))
+	if !now.Before(until) {
+		return false
+	}
+	if !row.ForRoom {
+		maxWaiters := max(1, t.Limits.MaxRoomWaiters*float64(len(t.Requests.Rows)))
+		if float64(t.roomWaiters()) >= maxWaiters || !a.fitsIdleUpstreams(t, request, now) {
+			return false
+		}
+		t.RecordDecision(lentilmux.Decision{What: "request_waiting", Subject: string(request.ID), Chosen: until.Sub(now).String(), Reason: "no upstream of " + request.Service + " has room"})
+	}
+	row.Until, row.ForRoom, row.Admitted = until, true, true
+	t.Pending = append(t.Pending, row)
+	t.WakeAt(until)
+	return true
+}
+
+// roomWaiters returns the number of requests that wait for room.
+func (t *Tables) roomWaiters() (count int) {
+	for i := range t.Pending {
+		if t.Pending[i].ForRoom {
+			count++
+		}
+	}
+	return count
+}
+
+// fitsIdleUpstreams reports whether a path for the request exists once the
+// requests in flight have ended.
+func (a *AdmitRequests) fitsIdleUpstreams(t *Tables, request *RequestRow, now time.Time) (fits bool) {
+	service := t.Rules.Service(request.Service)
+	if service == nil || service.Engine == nil || service.Engine.Layers <= 0 {
+		return false
+	}
+	a.collectNodes(t, request.Service, now)
+	for i := range a.nodes {
+		a.nodes[i].Reserved, a.nodes[i].Full = 0, false
 	}
-	clear(t.Pending[len(stillPending):])
-	t.Pending = stillPending
+	hops, _, fits := a.PathSelector.Choose(newPathRequest(t, request, service.Engine), a.nodes, a.hops[:0])
+	a.hops = hops[:0]
+	return fits
 }
 
 // dropPending removes a queued request whose caller has disconnected.
