Act on an upstream's answer to a move, and try blocked moves again

Cause: a refused move was only false, logged as <nil>, and kept the request from ever being moved again; a stream without a place to move to was given up at once, though room becomes free all the time; other zones were never tried. Change: the answer is a typed outcome with the hop that cannot take over. A stream without a place is tried again whenever a stream may have ended, before new requests. Another zone takes over as far as the bandwidth between zones allows, charged by tokens and crossings, and only for paths that were found.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -201,6 +201,9 @@
 func (c *CheapestPath) cheapestPredecessor(request lentilmux.PathRequest, nodes []lentilmux.PathNode, interval, node int) (cost float64, from int) {
 	if interval == 0 {
 		if request.HasPredecessor {
+			if request.SingleZone && request.SourceZone != nodes[node].Zone {
+				return math.Inf(1), -1
+			}
 			return hopCost(request, request.SourceZone != nodes[node].Zone, request.PromptTokens), -1
 		}
 		if nodes[node].Full {
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -303,8 +303,8 @@
 func (g *Gateway) moveRequest(effect lentilmux.MoveEffect) {
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
-	accepted, err := g.dependencies.Engine.MoveRequest(ctx, effect.Request, effect.Path)
-	g.sendToNode(lentilmux.MoveResultMsg{Request: effect.Request, Epoch: effect.Epoch, Accepted: accepted, Err: err})
+	answer, err := g.dependencies.Engine.MoveRequest(ctx, effect.Request, effect.Path)
+	g.sendToNode(lentilmux.MoveResultMsg{Request: effect.Request, Epoch: effect.Epoch, Answer: answer, Err: err})
 }
 
 // putRecord writes this VM's record to the store and logs a failure.
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -67,15 +67,35 @@
 	if ok {
 		return hops, estimate, true
 	}
-	bits := float64(pathRequest.PromptTokens) * float64(pathRequest.Model.ActivationBytes) * 8
-	bitsPerSecond := t.Limits.CrossZoneFraction * pathRequest.Model.ZoneLinkBitRate / float64(t.LiveVMs(now))
-	if !t.CrossZoneBucket.take(now, bitsPerSecond, crossZoneBurstSeconds*bitsPerSecond, bits) {
-		return hops, estimate, false
-	}
 	pathRequest.SingleZone = false
 	hops, estimate, ok = a.PathSelector.Choose(pathRequest, a.nodes, a.hops[:0])
 	a.hops = hops[:0]
-	return hops, estimate, ok
+	if !ok {
+		return hops, estimate, false
+	}
+	bits := float64(pathRequest.PromptTokens) * float64(pathRequest.Model.ActivationBytes) * 8 * float64(zoneCrossings(pathRequest, a.nodes, hops))
+	bitsPerSecond := t.Limits.CrossZoneFraction * pathRequest.Model.ZoneLinkBitRate / float64(t.LiveVMs(now))
+	return hops, estimate, t.CrossZoneBucket.take(now, bitsPerSecond, crossZoneBurstSeconds*bitsPerSecond, bits)
+}
+
+// zoneCrossings returns how often the activations of a path cross availability
+// zones. A part of a path, which has a predecessor, also returns to the zone that
+// it came from.
+func zoneCrossings(request lentilmux.PathRequest, nodes []lentilmux.PathNode, hops []lentilmux.PathHop) (count int) {
+	zone := nodes[hops[0].Node].Zone
+	if request.HasPredecessor {
+		zone = request.SourceZone
+	}
+	for _, hop := range hops {
+		if nodes[hop.Node].Zone != zone {
+			count++
+		}
+		zone = nodes[hop.Node].Zone
+	}
+	if request.HasPredecessor && zone != request.SourceZone {
+		count++
+	}
+	return count
 }
 
 // crossZoneBurstSeconds is the burst of cross-zone traffic, in seconds of this
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -11,7 +12,9 @@
 
 // MoveRequests moves requests in flight off dead upstreams: other upstreams take
 // over the layers of the dead hop, and the remaining hops keep their KV cache.
-// It reads Upstreams and Events.MoveResults and writes Requests and Upstreams.
+// Requests for which no upstream has room are tried again whenever some may have
+// become free, before new requests get it. It reads Upstreams and
+// Events.MoveResults and writes Requests, Upstreams and CrossZoneBucket.
 type MoveRequests struct {
 	Admit *AdmitRequests
 }
@@ -19,13 +22,15 @@
 // Run implements [System].
 func (m *MoveRequests) Run(t *Tables, now time.Time) {
 	for _, msg := range t.Events.MoveResults {
-		m.applyMoveResult(t, msg)
+		m.applyMoveResult(t, msg, now)
 	}
 	if !m.anyDead(t) {
 		return
 	}
+	roomFreed := t.Events.mayFreeRoom()
 	for _, request := range t.Requests.Rows {
-		if len(request.Path) > 1 && !request.Moving && !request.MoveRefused && request.Moves < t.Limits.MaxMoves {
+		ready := request.Move == MoveIdle || request.Move == MoveBlocked && roomFreed
+		if len(request.Path) > 1 && ready && request.Moves < t.Limits.MaxMoves {
 			m.moveRequest(t, request, now)
 		}
 	}
@@ -52,19 +57,22 @@
 			continue
 		}
 		path, reservations, ok := m.replaceHop(t, request, i, now)
-		if !ok {
-			request.MoveRefused = true
-			t.RecordDecision(lentilmux.Decision{What: "move_refused", Subject: string(request.ID), Chosen: request.Path[i].Upstream, Reason: "no other upstream in the zone has the layers and free capacity"})
+		if ok {
+			m.startMove(t, request, path, reservations)
 			return
 		}
-		m.startMove(t, request, path, reservations)
+		if request.Move != MoveBlocked {
+			request.Move = MoveBlocked
+			t.RecordDecision(lentilmux.Decision{What: "move_blocked", Subject: string(request.ID), Chosen: request.Path[i].Upstream, Reason: "no other upstream has the layers and free capacity"})
+		}
 		return
 	}
 }
 
-// replaceHop replaces one hop of a path by upstreams of the same availability
-// zone that are not on the path. Other zones are excluded: transferring the
-// activations so far across zones takes longer than a new prefill there.
+// replaceHop replaces one hop of a path by upstreams that are not on the path. It
+// prefers the availability zone of the previous hop. Upstreams of other zones are
+// used as far as the bandwidth between zones allows, since the activations of all
+// tokens so far have to cross.
 func (m *MoveRequests) replaceHop(t *Tables, request *RequestRow, deadHop int, now time.Time) (path []lentilmux.Hop, reservations []Reservation, ok bool) {
 	service := t.Rules.Service(request.Service)
 	if service == nil || service.Engine == nil {
@@ -73,15 +81,13 @@
 	m.Admit.collectNodes(t, request.Service, now)
 	zone := t.zoneIndex(request.Path[deadHop-1].Upstream)
 	for i, row := range m.Admit.rows {
-		if m.Admit.nodes[i].Zone != zone || slices.ContainsFunc(request.Path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) {
+		if slices.ContainsFunc(request.Path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) {
 			m.Admit.nodes[i].Capacity = 0
 		}
 	}
-	pathRequest := lentilmux.PathRequest{
-		Model: service.Engine, Layers: request.Path[deadHop].Layers, HasPredecessor: true, SourceZone: zone,
-		PromptTokens: request.PromptTokens, AnswerTokens: expectedAnswerTokens(request, service.Engine),
-	}
-	hops, _, ok := m.Admit.PathSelector.Choose(pathRequest, m.Admit.nodes, nil)
+	pathRequest := newPathRequest(t, request, service.Engine)
+	pathRequest.Layers, pathRequest.HasPredecessor, pathRequest.SourceZone = request.Path[deadHop].Layers, true, zone
+	hops, _, ok := m.Admit.selectPath(t, pathRequest, now)
 	if !ok {
 		return nil, nil, false
 	}
@@ -108,24 +114,62 @@
 // startMove requests the move and reserves capacity at the new upstreams.
 func (m *MoveRequests) startMove(t *Tables, request *RequestRow, path []lentilmux.Hop, reservations []Reservation) {
 	t.RecordDecision(lentilmux.Decision{What: "request_moved", Subject: string(request.ID), Chosen: formatPath(path), Reason: "from " + formatPath(request.Path)})
+	request.PathBefore, request.HeldBefore = request.Path, slices.Clone(request.Reservations)
+	t.replacePath(request, path, reservations)
+	request.Move = MoveInFlight
+	request.Moves++
+	t.AddEffect(lentilmux.MoveEffect{Request: request.ID, Epoch: request.Epoch, Path: path})
+}
+
+// replacePath replaces the path and the reservations of a request in flight.
+func (t *Tables) replacePath(request *RequestRow, path []lentilmux.Hop, reservations []Reservation) {
 	t.release(request)
 	request.Path, request.Reservations = path, reservations
 	t.reserve(request)
-	request.Moving = true
-	request.Moves++
-	t.AddEffect(lentilmux.MoveEffect{Request: request.ID, Epoch: request.Epoch, Path: path})
 }
 
-// applyMoveResult applies the answer to a move. If the move failed, the request
-// may be retried when its attempt is next reported as stalled.
-func (m *MoveRequests) applyMoveResult(t *Tables, msg lentilmux.MoveResultMsg) {
+// applyMoveResult applies the answer to a move. A refused request returns to its
+// previous path, and is moved again if another upstream may take over. After any
+// other failure it may be retried when its attempt is next reported as stalled.
+func (m *MoveRequests) applyMoveResult(t *Tables, msg lentilmux.MoveResultMsg, now time.Time) {
 	request := t.Requests.Find(msg.Request)
-	if request == nil || request.Epoch != msg.Epoch {
+	if request == nil || request.Epoch != msg.Epoch || request.Move != MoveInFlight {
+		return
+	}
+	request.Move = MoveIdle
+	if msg.Answer.Outcome == lentilmux.MoveAccepted {
+		return
+	}
+	t.RecordDecision(lentilmux.Decision{What: "move_refused", Subject: string(request.ID), Chosen: msg.Answer.Outcome.String(), Reason: describeMoveFailure(msg)})
+	if msg.Answer.Outcome != lentilmux.MoveHopUnavailable {
+		request.Move = MoveImpossible
 		return
 	}
-	request.Moving = false
-	if !msg.Accepted {
-		request.MoveRefused = true
-		t.RecordDecision(lentilmux.Decision{What: "move_refused", Subject: string(request.ID), Reason: fmt.Sprint(msg.Err)})
+	m.markUnavailable(t, request, msg.Answer.UnavailableHop, now)
+	t.replacePath(request, request.PathBefore, request.HeldBefore)
+}
+
+// markUnavailable keeps new requests for FullDuration from the hop that could not
+// take over a request, or from all new hops of its path if the upstream did not
+// name one.
+func (m *MoveRequests) markUnavailable(t *Tables, request *RequestRow, named netip.AddrPort, now time.Time) {
+	for _, hop := range request.Path {
+		isNew := !slices.Contains(request.PathBefore, hop)
+		if row := t.Upstreams.Find(hop.Upstream); row != nil && (hop.Addr == named || !named.IsValid() && isNew) {
+			row.FullUntil = now.Add(t.Limits.FullDuration)
+			t.RecordDecision(lentilmux.Decision{What: "upstream_full", Subject: row.ID, Chosen: t.Limits.FullDuration.String(), Reason: "could not take over request " + string(request.ID)})
+		}
+	}
+}
+
+// describeMoveFailure returns why a move failed.
+func describeMoveFailure(msg lentilmux.MoveResultMsg) string {
+	switch {
+	case msg.Err != nil:
+		return msg.Err.Error()
+	case msg.Answer.UnavailableHop.IsValid():
+		return fmt.Sprintf("status %d, unavailable hop %s", msg.Answer.Status, msg.Answer.UnavailableHop)
+	default:
+		return fmt.Sprintf("status %d", msg.Answer.Status)
 	}
 }
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -22,12 +22,28 @@
 	Delivered     int    // events that the caller had when the last attempt began
 	Reservations  []Reservation
 	Path          []lentilmux.Hop
-	Moving        bool      // whether a move to another path is in flight
-	MoveRefused   bool      // whether a move of the current attempt was refused or not possible
-	Moves         int       // moves so far
-	SentAt        time.Time // when the last attempt was sent
+	Move          MoveState
+	Moves         int             // moves so far, also refused ones
+	PathBefore    []lentilmux.Hop // path before the move in flight, which continues if the move is refused
+	HeldBefore    []Reservation   // reservations of PathBefore
+	SentAt        time.Time       // when the last attempt was sent
 }
 
+// MoveState says whether the current attempt of a request can be moved.
+type MoveState int
+
+// The move states.
+const (
+	// MoveIdle means that the request was not moved, or that its last move ended.
+	MoveIdle MoveState = iota
+	// MoveInFlight means that a move awaits its answer.
+	MoveInFlight
+	// MoveBlocked means that no other upstream can take over. It is tried again.
+	MoveBlocked
+	// MoveImpossible means that the attempt cannot be moved any more.
+	MoveImpossible
+)
+
 // Reservation is the capacity that a request holds at one upstream.
 type Reservation struct {
 	Upstream string
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -59,31 +59,29 @@
 		ForwardFailedMsg: lentilmux.ForwardFailedMsg{Request: stalled.Request, Epoch: stalled.Epoch, Kind: lentilmux.FailureTimeout, Delivered: stalled.Delivered},
 		CorrelationID:    stalled.CorrelationID,
 	}
-	if !a.cannotContinue(t, request, now) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
+	if !t.cannotContinue(request) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
 		t.Answer(stalled.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
 	}
 }
 
-// cannotContinue reports whether a stalled attempt has no chance to continue.
-// That is the case if its first hop is dead, or if no move is in flight or
-// possible any more and either another hop is dead or a move was refused. An
-// attempt without a path cannot be moved; its stall is always final.
-func (a *AdmitRequests) cannotContinue(t *Tables, request *RequestRow, now time.Time) bool {
-	if len(request.Path) == 0 {
+// cannotContinue reports whether a stalled attempt has no chance to continue at
+// the moment. That is the case if its first hop is dead, if it cannot be moved
+// (again), or if it waits for a place to move to. An attempt without a path
+// cannot be moved; its stall is always final.
+func (t *Tables) cannotContinue(request *RequestRow) bool {
+	if len(request.Path) == 0 || t.isDead(request.Path[0].Upstream) {
 		return true
 	}
-	if t.isDead(request.Path[0].Upstream) {
+	switch request.Move {
+	case MoveBlocked, MoveImpossible:
 		return true
-	}
-	if request.Moving || !request.MoveRefused && request.Moves < t.Limits.MaxMoves {
+	case MoveInFlight:
 		return false
 	}
-	for _, hop := range request.Path {
-		if t.isDead(hop.Upstream) {
-			return true
-		}
+	if request.Moves < t.Limits.MaxMoves {
+		return false
 	}
-	return request.MoveRefused
+	return slices.ContainsFunc(request.Path, func(hop lentilmux.Hop) bool { return t.isDead(hop.Upstream) })
 }
 
 // replaceAttempt replaces an attempt that is still in flight, if a retry is
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -169,7 +169,7 @@
 		row := s.tables.Upstreams.Find(name)
 		return lentilmux.RangeOrderResultMsg{Upstream: name, Order: lentilmux.RangeOrder{Layers: row.Target, ExpectedOrders: row.AcceptedOrders}, Accepted: fields["accepted"] != "false"}, nil
 	case "move_result":
-		return lentilmux.MoveResultMsg{Request: lentilmux.RequestID(name), Epoch: s.epochs[name], Accepted: fields["accepted"] != "false"}, nil
+		return s.moveResult(name, fields), nil
 	case "drain":
 		return lentilmux.BeginDrainMsg{}, nil
 	}
@@ -244,6 +244,26 @@
 	return msg
 }
 
+// moveOutcomes are the outcomes of a move by their names in scenarios. A line
+// without an outcome stands for an accepted move.
+var moveOutcomes = map[string]lentilmux.MoveOutcome{
+	"": lentilmux.MoveAccepted, "unknown": lentilmux.MoveUnknown, "not_in_flight": lentilmux.MoveNotInFlight,
+	"hop_unavailable": lentilmux.MoveHopUnavailable, "rejected": lentilmux.MoveRejected,
+}
+
+// moveResult returns the message for an answer to a move.
+func (s *scenario) moveResult(name string, fields map[string]string) lentilmux.Msg {
+	msg := lentilmux.MoveResultMsg{Request: lentilmux.RequestID(name), Epoch: s.epochs[name]}
+	msg.Answer.Outcome, msg.Answer.Status = moveOutcomes[fields["outcome"]], parseInt(fields["status"])
+	if row := s.tables.Upstreams.Find(fields["hop"]); row != nil {
+		msg.Answer.UnavailableHop = row.Addr
+	}
+	if msg.Answer.Outcome == lentilmux.MoveUnknown {
+		msg.Err = errors.New("no answer")
+	}
+	return msg
+}
+
 // report returns the message for a report of an upstream, or for a failed probe.
 func (s *scenario) report(name string, fields map[string]string) lentilmux.Msg {
 	if fields["error"] != "" {
--- a/path.go
+++ b/path.go
@@ -94,7 +94,7 @@
 type PathRequest struct {
 	Model          *ModelProfile
 	Layers         LayerRange // layers that the path has to cover
-	SingleZone     bool       // whether all hops have to be in one availability zone
+	SingleZone     bool       // whether all hops have to be in one availability zone, also the preceding upstream if there is one
 	HasPredecessor bool       // whether the path continues from another upstream
 	SourceZone     int        // zone of the entry VM, or of the preceding upstream
 	PromptTokens   int        // prompt tokens to prefill
--- a/streams.go
+++ b/streams.go
@@ -150,8 +150,8 @@
 	// because it does not fit the upstream's state.
 	SendOrder(ctx context.Context, upstream string, addr netip.AddrPort, order RangeOrder) (accepted bool, err error)
 	// MoveRequest moves a request in flight to another path with the same first
-	// hop. It returns false if the upstream refuses the move.
-	MoveRequest(ctx context.Context, request RequestID, path []Hop) (accepted bool, err error)
+	// hop. The error says why there is no answer.
+	MoveRequest(ctx context.Context, request RequestID, path []Hop) (answer MoveAnswer, err error)
 }
 
 // FetchReportEffect fetches the state of an upstream.
@@ -189,12 +189,45 @@
 	Path    []Hop
 }
 
+// MoveOutcome classifies an upstream's answer to a move.
+type MoveOutcome int
+
+// The outcomes of a move.
+const (
+	// MoveUnknown means that there was no valid answer, so the move may have been
+	// carried out.
+	MoveUnknown MoveOutcome = iota
+	// MoveAccepted means that the request continues on the new path.
+	MoveAccepted
+	// MoveNotInFlight means that the first hop of the path does not run the
+	// request, or no longer.
+	MoveNotInFlight
+	// MoveHopUnavailable means that a new hop of the path does not hold its layers
+	// or has no room. The request remains on its path.
+	MoveHopUnavailable
+	// MoveRejected means that the upstream refused the move for another reason.
+	// The request remains on its path.
+	MoveRejected
+)
+
+// String returns the outcome in snake case, as log lines show it.
+func (m MoveOutcome) String() string {
+	return [...]string{"unknown", "accepted", "not_in_flight", "hop_unavailable", "rejected"}[m]
+}
+
+// MoveAnswer is an upstream's answer to a move.
+type MoveAnswer struct {
+	Outcome        MoveOutcome
+	Status         int            // of the upstream's answer, for the log; 0 without one
+	UnavailableHop netip.AddrPort // hop that cannot take its part, if the upstream names it
+}
+
 // MoveResultMsg reports the result of a move.
 type MoveResultMsg struct {
-	Request  RequestID
-	Epoch    Epoch
-	Accepted bool
-	Err      error
+	Request RequestID
+	Epoch   Epoch
+	Answer  MoveAnswer
+	Err     error
 }
 
 // UpstreamLoad is the work in flight at one upstream, summed over the VMs of a
