Search for placements by estimated rate, and fill gaps that a loss leaves

Change: ZoneSearch compares greedy placements with different orders and weights by an estimate of each zone's requests per second (memory of the least layer, time of a token, prefill), also without each upstream in turn, and improves the best one by annealing. A zone that has lacked layers for 0.3 s gets them from upstreams that it can spare, four at most; those get no new requests for what they give up. The search takes 0.15 to 0.5 s of a processor, so it runs beside the control goroutine (PlanRangesEffect); the control goroutine skips what has changed since.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -16,6 +16,7 @@
 	"lentilmux.example/lentilmux/fleet"
 	"lentilmux.example/lentilmux/forward"
 	"lentilmux.example/lentilmux/peer"
+	"lentilmux.example/lentilmux/placement"
 	"lentilmux.example/lentilmux/platformlog"
 )
 
@@ -82,6 +83,7 @@
 	Decoders   map[lentilmux.Stream]platformlog.DecodeFunc
 	PeerCopies lentilmux.StreamCopies
 	Engine     lentilmux.PathEngine
+	Placement  lentilmux.RangePlacement // nil for [placement.ZoneSearch]
 	// NewCallerHandler returns the handler of callers' requests.
 	NewCallerHandler func(relay *forward.Relay, state *GatewayState) http.Handler
 }
@@ -124,6 +126,9 @@
 // error if its metrics cannot be created.
 func NewGateway(config GatewayConfig, dependencies GatewayDependencies) (g *Gateway, err error) {
 	defer errors.DeferredAnnotatef(&err, "creating entry VM %s", config.Name)
+	if dependencies.Placement == nil {
+		dependencies.Placement = placement.ZoneSearch{}
+	}
 	g = &Gateway{config: config, dependencies: dependencies, draining: make(chan struct{}), decisionLog: newDecisionLog(config.Logger, config.Name)}
 	if g.metrics, err = newMetrics(); err != nil {
 		return nil, err
@@ -274,6 +279,8 @@
 		go g.fetchReport(x)
 	case lentilmux.RangeOrderEffect:
 		go g.sendOrder(x)
+	case lentilmux.PlanRangesEffect:
+		go g.planRanges(x)
 	case lentilmux.MoveEffect:
 		go g.moveRequest(x)
 	case lentilmux.PutEffect:
@@ -298,6 +305,12 @@
 	g.sendToNode(lentilmux.RangeOrderResultMsg{Upstream: effect.Upstream, Order: effect.Order, Accepted: accepted, Err: err})
 }
 
+// planRanges computes layer ranges and passes them to the node.
+func (g *Gateway) planRanges(effect lentilmux.PlanRangesEffect) {
+	ranges := g.dependencies.Placement.Place(effect.Model, effect.Zones, effect.Nodes)
+	g.sendToNode(lentilmux.RangesPlannedMsg{Service: effect.Service, Nodes: effect.Nodes, Ranges: ranges})
+}
+
 // moveRequest moves a request in flight to another path and passes the result to
 // the node.
 func (g *Gateway) moveRequest(effect lentilmux.MoveEffect) {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -111,20 +111,29 @@
 			continue
 		}
 		model, accelerator := t.ModelAndAccelerator(row)
-		if model == nil {
+		layers := row.routableLayers()
+		if model == nil || layers.Len() <= 0 {
 			continue
 		}
 		a.rows = append(a.rows, row)
 		a.nodes = append(a.nodes, lentilmux.PathNode{
-			Zone: t.Zones.Index(row.Zone), Layers: row.Layers,
+			Zone: t.Zones.Index(row.Zone), Layers: layers,
 			StepFactor: accelerator.StepFactor * row.Slowdown, PrefillFactor: accelerator.PrefillFactor * row.Slowdown,
 			Streams: row.OwnLoad.Streams + row.PeerLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens + row.PeerLoad.PendingPromptTokens,
-			Reserved: row.OwnLoad.Reserved + row.PeerLoad.Reserved, Capacity: model.CacheCapacity(accelerator, row.Layers.Len()),
+			Reserved: row.OwnLoad.Reserved + row.PeerLoad.Reserved, Capacity: model.CacheCapacity(accelerator, max(row.Layers.Len(), row.plannedLayers().Len())),
 			Full: row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
 		})
 	}
 }
 
+// routableLayers returns the layers that new requests may use at an upstream:
+// those that it holds and does not give up for its target. The range is empty if
+// there are none.
+func (u *UpstreamRow) routableLayers() lentilmux.LayerRange {
+	planned := u.plannedLayers()
+	return lentilmux.LayerRange{First: max(u.Layers.First, planned.First), Last: min(u.Layers.Last, planned.Last)}
+}
+
 // expectedAnswerTokens returns the number of completion tokens that a request is
 // expected to generate, at least 1.
 func expectedAnswerTokens(request *RequestRow, model *lentilmux.ModelProfile) int {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -34,6 +34,7 @@
 	Digests         []lentilmux.LoadDigest
 	Reports         []lentilmux.UpstreamReportMsg
 	OrderResults    []lentilmux.RangeOrderResultMsg
+	Plans           []lentilmux.RangesPlannedMsg
 	Arrivals        []ArrivalRow
 	AnswersStarted  []lentilmux.ForwardStartedMsg
 	FailedAttempts  []FailedAttemptRow
@@ -58,6 +59,8 @@
 		e.Reports = append(e.Reports, x)
 	case lentilmux.RangeOrderResultMsg:
 		e.OrderResults = append(e.OrderResults, x)
+	case lentilmux.RangesPlannedMsg:
+		e.Plans = append(e.Plans, x)
 	case lentilmux.ForwardMsg:
 		e.Arrivals = append(e.Arrivals, ArrivalRow{Inbound: x.Inbound, CorrelationID: envelope.CorrelationID})
 	case lentilmux.ForwardStartedMsg:
@@ -88,9 +91,10 @@
 	clear(e.StreamUpdates)
 	clear(e.Arrivals)
 	clear(e.Digests)
+	clear(e.Plans)
 	*e = Events{
 		StreamUpdates: e.StreamUpdates[:0], StreamFailures: e.StreamFailures[:0], Digests: e.Digests[:0], Reports: e.Reports[:0],
-		OrderResults: e.OrderResults[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
+		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,7 +25,6 @@
 
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/dispatch"
-	"lentilmux.example/lentilmux/placement"
 )
 
 // maxTickInterval is the longest time between two ticks.
@@ -44,7 +43,6 @@
 	systems      []System
 	pathSelector lentilmux.PathSelector
 	dispatch     lentilmux.Dispatch
-	placement    lentilmux.RangePlacement
 }
 
 // Option configures a [Schedule] in [New].
@@ -62,19 +60,12 @@
 	return func(s *Schedule) { s.dispatch = d }
 }
 
-// WithRangePlacement sets the policy that assigns layer ranges to upstreams. The
-// default is [placement.ZoneBalanced].
-func WithRangePlacement(p lentilmux.RangePlacement) Option {
-	return func(s *Schedule) { s.placement = p }
-}
-
 // New returns a schedule with empty tables.
 func New(self Self, limits Limits, options ...Option) *Schedule {
 	s := &Schedule{
 		tables:       newTables(self, limits),
 		pathSelector: dispatch.NewCheapestPath(self.Incarnation),
 		dispatch:     dispatch.NewTwoChoices(self.Incarnation),
-		placement:    placement.ZoneBalanced{},
 	}
 	for _, option := range options {
 		option(s)
@@ -85,7 +76,7 @@
 		&ApplyReports{},
 		&FinishRequests{},
 		&DetectFailures{},
-		&PlaceLayers{Placement: s.placement},
+		&PlaceLayers{},
 		&SendOrders{},
 		&MoveRequests{Admit: admit},
 		admit,
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -28,6 +28,8 @@
 	MinUpstreamsReadInterval time.Duration // between two reads of the upstreams' entries
 	PlacementQuietPeriod     time.Duration // without new upstreams, after which layers are first placed
 	MaxPlacementDelay        time.Duration // after which layers are first placed even if new upstreams still appear
+	PlanTimeout              time.Duration // after which a plan of layer ranges without a result is requested again
+	GapDelay                 time.Duration // for which a zone lacks layers until one of its upstreams is ordered to hold them
 	OrderTimeout             time.Duration // after which an order without visible effect is checked and sent again
 	MaxPendingDuration       time.Duration // from the start, in which requests wait for the first reads
 	RoomWaitFraction         float64       // fraction of a route's latency target for which a request may wait for room
@@ -77,6 +79,8 @@
 		MinUpstreamsReadInterval: 700 * time.Millisecond,
 		PlacementQuietPeriod:     1500 * time.Millisecond,
 		MaxPlacementDelay:        5 * time.Second,
+		PlanTimeout:              10 * time.Second,
+		GapDelay:                 300 * time.Millisecond,
 		OrderTimeout:             1500 * time.Millisecond,
 		MaxPendingDuration:       1500 * time.Millisecond,
 		RoomWaitFraction:         0.4,
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -22,7 +22,7 @@
 			row.ProbedAt = time.Time{}
 			t.probe(row, now)
 		}
-		if !row.HasTarget || row.HasLayers && row.Layers == row.Target {
+		if !row.isLoading() {
 			continue
 		}
 		if !row.OrderedAt.IsZero() {
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -17,6 +17,7 @@
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/dispatch"
 	"lentilmux.example/lentilmux/fleet"
+	"lentilmux.example/lentilmux/placement"
 )
 
 // TestScenarios guards against unintended changes of decisions and effects. It
@@ -290,7 +291,12 @@
 		s.nextTick = now.Add(time.Millisecond)
 	}
 	first := true
+	var plans []lentilmux.Envelope
 	for _, effect := range effects {
+		if x, ok := effect.(lentilmux.PlanRangesEffect); ok {
+			ranges := placement.ZoneSearch{}.Place(x.Model, x.Zones, x.Nodes)
+			plans = append(plans, lentilmux.Envelope{Msg: lentilmux.RangesPlannedMsg{Service: x.Service, Nodes: x.Nodes, Ranges: ranges}})
+		}
 		if x, ok := effect.(lentilmux.LoadDigestEffect); ok {
 			if first {
 				s.lastDigests, first = nil, false
@@ -301,6 +307,9 @@
 			fmt.Fprintf(&s.out, "%8s %s\n", now.Sub(s.start), text)
 		}
 	}
+	if len(plans) > 0 {
+		s.tick(now, plans...)
+	}
 }
 
 // formatEffect formats an effect for the golden file, or returns an empty string
--- a/path.go
+++ b/path.go
@@ -131,17 +131,35 @@
 	Slots       int        // maximum number of concurrent requests as the first hop of a path; 0 for no limit
 	Layers      LayerRange // that it holds or was ordered to hold; used only if Pinned
 	Pinned      bool       // whether Layers must not change
+	Movable     bool       // whether a pinned node may change its layers after all to fill a gap of its zone
 }
 
 // RangePlacement spreads a model's layers over upstreams with different
 // accelerators. It is deterministic, so that every entry VM computes the same
 // ranges from the same input.
 type RangePlacement interface {
-	// Place returns a layer range for each node. Pinned nodes keep theirs. zones
-	// is the number of availability zones.
+	// Place returns a layer range for each node. Pinned nodes keep theirs; those
+	// that are movable change it only if their zone would otherwise lack layers.
+	// zones is the number of availability zones.
 	Place(model *ModelProfile, zones int, nodes []RangeNode) (ranges []LayerRange)
 }
 
+// PlanRangesEffect computes layer ranges with a [RangePlacement], which takes too
+// long for the control goroutine. The result is a [RangesPlannedMsg].
+type PlanRangesEffect struct {
+	Service string
+	Model   *ModelProfile // not modified while it is in use
+	Zones   int
+	Nodes   []RangeNode
+}
+
+// RangesPlannedMsg carries the layer ranges of a [PlanRangesEffect], by node.
+type RangesPlannedMsg struct {
+	Service string
+	Nodes   []RangeNode
+	Ranges  []LayerRange
+}
+
 // Progress holds the last time at which an upstream made progress. It is the only
 // part of the control state that traffic goroutines write, which saves a message
 // for each event of a response stream. The zero value has recorded no progress.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,8 +3,9 @@
 // a placement.
 //
 // [Balanced] is the default policy for pipelines whose stages do not overlap;
-// [Equal] is a baseline to compare it with. [ZoneBalanced] gives each upstream
-// a layer range of its own, so that every availability zone can run the model.
+// [Equal] is a baseline to compare it with. [ZoneSearch] gives each upstream
+// a layer range of its own, so that every availability zone can run the model;
+// [ZoneBalanced] is the greedy placement that its search begins with.
 // [MaxThroughput] returns the maximum number of tokens per second that engines
 // with given ranges can generate.
 //
@@ -16,7 +17,7 @@
 //	stages := placement.Balanced{}.Place(32, nodes)
 //	bound := placement.MaxThroughput(32, placement.HeldRanges(stages, nodes))
 //
-//	ranges := placement.ZoneBalanced{}.Place(model, zones, rangeNodes)
+//	ranges := placement.ZoneSearch{}.Place(model, zones, rangeNodes)
 package placement
 
 import (
--- a/placement/zonebalanced.go
+++ b/placement/zonebalanced.go
@@ -32,6 +32,16 @@
 	lossWeight = 0.15
 )
 
+// weights are the parameters of a greedy placement.
+type weights struct {
+	power     int     // how steeply the cost of a layer rises as its capacity falls
+	residency float64 // multiplies the time for which a request is expected to occupy the KV cache
+	loss      float64 // of a layer's cost after the loss of its largest holder
+}
+
+// defaultWeights are the weights of [ZoneBalanced].
+var defaultWeights = weights{power: 1, residency: 1, loss: lossWeight}
+
 // ZoneBalanced spreads layers to maximize, in every availability zone, the
 // requests per second that the layer with the least capacity can serve.
 // Capacity depends on both the memory and the speed of the upstreams. Each
@@ -43,6 +53,7 @@
 // zone.
 type coverage struct {
 	model         *lentilmux.ModelProfile
+	weights       weights
 	zones         int
 	segments      int
 	segmentLayers int       // layers per segment
@@ -71,7 +82,17 @@
 
 // Place implements [lentilmux.RangePlacement]. Pinned nodes keep their layers.
 func (ZoneBalanced) Place(model *lentilmux.ModelProfile, zones int, nodes []lentilmux.RangeNode) (ranges []lentilmux.LayerRange) {
-	c := newCoverage(model, zones)
+	order := make([]int, len(nodes))
+	for i := range order {
+		order[i] = i
+	}
+	return placeInOrder(model, zones, nodes, order, defaultWeights)
+}
+
+// placeInOrder lets the nodes choose their ranges in turn, until none changes its
+// choice or maxRounds have passed. Pinned nodes keep their layers.
+func placeInOrder(model *lentilmux.ModelProfile, zones int, nodes []lentilmux.RangeNode, order []int, w weights) (ranges []lentilmux.LayerRange) {
+	c := newCoverage(model, zones, w)
 	ranges = make([]lentilmux.LayerRange, len(nodes))
 	placed := make([]bool, len(nodes))
 	for i, n := range nodes {
@@ -82,7 +103,8 @@
 	}
 	for round := range maxRounds {
 		changed := false
-		for i, n := range nodes {
+		for _, i := range order {
+			n := nodes[i]
 			if n.Pinned {
 				continue
 			}
@@ -102,15 +124,20 @@
 }
 
 // newCoverage returns the state of a placement without any holdings.
-func newCoverage(model *lentilmux.ModelProfile, zones int) *coverage {
-	length := max(1, (model.Layers+maxSegments-1)/maxSegments)
+func newCoverage(model *lentilmux.ModelProfile, zones int, w weights) *coverage {
+	length := segmentLength(model)
 	count := (model.Layers + length - 1) / length
 	return &coverage{
-		model: model, zones: max(zones, 1), segments: count, segmentLayers: length,
+		model: model, weights: w, zones: max(zones, 1), segments: count, segmentLayers: length,
 		capacity: make([]float64, max(zones, 1)*count), largest: make([]float64, max(zones, 1)*count), totalCapacity: make([]float64, count),
 	}
 }
 
+// segmentLength returns the number of layers of a segment.
+func segmentLength(model *lentilmux.ModelProfile) (layers int) {
+	return max(1, (model.Layers+maxSegments-1)/maxSegments)
+}
+
 // requestRate returns the requests per second that an accelerator can serve
 // with a range of the given number of layers. It combines two limits: the time
 // for prefill and decode, and the requests that fit into the KV cache.
@@ -123,7 +150,7 @@
 	work := share * (answer*step + accelerator.PrefillFactor*prompt/model.PrefillTokensPerSecond)
 	bySpeed := 1 / math.Max(work, 1e-9)
 	tokens := float64(model.CacheCapacity(accelerator, layers)) / float64(layers)
-	byMemory := tokens / math.Max((prompt+answer/2)*c.residencySeconds(), 1e-9)
+	byMemory := tokens / math.Max((prompt+answer/2)*c.weights.residency*c.residencySeconds(), 1e-9)
 	return 1 / (1/bySpeed + 1/math.Max(byMemory, 1e-9))
 }
 
@@ -197,7 +224,16 @@
 	local := c.capacity[index]
 	others := otherZonesShare*(c.totalCapacity[segment]-local) + minCapacity
 	withoutLargest := local + extra - math.Max(c.largest[index], extra)
-	return 1/(local+extra+others) + lossWeight/(withoutLargest+others)
+	return c.steepen(1/(local+extra+others)) + c.weights.loss*c.steepen(1/(withoutLargest+others))
+}
+
+// steepen raises a cost to the power of the weights.
+func (c *coverage) steepen(cost float64) (steep float64) {
+	steep = cost
+	for range c.weights.power - 1 {
+		steep *= cost
+	}
+	return steep
 }
 
 // bestRange returns the range that lowers the cost most if the node holds it.
