Replace every lost hop of a path in one move

Cause: joined crashes take several upstreams of one path. Change: a hop that a refusal names and that the request ran on already is lost to the request, gets no new requests and is probed; a move replaces all lost hops at once. Scenario joined_crash (fails before: the second move goes over the same dead hop).

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -115,7 +115,7 @@
 	if !ok {
 		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonNoUpstream, fmt.Sprintf("nothing of %s has room, of %d upstreams", request.Service, len(a.rows))))
 	}
-	request.Move, request.PathBefore, request.HeldBefore = MoveIdle, nil, nil
+	request.Move, request.PathBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.SentAt, request.LastUpstream = attempt.Epoch, false, now, attempt.Upstream
 	request.Attempts++
 	t.reserve(request)
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -24,13 +24,11 @@
 	for _, msg := range t.Events.MoveResults {
 		m.applyMoveResult(t, msg, now)
 	}
-	if !m.anyDead(t) {
-		return
-	}
+	anyDead := m.anyDead(t)
 	roomFreed := t.Events.mayFreeRoom()
 	for _, request := range t.Requests.Rows {
 		ready := request.Move == MoveIdle || request.Move == MoveBlocked && roomFreed
-		if len(request.Path) > 1 && ready && request.Moves < t.Limits.MaxMoves {
+		if len(request.Path) > 1 && ready && request.Moves < t.Limits.MaxMoves && (anyDead || len(request.LostHops) > 0) {
 			m.moveRequest(t, request, now)
 		}
 	}
@@ -46,26 +44,39 @@
 	return row == nil || row.Dead
 }
 
-// moveRequest replaces the first dead hop of a path. The first hop of the path
+// isLost reports whether a hop of a request's path cannot continue it.
+func (t *Tables) isLost(request *RequestRow, hop lentilmux.Hop) bool {
+	return t.isDead(hop.Upstream) || slices.Contains(request.LostHops, hop.Upstream)
+}
+
+// moveRequest replaces all lost hops of a path at once. The first hop of the path
 // cannot be replaced, since its connection carries the answer.
 func (m *MoveRequests) moveRequest(t *Tables, request *RequestRow, now time.Time) {
-	if t.isDead(request.Path[0].Upstream) {
+	path, reservations := request.Path, request.Reservations
+	if t.isLost(request, path[0]) {
 		return
 	}
-	for i := 1; i < len(request.Path); i++ {
-		if !t.isDead(request.Path[i].Upstream) {
+	for i := 1; i < len(path); i++ {
+		if !t.isLost(request, path[i]) {
 			continue
 		}
-		path, reservations, ok := m.replaceHop(t, request, i, now)
-		if ok {
-			m.startMove(t, request, path, reservations)
+		lost := path[i].Upstream
+		var ok bool
+		if path, reservations, ok = m.replaceHop(t, request, path, reservations, i, now); !ok {
+			m.block(t, request, lost)
 			return
 		}
-		if request.Move != MoveBlocked {
-			request.Move = MoveBlocked
-			t.RecordDecision(lentilmux.Decision{What: "move_blocked", Subject: string(request.ID), Chosen: request.Path[i].Upstream, Reason: "no other upstream has the layers and free capacity"})
-		}
-		return
+	}
+	if !slices.Equal(path, request.Path) {
+		m.startMove(t, request, path, reservations)
+	}
+}
+
+// block records that no upstream can take over from a lost hop at the moment.
+func (m *MoveRequests) block(t *Tables, request *RequestRow, lost string) {
+	if request.Move != MoveBlocked {
+		request.Move = MoveBlocked
+		t.RecordDecision(lentilmux.Decision{What: "move_blocked", Subject: string(request.ID), Chosen: lost, Reason: "no other upstream has the layers and free capacity"})
 	}
 }
 
@@ -73,33 +84,31 @@
 // prefers the availability zone of the previous hop. Upstreams of other zones are
 // used as far as the bandwidth between zones allows, since the activations of all
 // tokens so far have to cross.
-func (m *MoveRequests) replaceHop(t *Tables, request *RequestRow, deadHop int, now time.Time) (path []lentilmux.Hop, reservations []Reservation, ok bool) {
+func (m *MoveRequests) replaceHop(t *Tables, request *RequestRow, path []lentilmux.Hop, reservations []Reservation, lost int, now time.Time) (newPath []lentilmux.Hop, newReservations []Reservation, ok bool) {
 	service := t.Rules.Service(request.Service)
 	if service == nil || service.Engine == nil {
 		return nil, nil, false
 	}
 	m.Admit.collectNodes(t, request.Service, now)
-	zone := t.zoneIndex(request.Path[deadHop-1].Upstream)
 	for i, row := range m.Admit.rows {
-		if slices.ContainsFunc(request.Path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) {
+		if slices.ContainsFunc(path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) || slices.Contains(request.LostHops, row.ID) {
 			m.Admit.nodes[i].Capacity = 0
 		}
 	}
 	pathRequest := newPathRequest(t, request, service.Engine)
-	pathRequest.Layers, pathRequest.HasPredecessor, pathRequest.SourceZone = request.Path[deadHop].Layers, true, zone
+	pathRequest.Layers, pathRequest.HasPredecessor, pathRequest.SourceZone = path[lost].Layers, true, t.zoneIndex(path[lost-1].Upstream)
 	hops, _, ok := m.Admit.selectPath(t, pathRequest, now)
 	if !ok {
 		return nil, nil, false
 	}
 	cacheTokens := dispatch.CacheTokens(pathRequest.PromptTokens, pathRequest.AnswerTokens)
-	path = slices.Clone(request.Path[:deadHop])
-	reservations = slices.Clone(request.Reservations[:deadHop])
+	newPath, newReservations = slices.Clone(path[:lost]), slices.Clone(reservations[:lost])
 	for _, hop := range hops {
 		row := m.Admit.rows[hop.Node]
-		path = append(path, lentilmux.Hop{Upstream: row.ID, Addr: row.Addr, Layers: hop.Layers})
-		reservations = append(reservations, Reservation{Upstream: row.ID, Load: Load{Streams: 1, Reserved: cacheTokens * int64(hop.Layers.Len())}})
+		newPath = append(newPath, lentilmux.Hop{Upstream: row.ID, Addr: row.Addr, Layers: hop.Layers})
+		newReservations = append(newReservations, Reservation{Upstream: row.ID, Load: Load{Streams: 1, Reserved: cacheTokens * int64(hop.Layers.Len())}})
 	}
-	return append(path, request.Path[deadHop+1:]...), append(reservations, request.Reservations[deadHop+1:]...), true
+	return append(newPath, path[lost+1:]...), append(newReservations, reservations[lost+1:]...), true
 }
 
 // zoneIndex returns the index of an upstream's availability zone, or of this
@@ -149,15 +158,23 @@
 	t.replacePath(request, request.PathBefore, request.HeldBefore)
 }
 
-// markUnavailable keeps new requests for FullDuration from the hop that could not
-// take over a request, or from all new hops of its path if the upstream did not
-// name one.
+// markUnavailable handles a refusal that names a hop. A hop that the request ran
+// on already is lost to it, so that the next move replaces it too, and is probed.
+// A new hop gets no new requests for FullDuration; if the upstream named none,
+// that holds for all new hops.
 func (m *MoveRequests) markUnavailable(t *Tables, request *RequestRow, named netip.AddrPort, now time.Time) {
 	for _, hop := range request.Path {
+		row := t.Upstreams.Find(hop.Upstream)
 		isNew := !slices.Contains(request.PathBefore, hop)
-		if row := t.Upstreams.Find(hop.Upstream); row != nil && (hop.Addr == named || !named.IsValid() && isNew) {
+		switch {
+		case row == nil || named.IsValid() && hop.Addr != named:
+		case isNew:
 			row.FullUntil = now.Add(t.Limits.FullDuration)
 			t.RecordDecision(lentilmux.Decision{What: "upstream_full", Subject: row.ID, Chosen: t.Limits.FullDuration.String(), Reason: "could not take over request " + string(request.ID)})
+		case named.IsValid():
+			request.LostHops = append(request.LostHops, row.ID)
+			t.markSuspected(row, now, "named by "+request.Path[0].Upstream)
+			t.probe(row, now)
 		}
 	}
 }
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -26,6 +26,7 @@
 	Moves         int             // moves so far, also refused ones
 	PathBefore    []lentilmux.Hop // path before the move in flight, which continues if the move is refused
 	HeldBefore    []Reservation   // reservations of PathBefore
+	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
 	SentAt        time.Time       // when the last attempt was sent
 }
 
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -81,7 +81,7 @@
 	if request.Moves < t.Limits.MaxMoves {
 		return false
 	}
-	return slices.ContainsFunc(request.Path, func(hop lentilmux.Hop) bool { return t.isDead(hop.Upstream) })
+	return slices.ContainsFunc(request.Path, func(hop lentilmux.Hop) bool { return t.isLost(request, hop) })
 }
 
 // replaceAttempt replaces an attempt that is still in flight, if a retry is
