Make load digests small, and let readers of a relay's copy wait for it

A relay reads the configuration each 1.2 s and waits 0.8 s, so its copy was 2 s old, the age from which it is rejected; a reader that then turned to the store had read further than the relay, and was rejected for that again. And digests of 40 bytes an upstream, sent 6.7 times a second to 58 VMs by both relays of a zone, come to 23 Mbit/s, more than the links of the small VMs. Change: the interval of a relay's reads is bounded by the age at which its copy is rejected, and a VM counts on relays until it knows that the fleet is small; a reader ahead of a copy waits for it. Digests name upstreams by 32 bits in columns (13 bytes an upstream), are sent each 300 ms where there are relays, and at once when an upstream is found dead; the second relay of a zone sends sums at a quarter of the rate while the first is live; sums of over 256 upstreams cover other zones by slices.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -40,6 +40,12 @@
 	// sharedUpstreamsMaxWait replaces directUpstreamsMaxWait when digest relays
 	// read for other VMs.
 	sharedUpstreamsMaxWait = 2 * time.Second
+	// sharedRulesIntervalFraction bounds the minimum interval between two reads of
+	// the configuration when digest relays read for other VMs, as a fraction of
+	// MaxReadyConfigAge. A relay's copy is as old as this interval and the wait of
+	// the next read together when that read is answered; their sum must stay below
+	// maxCopyAgeFraction, or the other VMs turn to the store.
+	sharedRulesIntervalFraction = 0.2
 	// maxCopyAgeFraction is the maximum age of the configuration that this VM
 	// serves to other VMs, as a fraction of MaxReadyConfigAge.
 	maxCopyAgeFraction = 0.5
@@ -114,7 +120,7 @@
 	digests      *peer.LoadDigestConn
 	copies       *platformlog.CopyCache
 	log          *platformlog.PeerFirstLog
-	sharedReads  atomic.Bool // whether digest relays read the store for other VMs
+	sharedReads  atomic.Bool // whether digest relays read the store for other VMs, or may do so since the size of the fleet is not known yet
 	limits       atomic.Pointer[fleet.Limits]
 
 	ctx       context.Context // canceled when Run ends; set before the first effect
@@ -135,6 +141,7 @@
 	}
 	g.state.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.limits.Store(&config.Limits)
+	g.sharedReads.Store(true)
 	g.copies = platformlog.NewCopyCache(config.Clock, func() time.Duration { return scaled(g.limits.Load().MaxReadyConfigAge, maxCopyAgeFraction) })
 	g.log = platformlog.NewPeerFirstLog(dependencies.Log, dependencies.PeerCopies, g.copies, config.Clock, g.logCopyReadError)
 	model := fleet.New(fleet.Self{
@@ -233,7 +240,11 @@
 	}
 	switch stream {
 	case lentilmux.StreamRules:
-		return platformlog.PollTiming{MaxWait: scaled(limits.MaxReadyConfigAge, rulesWaitFraction), MinInterval: scaled(limits.MinRulesReadInterval, intervalFraction)}
+		minInterval := scaled(limits.MinRulesReadInterval, intervalFraction)
+		if g.sharedReads.Load() {
+			minInterval = min(minInterval, scaled(limits.MaxReadyConfigAge, sharedRulesIntervalFraction))
+		}
+		return platformlog.PollTiming{MaxWait: scaled(limits.MaxReadyConfigAge, rulesWaitFraction), MinInterval: minInterval}
 	case lentilmux.StreamUpstreams:
 		return platformlog.PollTiming{MaxWait: upstreamsMaxWait, MinInterval: scaled(limits.MinUpstreamsReadInterval, intervalFraction)}
 	default:
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -8,12 +8,14 @@
 	"lentilmux.example/lentilmux"
 )
 
-// SendDigests sends this VM's load to its peers at each DigestInterval, and
-// writes its address to the store at each AnnounceInterval. A relay also sends
+// SendDigests sends this VM's load to its peers at each DigestInterval, or
+// RelayDigestInterval if relays are used, and earlier if an upstream was found
+// dead. It writes its address to the store at each AnnounceInterval. A relay also sends
 // sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
 // reads and writes VMs.
 type SendDigests struct {
 	sequence        uint64
+	rounds          int // digests sent so far
 	lastSentAt      time.Time
 	lastAnnouncedAt time.Time
 }
@@ -27,13 +29,20 @@
 			VM: lentilmux.VMRecord{Name: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr},
 		})
 	}
-	due := s.lastSentAt.Add(t.Limits.DigestInterval)
-	if now.Before(due) {
+	interval := t.Limits.DigestInterval
+	if t.usesRelays() {
+		interval = t.Limits.RelayDigestInterval
+	}
+	if t.NewSuspects {
+		interval = t.Limits.MinDigestInterval
+	}
+	if due := s.lastSentAt.Add(interval); now.Before(due) {
 		t.WakeAt(due)
 		return
 	}
-	s.lastSentAt = now
-	t.WakeAt(now.Add(t.Limits.DigestInterval))
+	s.lastSentAt, t.NewSuspects = now, false
+	s.rounds++
+	t.WakeAt(now.Add(interval))
 	own := s.ownDigest(t, now)
 	switch {
 	case !t.usesRelays():
@@ -43,15 +52,65 @@
 		}
 		s.send(t, own, t.digestAddrs(names, now))
 	case t.isRelay(now):
-		zoneSum := s.aggregate(t, own, lentilmux.ScopeZone, now)
-		s.send(t, zoneSum, t.digestAddrs(t.relaysOfOtherZones(now), now))
-		s.send(t, s.aggregate(t, own, lentilmux.ScopeFleet, now), t.digestAddrs(t.otherVMsInZone(), now))
-		s.send(t, own, t.digestAddrs(t.zoneRelays(t.Self.Zone, now), now))
+		s.sendAsRelay(t, own, now)
 	default:
 		s.send(t, own, t.digestAddrs(t.zoneRelays(t.Self.Zone, now), now))
 	}
 }
 
+const (
+	// standbyRounds is the number of rounds in which a relay that is not the first
+	// of its zone sends the fleet-wide sum once, while the first one is live: the
+	// sum is not used then, but shows that the relay is live as well.
+	standbyRounds = 4
+	// maxWholeSum is the number of upstreams up to which a relay sends the sum for
+	// all of them at once.
+	maxWholeSum = 256
+	// sumSlices is the number of rounds over which a larger sum covers the
+	// upstreams of other availability zones.
+	sumSlices = 8
+)
+
+// sendAsRelay sends this VM's digest to the other relays of its zone, the sum of
+// its zone to the relays of other zones, and the sum of the fleet to the VMs of
+// its zone.
+func (s *SendDigests) sendAsRelay(t *Tables, own lentilmux.LoadDigest, now time.Time) {
+	zoneRelays := t.zoneRelays(t.Self.Zone, now)
+	s.send(t, own, t.digestAddrs(zoneRelays, now))
+	if t.isStandbyRelay(zoneRelays, now) && s.rounds%standbyRounds != 0 {
+		return
+	}
+	s.send(t, s.aggregate(t, own, lentilmux.ScopeZone, now), t.digestAddrs(t.relaysOfOtherZones(now), now))
+	sum := s.aggregate(t, own, lentilmux.ScopeFleet, now)
+	if len(sum.Loads) > maxWholeSum {
+		sum = s.slice(t, sum)
+	}
+	s.send(t, sum, t.digestAddrs(t.otherVMsInZone(), now))
+}
+
+// isStandbyRelay reports whether another relay of the zone with a lower name is
+// live.
+func (t *Tables) isStandbyRelay(zoneRelays []string, now time.Time) bool {
+	if len(zoneRelays) == 0 || zoneRelays[0] == t.Self.Name {
+		return false
+	}
+	first := t.VMs.Find(zoneRelays[0])
+	return first != nil && t.isLive(first, now)
+}
+
+// slice returns a sum without the upstreams that it does not cover in this round.
+func (s *SendDigests) slice(t *Tables, sum lentilmux.LoadDigest) lentilmux.LoadDigest {
+	sum.Slices, sum.Slice = sumSlices, s.rounds%sumSlices
+	covered := sum.Loads[:0]
+	for _, load := range sum.Loads {
+		if row := t.Upstreams.FindByHash(load.Upstream); row != nil && covers(&sum, row) {
+			covered = append(covered, load)
+		}
+	}
+	sum.Loads = covered
+	return sum
+}
+
 // send assigns the next sequence number to a digest and sends it to the given
 // addresses.
 func (s *SendDigests) send(t *Tables, digest lentilmux.LoadDigest, to []netip.AddrPort) {
@@ -78,7 +137,7 @@
 		}
 		if row.OwnLoad.Streams > 0 || slowdown > 0 {
 			digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
-				Upstream: row.ID, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
+				Upstream: row.Hash, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
 			})
 		}
 		if row.Dead && !row.ReportedByPeer {
@@ -100,7 +159,7 @@
 	sum = own
 	sum.Scope = scope
 	sum.Loads, sum.RetryCounts, sum.Suspects = slices.Clone(own.Loads), slices.Clone(own.RetryCounts), slices.Clone(own.Suspects)
-	indexByUpstream := make(map[string]int, len(sum.Loads))
+	indexByUpstream := make(map[lentilmux.UpstreamHash]int, len(sum.Loads))
 	for i, load := range sum.Loads {
 		indexByUpstream[load.Upstream] = i
 	}
@@ -122,7 +181,7 @@
 
 // mergeLoads adds loads to a digest, by upstream. It keeps indexByUpstream up to
 // date, which maps an upstream to its position in digest.Loads.
-func mergeLoads(digest *lentilmux.LoadDigest, indexByUpstream map[string]int, loads []lentilmux.UpstreamLoad) {
+func mergeLoads(digest *lentilmux.LoadDigest, indexByUpstream map[lentilmux.UpstreamHash]int, loads []lentilmux.UpstreamLoad) {
 	for _, load := range loads {
 		i, ok := indexByUpstream[load.Upstream]
 		if !ok {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -17,6 +17,8 @@
 	CrossZoneFraction        float64       // fraction of the bandwidth between zones that paths may use
 	MaxProbesPerSecond       float64       // probes because of failures and stalls, for all VMs together
 	DigestInterval           time.Duration // between two load digests
+	RelayDigestInterval      time.Duration // the same in a fleet that uses relays
+	MinDigestInterval        time.Duration // until a digest that announces a dead upstream
 	PeerTimeout              time.Duration // without a digest until a peer is lost
 	BaseSuspectDuration      time.Duration // until a suspected upstream is probed again; doubles up to MaxSuspectDuration
 	MaxSuspectDuration       time.Duration
@@ -68,6 +70,8 @@
 		CrossZoneFraction:        0.5,
 		MaxProbesPerSecond:       150,
 		DigestInterval:           150 * time.Millisecond,
+		RelayDigestInterval:      300 * time.Millisecond,
+		MinDigestInterval:        30 * time.Millisecond,
 		PeerTimeout:              2 * time.Second,
 		BaseSuspectDuration:      400 * time.Millisecond,
 		MaxSuspectDuration:       time.Second,
--- a/fleet/readsource.go
+++ b/fleet/readsource.go
@@ -11,8 +11,10 @@
 
 // SelectReadSource selects where this VM reads the streams of the store. In a
 // large fleet the relays read from the store, and the other VMs of their
-// availability zone read from the relays. It reads VMs and Self.
+// availability zone read from the relays. A VM that has met no large fleet within
+// PeerTimeout of its start knows that it is in a small one. It reads VMs and Self.
 type SelectReadSource struct {
+	decided    bool // whether a source was selected since the start
 	usesRelays bool
 	relayAddrs []netip.AddrPort
 }
@@ -25,11 +27,16 @@
 	for i, name := range names {
 		relayAddrs[i] = t.VMs.Find(name).Addr
 	}
-	if usesRelays == s.usesRelays && slices.Equal(relayAddrs, s.relayAddrs) {
+	changed := usesRelays != s.usesRelays || !slices.Equal(relayAddrs, s.relayAddrs)
+	settled := !s.decided && now.Sub(t.Self.Started) >= t.Limits.PeerTimeout
+	if !changed && !settled {
 		return
 	}
-	s.usesRelays, s.relayAddrs = usesRelays, relayAddrs
+	s.decided, s.usesRelays, s.relayAddrs = true, usesRelays, relayAddrs
 	t.AddEffect(lentilmux.StreamSourceEffect{VMs: relayAddrs, Shared: usesRelays})
+	if !changed {
+		return
+	}
 	chosen := strings.Join(names, " ")
 	if chosen == "" {
 		chosen = "store"
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -92,19 +92,25 @@
 
 // digestSources returns the peers whose digests together cover the load of the
 // fleet without this VM's own: all live peers or, if relays are used, those in
-// this VM's zone and one relay of each other zone.
+// this VM's zone and, for each other zone, the relay whose sum arrived last.
 func (t *Tables) digestSources(now time.Time) (vms []*VMRow) {
 	usesRelays := t.usesRelays()
-	countedZones := make(map[string]bool) // zones whose sum is already included
+	sumByZone := make(map[string]int) // index in vms
 	for _, vm := range t.VMs.Rows {
 		if !t.isLive(vm, now) {
 			continue
 		}
 		if usesRelays && vm.Zone != t.Self.Zone {
-			if vm.Scope != lentilmux.ScopeZone || countedZones[vm.Zone] {
+			if vm.Scope != lentilmux.ScopeZone {
 				continue
 			}
-			countedZones[vm.Zone] = true
+			if i, ok := sumByZone[vm.Zone]; ok {
+				if vm.LastDigestAt.After(vms[i].LastDigestAt) {
+					vms[i] = vm
+				}
+				continue
+			}
+			sumByZone[vm.Zone] = len(vms)
 		}
 		vms = append(vms, vm)
 	}
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -76,6 +76,7 @@
 		return
 	}
 	row.Dead, row.ReportedByPeer = true, true
+	t.NewSuspects = t.NewSuspects || t.usesRelays() && t.isRelay(now) // which passes it on
 	t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: "reported by " + vm})
 	t.markSuspected(row, now, "reported by "+vm)
 }
@@ -86,36 +87,51 @@
 	if t.FleetLoads.Relay < digest.VM && t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
 		return
 	}
-	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, Loads: digest.Loads, RetryCounts: digest.RetryCounts}
+	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts}
+	for _, row := range t.Upstreams.Rows {
+		if covers(&digest, row) {
+			row.FleetLoad = Load{}
+		}
+	}
+	for _, load := range digest.Loads {
+		if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
+			row.FleetLoad.add(toLoad(load), 1)
+			row.takeSlowdown(load)
+		}
+	}
+}
+
+// covers reports whether a digest says what is in flight at an upstream.
+func covers(digest *lentilmux.LoadDigest, row *UpstreamRow) bool {
+	return digest.Slices <= 0 || row.Zone == digest.Zone || int(row.Hash%lentilmux.UpstreamHash(digest.Slices)) == digest.Slice
 }
 
 // recountPeerLoads recomputes the load of peers at each upstream.
 func (a *ApplyReports) recountPeerLoads(t *Tables, now time.Time) {
-	for _, row := range t.Upstreams.Rows {
-		row.PeerLoad = Load{}
-	}
 	if t.usesRelays() && !t.isRelay(now) {
-		a.addPeerLoads(t, t.FleetLoads.Loads)
 		for _, row := range t.Upstreams.Rows {
+			row.PeerLoad = row.FleetLoad
 			row.PeerLoad.add(row.OwnLoad, -1) // the sum includes this VM's own load
 		}
 		return
 	}
+	for _, row := range t.Upstreams.Rows {
+		row.PeerLoad = Load{}
+	}
 	for _, vm := range t.digestSources(now) {
-		a.addPeerLoads(t, vm.Loads)
+		for _, load := range vm.Loads {
+			if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
+				row.PeerLoad.add(toLoad(load), 1)
+				row.takeSlowdown(load)
+			}
+		}
 	}
 }
 
-// addPeerLoads adds loads to the rows of their upstreams and takes over the
-// reported slowdown.
-func (a *ApplyReports) addPeerLoads(t *Tables, loads []lentilmux.UpstreamLoad) {
-	for _, load := range loads {
-		if row := t.Upstreams.Find(load.Upstream); row != nil {
-			row.PeerLoad.add(toLoad(load), 1)
-			if load.Slowdown > 0 {
-				row.Slowdown = load.Slowdown
-			}
-		}
+// takeSlowdown takes over the slowdown that a digest reports, if it has one.
+func (u *UpstreamRow) takeSlowdown(load lentilmux.UpstreamLoad) {
+	if load.Slowdown > 0 {
+		u.Slowdown = load.Slowdown
 	}
 }
 
@@ -164,7 +180,7 @@
 // an upstream whose entry has not been read yet.
 func (a *ApplyReports) handleProcessChange(t *Tables, row *UpstreamRow, report lentilmux.UpstreamReport, now time.Time) {
 	if !row.Dead {
-		row.Dead = true
+		row.Dead, t.NewSuspects = true, true
 		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("process started at %s answered, expected the one started at %s", report.StartedAt.UTC().Format(time.RFC3339Nano), row.StartedAt.UTC().Format(time.RFC3339Nano))})
 	}
 	t.markSuspected(row, now, "another process answered")
@@ -207,7 +223,7 @@
 	}
 	row.ReportedByPeer = false
 	if !row.Dead {
-		row.Dead = true
+		row.Dead, t.NewSuspects = true, true
 		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d consecutive probes failed: %v", row.MissedProbes, err)})
 	}
 	t.markSuspected(row, now, "probe failed")
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -188,7 +188,7 @@
 		digest.Zone = fields["zone"]
 	}
 	if upstream, streams, ok := strings.Cut(fields["loads"], ":"); ok {
-		digest.Loads = []lentilmux.UpstreamLoad{{Upstream: upstream, Streams: parseInt(streams), Reserved: 10}}
+		digest.Loads = []lentilmux.UpstreamLoad{{Upstream: lentilmux.HashUpstream(upstream), Streams: parseInt(streams), Reserved: 10}}
 	}
 	return digest
 }
@@ -218,7 +218,7 @@
 func (s *scenario) recordDigest(effect lentilmux.LoadDigestEffect) {
 	text := fmt.Sprintf("digest of %s, %d VMs, to %v:", scopeNames[effect.Digest.Scope], effect.Digest.VMCount, effect.To)
 	for _, load := range effect.Digest.Loads {
-		text += fmt.Sprintf(" %s %d", load.Upstream, load.Streams)
+		text += fmt.Sprintf(" %s %d", s.tables.Upstreams.FindByHash(load.Upstream).ID, load.Streams)
 	}
 	s.lastDigests = append(s.lastDigests, text)
 }
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -38,6 +38,7 @@
 	ProbeBucket     TokenBucket // rate limit of probes because of failures and stalls
 	CrossZoneBucket TokenBucket // rate limit of activations that cross zones, in bits
 	Events          Events
+	NewSuspects     bool // whether an upstream was found dead that the last digest does not list
 
 	effects  []lentilmux.Effect // of this tick
 	nextTick time.Time
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -16,8 +16,10 @@
 	ExpiresAt   time.Time           // when its missing entry takes effect; zero while the entry exists
 	Progress    *lentilmux.Progress // when one of its response streams last made progress
 
-	OwnLoad  Load // in flight from this VM
-	PeerLoad Load // in flight from peers, by their last digests
+	OwnLoad   Load // in flight from this VM
+	PeerLoad  Load // in flight from peers, by their last digests
+	FleetLoad Load // in flight from all VMs, by the relay's last sum that covers the upstream
+	Hash      lentilmux.UpstreamHash
 
 	SuspectUntil        time.Time     // suspected until then, takes no new requests; zero if it is not suspected
 	SuspectDuration     time.Duration // time between two probes while suspected; doubles with each failure, up to MaxSuspectDuration
@@ -65,6 +67,7 @@
 	Rows      []*UpstreamRow
 	indexByID map[string]int
 	idByAddr  map[netip.AddrPort]string
+	idByHash  map[lentilmux.UpstreamHash]string
 }
 
 // Find returns an upstream's row, or nil if the upstream is unknown.
@@ -75,6 +78,12 @@
 	return nil
 }
 
+// FindByHash returns the upstream that a digest lists under the hash, or nil if
+// it is unknown.
+func (u *Upstreams) FindByHash(hash lentilmux.UpstreamHash) *UpstreamRow {
+	return u.Find(u.idByHash[hash])
+}
+
 // FindByAddr returns the upstream that registered the address last, or nil if
 // there is none.
 func (u *Upstreams) FindByAddr(addr netip.AddrPort) *UpstreamRow {
@@ -91,13 +100,15 @@
 	if u.indexByID == nil {
 		u.indexByID = make(map[string]int)
 		u.idByAddr = make(map[netip.AddrPort]string)
+		u.idByHash = make(map[lentilmux.UpstreamHash]string)
 	}
 	u.idByAddr[record.Addr] = record.ID
 	if row := u.Find(record.ID); row != nil {
 		row.UpstreamRecord = record
 		return row
 	}
-	row := &UpstreamRow{UpstreamRecord: record, Progress: &lentilmux.Progress{}, Slowdown: 1}
+	row := &UpstreamRow{UpstreamRecord: record, Progress: &lentilmux.Progress{}, Slowdown: 1, Hash: lentilmux.HashUpstream(record.ID)}
+	u.idByHash[row.Hash] = row.ID
 	u.indexByID[record.ID] = len(u.Rows)
 	u.Rows = append(u.Rows, row)
 	return row
@@ -109,9 +120,13 @@
 	if !ok {
 		return
 	}
-	if row := u.Rows[i]; u.idByAddr[row.Addr] == id {
+	row := u.Rows[i]
+	if u.idByAddr[row.Addr] == id {
 		delete(u.idByAddr, row.Addr)
 	}
+	if u.idByHash[row.Hash] == id {
+		delete(u.idByHash, row.Hash)
+	}
 	last := len(u.Rows) - 1
 	u.Rows[i] = u.Rows[last]
 	u.indexByID[u.Rows[i].ID] = i
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -53,12 +53,12 @@
 	return row
 }
 
-// FleetLoads is the fleet-wide sum of loads that was last received from a relay.
+// FleetLoads is what the fleet-wide sum that was last received from a relay says
+// of the fleet. The loads of its upstreams are in their rows.
 type FleetLoads struct {
 	Relay       string // name of the relay that sent it
 	ReceivedAt  time.Time
 	VMCount     int // number of VMs in the sum
-	Loads       []lentilmux.UpstreamLoad
 	RetryCounts []lentilmux.RetryCounts
 }
 
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 
@@ -88,18 +89,54 @@
 	message := &peerpb.LoadDigest{
 		Vm: digest.VM, Zone: digest.Zone, Addr: digest.Addr.String(), Incarnation: digest.Incarnation, Sequence: digest.Sequence,
 		Draining: digest.Draining, Stale: digest.Stale, Suspects: digest.Suspects, Scope: int32(digest.Scope), Vms: int32(digest.VMCount),
+		Slices: uint32(digest.Slices), Slice: uint32(digest.Slice),
 	}
-	for _, load := range digest.Loads {
-		message.Loads = append(message.Loads, &peerpb.UpstreamLoad{
-			Upstream: load.Upstream, Streams: int32(load.Streams), Waiting: int32(load.PendingPromptTokens), Reserved: load.Reserved, Slow: load.Slowdown,
-		})
-	}
+	message.Loads = loadsToProto(digest.Loads)
 	for _, counts := range digest.RetryCounts {
 		message.Sends = append(message.Sends, &peerpb.ServiceSends{Service: counts.Service, Requests: int32(counts.Requests), Repeats: int32(counts.Retries)})
 	}
 	return message
 }
 
+const (
+	// reservedUnit is the unit of reserved KV cache in a digest, in tokens times
+	// layers.
+	reservedUnit = 1000
+	// slowdownUnit is the unit of a slowdown in a digest.
+	slowdownUnit = 0.01
+)
+
+// loadsToProto converts the loads of a digest to columns.
+func loadsToProto(loads []lentilmux.UpstreamLoad) (columns *peerpb.UpstreamLoads) {
+	columns = &peerpb.UpstreamLoads{
+		Upstream: make([]uint32, len(loads)), Streams: make([]uint32, len(loads)), Waiting: make([]uint32, len(loads)),
+		ReservedThousands: make([]uint32, len(loads)), SlowPercent: make([]uint32, len(loads)),
+	}
+	for i, load := range loads {
+		columns.Upstream[i], columns.Streams[i], columns.Waiting[i] = uint32(load.Upstream), uint32(load.Streams), uint32(load.PendingPromptTokens)
+		columns.ReservedThousands[i] = uint32((load.Reserved + reservedUnit - 1) / reservedUnit)
+		columns.SlowPercent[i] = uint32(math.Round(load.Slowdown / slowdownUnit))
+	}
+	return columns
+}
+
+// loadsFromProto converts columns to the loads of a digest. It returns an error
+// if the columns differ in length.
+func loadsFromProto(columns *peerpb.UpstreamLoads) (loads []lentilmux.UpstreamLoad, err error) {
+	upstreams, streams, waiting := columns.GetUpstream(), columns.GetStreams(), columns.GetWaiting()
+	reserved, slow := columns.GetReservedThousands(), columns.GetSlowPercent()
+	if count := len(upstreams); len(streams) != count || len(waiting) != count || len(reserved) != count || len(slow) != count {
+		return nil, errors.Errorf("load digest has columns of different lengths; expected %d values in each", count)
+	}
+	for i, upstream := range upstreams {
+		loads = append(loads, lentilmux.UpstreamLoad{
+			Upstream: lentilmux.UpstreamHash(upstream), Streams: int(streams[i]), PendingPromptTokens: int(waiting[i]),
+			Reserved: int64(reserved[i]) * reservedUnit, Slowdown: float64(slow[i]) * slowdownUnit,
+		})
+	}
+	return loads, nil
+}
+
 // loadDigestFromProto decodes a load digest. It returns an error if data is not
 // a protobuf message, or lacks the VM's name or a valid address.
 func loadDigestFromProto(data []byte) (digest lentilmux.LoadDigest, err error) {
@@ -119,11 +156,10 @@
 		VM: message.GetVm(), Zone: message.GetZone(), Addr: addr, Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(),
 		Draining: message.GetDraining(), Stale: message.GetStale(), Suspects: message.GetSuspects(),
 		Scope: lentilmux.DigestScope(message.GetScope()), VMCount: int(message.GetVms()),
+		Slices: int(message.GetSlices()), Slice: int(message.GetSlice()),
 	}
-	for _, load := range message.GetLoads() {
-		digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
-			Upstream: load.GetUpstream(), Streams: int(load.GetStreams()), PendingPromptTokens: int(load.GetWaiting()), Reserved: load.GetReserved(), Slowdown: load.GetSlow(),
-		})
+	if digest.Loads, err = loadsFromProto(message.GetLoads()); err != nil {
+		return digest, err
 	}
 	for _, counts := range message.GetSends() {
 		digest.RetryCounts = append(digest.RetryCounts, lentilmux.RetryCounts{Service: counts.GetService(), Requests: int(counts.GetRequests()), Retries: int(counts.GetRepeats())})
--- a/peer/loaddigest_test.go
+++ b/peer/loaddigest_test.go
@@ -53,7 +53,9 @@
 	_ = stray.Close()
 	digest := lentilmux.LoadDigest{
 		Scope: lentilmux.ScopeZone, VMCount: 4, VM: "entry-1", Zone: "kochi", Addr: sender.Addr(), Incarnation: 7, Sequence: 3, Draining: true, Stale: true,
-		Loads:       []lentilmux.UpstreamLoad{{Upstream: "w1", Streams: 2, PendingPromptTokens: 700, Reserved: 1 << 40, Slowdown: 3}},
+		Loads:       []lentilmux.UpstreamLoad{{Upstream: lentilmux.HashUpstream("w1"), Streams: 2, PendingPromptTokens: 700, Reserved: 1_000_000_000_000, Slowdown: 3}},
+		Slices:      8,
+		Slice:       5,
 		Suspects:    []string{"w2"},
 		RetryCounts: []lentilmux.RetryCounts{{Service: "desk-llm", Requests: 40, Retries: 3}},
 	}
--- a/platformlog/copycache.go
+++ b/platformlog/copycache.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"lentilmux.example/lentilmux"
 )
 
@@ -100,8 +102,10 @@
 }
 
 // Read answers a read of a peer. A read of all keys is answered immediately,
-// others as soon as there are entries, or without entries after the wait. It
-// returns [lentilmux.ErrCopyBehind] if the copy is not up to date, and
+// others as soon as there are entries, or without entries after the wait. A copy
+// that does not reach the offset yet may do so in the meantime: the reader may
+// have read the store itself before. Read returns [lentilmux.ErrCopyBehind] if the
+// copy is out of date or does not reach the offset after the wait, and
 // [lentilmux.ErrTruncated] if it lacks changes from the given offset on.
 func (c *CopyCache) Read(ctx context.Context, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
 	receivedAt := c.clock()
@@ -109,7 +113,8 @@
 	defer timer.Stop()
 	for final := read.AllKeys; ; {
 		page, changed, err := c.page(read, receivedAt)
-		if err != nil || final || len(page.Entries) > 0 {
+		catchingUp := errors.Is(err, lentilmux.ErrCopyBehind) && changed != nil
+		if final || err == nil && len(page.Entries) > 0 || err != nil && !catchingUp {
 			return page, err
 		}
 		select {
@@ -123,14 +128,17 @@
 }
 
 // page returns the present answer to a read, and a channel that is closed on
-// the next change.
+// the next change. There is no channel if the copy is out of date.
 func (c *CopyCache) page(read lentilmux.CopyRead, receivedAt time.Time) (page lentilmux.CompactedPage, changed <-chan struct{}, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cached := c.streams[read.Stream]
-	if cached == nil || c.isStale() || cached.next < read.From {
+	if cached == nil || c.isStale() {
 		return page, nil, lentilmux.ErrCopyBehind
 	}
+	if cached.next < read.From {
+		return page, c.changed, lentilmux.ErrCopyBehind
+	}
 	if !read.AllKeys && read.From < cached.since {
 		return page, nil, lentilmux.ErrTruncated
 	}
--- /dev/null
+++ b/platformlog/copycatchup_test.go
@@ -0,0 +1,54 @@
+package platformlog_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/platformlog"
+)
+
+// TestCopyCatchesUp compares with the golden file how a copy answers a reader that
+// has read further than the copy, since it read the store itself before. If such
+// reads are rejected, the readers of a zone go back to the store one after the
+// other and stay there. A copy that can no longer be kept up to date still
+// rejects reads at once, also those that wait already.
+func TestCopyCatchesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		started := time.Now()
+		cache := platformlog.NewCopyCache(time.Now, func() time.Duration { return time.Minute })
+		cache.Replace(lentilmux.StreamUpstreams, nil, 5, started)
+		read := func(label string, from uint64, wait time.Duration) {
+			page, err := cache.Read(t.Context(), lentilmux.CopyRead{Stream: lentilmux.StreamUpstreams, From: from, Wait: wait})
+			fmt.Fprintf(&out, "%6s %s from %d: end %d, %d entries, error %v\n", time.Since(started), label, from, page.End, len(page.Entries), errors.Cause(err))
+		}
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			cache.AddEntries(lentilmux.StreamUpstreams, entriesAt(5, 6, 7), time.Now())
+			time.Sleep(500 * time.Millisecond)
+			cache.AddEntries(lentilmux.StreamUpstreams, entriesAt(8), time.Now())
+			time.Sleep(1200 * time.Millisecond)
+			cache.MarkFailed(lentilmux.StreamUpstreams)
+		}()
+		read("caught up, then new entry", 8, 2*time.Second)
+		read("still behind after the wait", 12, 500*time.Millisecond)
+		read("out of date while it waits", 12, 5*time.Second)
+		read("out of date", 9, 5*time.Second)
+		goldie.New(t).Assert(t, "copy_catches_up", []byte(out.String()))
+	})
+}
+
+// entriesAt returns entries with the given offsets.
+func entriesAt(offsets ...uint64) (entries []lentilmux.CompactedEntry) {
+	for _, offset := range offsets {
+		entries = append(entries, lentilmux.CompactedEntry{Key: fmt.Sprint("key-", offset), Value: []byte("value"), Offset: offset})
+	}
+	return entries
+}
--- a/streams.go
+++ b/streams.go
@@ -230,10 +230,17 @@
 	Err     error
 }
 
+// UpstreamHash identifies an upstream in load digests. It is short, since digests
+// list many upstreams. Two upstreams with the same hash share their load.
+type UpstreamHash uint32
+
+// HashUpstream returns the hash of an upstream's ID.
+func HashUpstream(id string) UpstreamHash { return UpstreamHash(ComputeFingerprint(id)) }
+
 // UpstreamLoad is the work in flight at one upstream, summed over the VMs of a
 // load digest.
 type UpstreamLoad struct {
-	Upstream            string
+	Upstream            UpstreamHash
 	Streams             int     // requests in flight
 	PendingPromptTokens int     // prompt tokens that wait for prefill
 	Reserved            int64   // reserved KV cache, in tokens times layers
@@ -254,7 +261,8 @@
 )
 
 // LoadDigest is a message in which an entry VM reports the work in flight to its
-// peers. Each digest is complete, so that a lost one does no harm.
+// peers. Each digest replaces all that an earlier one said of the upstreams that
+// it covers, so that a lost one does no harm.
 type LoadDigest struct {
 	Scope       DigestScope
 	VMCount     int            // number of VMs whose work is summed up
@@ -264,9 +272,11 @@
 	Incarnation uint64         // start of the sender's process; higher for later starts
 	Sequence    uint64         // number of the digest within the incarnation
 	Draining    bool
-	Stale       bool // whether the sender's view of the store is too old
-	Loads       []UpstreamLoad
-	Suspects    []string // upstreams that are suspected to be dead
+	Stale       bool           // whether the sender's view of the store is too old
+	Loads       []UpstreamLoad // of the upstreams that it covers; one that is not listed has none
+	Slices      int            // if positive, it covers the sender's zone and a slice of the other upstreams, else all
+	Slice       int            // slice that it covers: upstreams whose hash modulo Slices is this number
+	Suspects    []string       // upstreams that are suspected to be dead
 	RetryCounts []RetryCounts
 }
 
