--- a/service/service.go
+++ b/service/service.go
@@ -29,6 +29,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxReplyBytes is the largest accepted reply body, in bytes.
 	maxReplyBytes = 8 << 20
+	// maxHeaderBytes is the largest accepted response header, in bytes. A faulty
+	// upstream may send a header without end.
+	maxHeaderBytes = 64 << 10
 )
 
 // ErrReplyTooLarge reports an upstream's reply that exceeds the size limit.
@@ -78,6 +81,8 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	for _, option := range options {
 		option(transport, dialer)
@@ -106,12 +111,9 @@
 		return lentilmux.ServiceReply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	body, err := ReadBody(response, maxReplyBytes)
 	if err != nil {
-		return lentilmux.ServiceReply{}, NewReadError(err)
-	}
-	if len(body) > maxReplyBytes {
-		return lentilmux.ServiceReply{}, &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: ErrReplyTooLarge}
+		return lentilmux.ServiceReply{}, err
 	}
 	return lentilmux.ServiceReply{
 		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
@@ -144,6 +146,24 @@
 	return response, nil
 }
 
+// ReadBody reads the body of a response of at most maxBytes. A body that is longer,
+// or announced to be, is an error, of which no more is read. A failure is a
+// [*lentilmux.UpstreamError]. The caller closes the body, which also closes the
+// connection if it was not read to its end.
+func ReadBody(response *http.Response, maxBytes int64) (body []byte, err error) {
+	if response.ContentLength > maxBytes {
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: ErrReplyTooLarge}
+	}
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return nil, NewReadError(err)
+	}
+	if int64(len(body)) > maxBytes {
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: ErrReplyTooLarge}
+	}
+	return body, nil
+}
+
 // NewReadError wraps the error with which a response body ended early. The kind
 // is a timeout or a crash, since the upstream has received the request.
 func NewReadError(err error) *lentilmux.UpstreamError {
