Let only relays lead in a large fleet, and plan no gaps during an outage

Change: where relays are used, only a relay leads, since only relays know enough of the others. A gap in the layers of a zone is not planned for while the store is away and until the end of StoreRecoveryGrace.

--- a/fleet/place.go
+++ b/fleet/place.go
@@ -129,9 +129,10 @@
 
 // hasLastingGap reports whether some availability zone with layers has lacked
 // others for GapDelay. A shorter gap may be an upstream that was found dead by
-// mistake.
+// mistake. After an outage of the store the delay begins at the end of
+// StoreRecoveryGrace, since entries may be missing until then.
 func (p *PlaceLayers) hasLastingGap(t *Tables, state *placementState, service *lentilmux.ServiceRule, rows []*UpstreamRow, now time.Time) bool {
-	if !hasGap(t, service.Engine.Layers, rows) {
+	if t.storeRecovering(now) || !hasGap(t, service.Engine.Layers, rows) {
 		state.gapSince = time.Time{}
 		return false
 	}
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -184,6 +184,7 @@
 		Sequence: uint64(parseInt(fields["sequence"])), Suspects: strings.FieldsFunc(fields["suspects"], func(r rune) bool { return r == ',' }),
 		Scope: map[string]lentilmux.DigestScope{"zone": lentilmux.ScopeZone, "fleet": lentilmux.ScopeFleet}[fields["scope"]],
 	}
+	digest.Stale = fields["stale"] == "true"
 	if fields["zone"] != "" {
 		digest.Zone = fields["zone"]
 	}
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -143,8 +143,8 @@
 	}
 	row.ExpiresAt = now
 	reason := "store entry removed"
-	if graceEnd := t.Streams.Upstreams.RecoveredAt.Add(t.Limits.StoreRecoveryGrace); !t.Streams.Upstreams.RecoveredAt.IsZero() && now.Before(graceEnd) {
-		row.ExpiresAt = graceEnd
+	if t.storeRecovering(now) {
+		row.ExpiresAt = t.Streams.Upstreams.RecoveredAt.Add(t.Limits.StoreRecoveryGrace)
 		reason = "store entry missing after a store outage"
 	}
 	t.RecordDecision(lentilmux.Decision{What: "upstream_expired", Subject: id, Reason: reason})
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -39,6 +39,13 @@
 	return now.Sub(t.Streams.Rules.AsOf) > t.Limits.MaxConfigAge
 }
 
+// storeRecovering reports whether entries of upstreams may be missing although
+// the upstreams live: the store does not respond, or has only just done so again.
+func (t *Tables) storeRecovering(now time.Time) bool {
+	state := &t.Streams.Upstreams
+	return state.Failing || !state.RecoveredAt.IsZero() && now.Before(state.RecoveredAt.Add(t.Limits.StoreRecoveryGrace))
+}
+
 // Rules is the configuration in force with its lookup indexes.
 type Rules struct {
 	lentilmux.Ruleset
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -88,11 +88,12 @@
 
 // IsLeader reports whether this VM places layers and sends orders. The leader is
 // the VM with the lowest name among those that are live, not draining and in
-// contact with the store. Two VMs may both consider themselves leader for a
-// while. That is safe: an order names the number of orders that the upstream has
-// accepted, so the upstream refuses the second one.
+// contact with the store; where relays are used, only they know enough of the
+// others to lead. Two VMs may both consider themselves leader for a while. That is
+// safe: an order names the number of orders that the upstream has accepted, so
+// the upstream refuses the second one.
 func (t *Tables) IsLeader(now time.Time) bool {
-	if t.Self.Draining || t.ConfigStale(now) {
+	if t.Self.Draining || t.ConfigStale(now) || t.usesRelays() && !t.isRelay(now) {
 		return false
 	}
 	for _, vm := range t.VMs.Rows {
