Spare a store that is away: VMs with relays try it less often

Calls are priced also when they fail, and reach a store that recovers. Change: a VM with relays that could not read the store leaves it alone for 3 s in place of 1.5 s. It still asks its relays, which try on and pass on what they read.

--- a/platformlog/peerfirstlog.go
+++ b/platformlog/peerfirstlog.go
@@ -20,7 +20,7 @@
 	// storeCooldown is how long the store is not read after a failed read if there
 	// are peers to read from. Otherwise all VMs would send their reads to a
 	// store that is recovering.
-	storeCooldown = 1500 * time.Millisecond
+	storeCooldown = 3 * time.Second
 )
 
 // PeerFirstLog implements [lentilmux.CompactedLog]. It reads compacted streams
