Plan for gaps only when entries had time to return, and with known order counts

Change: upstreams are movable in a plan only if a gap has lasted, counted from 4 s after the store's recovery; an upstream of which no report is known is asked before it is ordered to change its layers. The log no longer prints an outage of 292 years for a VM that never reached the store.

--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -7,6 +7,7 @@
 	MaxConfigAge             time.Duration // maximum age of the configuration for accepting API keys
 	MaxReadyConfigAge        time.Duration // maximum age of the configuration for being ready
 	StoreRecoveryGrace       time.Duration // from the recovery of the store until missing upstream entries take effect
+	GapRecoveryGrace         time.Duration // from the recovery of the store until layers that a zone lacks are placed on other upstreams
 	RetryRatio               float64       // retry budget: retries allowed per request
 	RetrySlack               float64       // retry budget: retries allowed in addition, per window and for all VMs together
 	RetryWindow              time.Duration // sliding window of the retry budget
@@ -60,6 +61,7 @@
 		MaxConfigAge:             4 * time.Second,
 		MaxReadyConfigAge:        3 * time.Second,
 		StoreRecoveryGrace:       2 * time.Second,
+		GapRecoveryGrace:         4 * time.Second,
 		RetryRatio:               0.2,
 		RetrySlack:               100,
 		RetryWindow:              10 * time.Second,
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -22,8 +22,8 @@
 			row.ProbedAt = time.Time{}
 			t.probe(row, now)
 		}
-		if !row.isLoading() {
-			continue
+		if !row.isLoading() || row.StateUnknown && row.HasLayers {
+			continue // an order that does not name the number of orders accepted would be refused
 		}
 		if !row.OrderedAt.IsZero() {
 			if retryAt := row.OrderedAt.Add(t.Limits.OrderTimeout); now.Before(retryAt) {
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -79,7 +79,7 @@
 		return
 	}
 	state.plannedAt, state.requested = now, holdings
-	t.AddEffect(lentilmux.PlanRangesEffect{Service: service.Name, Model: service.Engine, Zones: t.Zones.Count(), Nodes: p.rangeNodes(t, rows, now)})
+	t.AddEffect(lentilmux.PlanRangesEffect{Service: service.Name, Model: service.Engine, Zones: t.Zones.Count(), Nodes: p.rangeNodes(t, rows, gap, now)})
 }
 
 // countUnplaced returns the number of upstreams that wait for layers, and the time
@@ -130,9 +130,9 @@
 // hasLastingGap reports whether some availability zone with layers has lacked
 // others for GapDelay. A shorter gap may be an upstream that was found dead by
 // mistake. After an outage of the store the delay begins at the end of
-// StoreRecoveryGrace, since entries may be missing until then.
+// GapRecoveryGrace, since entries may be missing until then.
 func (p *PlaceLayers) hasLastingGap(t *Tables, state *placementState, service *lentilmux.ServiceRule, rows []*UpstreamRow, now time.Time) bool {
-	if t.storeRecovering(now) || !hasGap(t, service.Engine.Layers, rows) {
+	if t.storeRecovering(now, t.Limits.GapRecoveryGrace) || !hasGap(t, service.Engine.Layers, rows) {
 		state.gapSince = time.Time{}
 		return false
 	}
@@ -190,16 +190,16 @@
 	return lentilmux.ComputeFingerprint(parts...)
 }
 
-// rangeNodes returns the upstreams as input to the placement. Those that hold
-// layers and carry out no order may be moved.
-func (p *PlaceLayers) rangeNodes(t *Tables, rows []*UpstreamRow, now time.Time) (nodes []lentilmux.RangeNode) {
+// rangeNodes returns the upstreams as input to the placement. If there is a gap to
+// fill, those that hold layers and carry out no order may be moved.
+func (p *PlaceLayers) rangeNodes(t *Tables, rows []*UpstreamRow, gap bool, now time.Time) (nodes []lentilmux.RangeNode) {
 	nodes = make([]lentilmux.RangeNode, len(rows))
 	for i, row := range rows {
 		_, accelerator := t.ModelAndAccelerator(row)
 		nodes[i] = lentilmux.RangeNode{
 			Upstream: row.ID, Zone: t.Zones.Index(row.Zone), Accelerator: accelerator, Slots: row.Slots,
 			Layers: row.plannedLayers(), Pinned: row.HasLayers || row.HasTarget,
-			Movable: row.HasLayers && !row.isLoading() && !row.StateUnknown && row.SuspectUntil.IsZero() && now.Sub(row.OrderRefusedAt) >= t.Limits.OrderTimeout,
+			Movable: gap && row.HasLayers && !row.isLoading() && !row.StateUnknown && row.SuspectUntil.IsZero() && now.Sub(row.OrderRefusedAt) >= t.Limits.OrderTimeout,
 		}
 	}
 	return nodes
@@ -221,6 +221,7 @@
 				continue
 			}
 			reason, anyMoved = "its zone lacks layers, held "+formatLayers(row.Layers, true), true
+			row.StateUnknown = row.ReportedAt.IsZero() // the order has to name the number of orders accepted
 		} else if !t.isUnplaced(row, now) {
 			continue
 		}
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -53,13 +53,21 @@
 	}
 	if state.Failing {
 		state.Failing, state.RecoveredAt = false, now
-		t.RecordDecision(lentilmux.Decision{What: "store_reachable", Subject: string(msg.Stream), Reason: fmt.Sprintf("no answer for %s", now.Sub(state.AsOf).Round(time.Millisecond))})
+		t.RecordDecision(lentilmux.Decision{What: "store_reachable", Subject: string(msg.Stream), Reason: describeOutage(state, now)})
 	}
 	if msg.AsOf.After(state.AsOf) {
 		state.AsOf = msg.AsOf
 	}
 }
 
+// describeOutage returns for how long a stream could not be read.
+func describeOutage(state *StreamState, now time.Time) string {
+	if state.AsOf.IsZero() {
+		return "no answer since the start"
+	}
+	return fmt.Sprintf("no answer for %s", now.Sub(state.AsOf).Round(time.Millisecond))
+}
+
 // applyUpdate applies one entry of a stream. Entries that could not be decoded
 // are logged and skipped.
 func (a *ApplyStoreUpdates) applyUpdate(t *Tables, stream lentilmux.Stream, update lentilmux.StreamUpdate, now time.Time) {
@@ -143,7 +151,7 @@
 	}
 	row.ExpiresAt = now
 	reason := "store entry removed"
-	if t.storeRecovering(now) {
+	if t.storeRecovering(now, t.Limits.StoreRecoveryGrace) {
 		row.ExpiresAt = t.Streams.Upstreams.RecoveredAt.Add(t.Limits.StoreRecoveryGrace)
 		reason = "store entry missing after a store outage"
 	}
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -40,10 +40,11 @@
 }
 
 // storeRecovering reports whether entries of upstreams may be missing although
-// the upstreams live: the store does not respond, or has only just done so again.
-func (t *Tables) storeRecovering(now time.Time) bool {
+// the upstreams live: the store does not respond, or did so again for the first
+// time less than grace ago.
+func (t *Tables) storeRecovering(now time.Time, grace time.Duration) bool {
 	state := &t.Streams.Upstreams
-	return state.Failing || !state.RecoveredAt.IsZero() && now.Before(state.RecoveredAt.Add(t.Limits.StoreRecoveryGrace))
+	return state.Failing || !state.RecoveredAt.IsZero() && now.Before(state.RecoveredAt.Add(grace))
 }
 
 // Rules is the configuration in force with its lookup indexes.
