Keep the target of an upstream that was asked before its order

Cause: a report clears a target whose order shows no effect, also if the order was not sent yet; the gap was planned for again 0.3 s later. Change: only a target that was ordered is cleared.

--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -170,7 +170,7 @@
 	a.applyReportedLayers(t, row, report, now)
 	// An order without effect after OrderTimeout: drop the target, so that an
 	// upstream without layers is placed again.
-	if row.HasTarget && !report.OrderRunning && (!report.HasLayers || report.Layers != row.Target) && now.Sub(row.OrderedAt) > t.Limits.OrderTimeout {
+	if row.HasTarget && !row.OrderedAt.IsZero() && !report.OrderRunning && (!report.HasLayers || report.Layers != row.Target) && now.Sub(row.OrderedAt) > t.Limits.OrderTimeout {
 		row.HasTarget = false
 	}
 }
