--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -31,3 +31,29 @@
 		})
 	}
 }
+
+// BenchmarkLoadDigestBytes measures encoding and decoding a load digest and
+// reports its size, by the number of upstreams that it lists.
+func BenchmarkLoadDigestBytes(b *testing.B) {
+	for _, count := range []int{0, 40, 190, 600} {
+		b.Run(fmt.Sprintf("upstreams=%d", count), func(b *testing.B) {
+			digest := lentilmux.LoadDigest{VM: "entry-123", VMCount: 57, Zone: "region-1-zone-2", Addr: netip.MustParseAddrPort("192.0.2.1:7080"), Incarnation: 1 << 60, Sequence: 1 << 20}
+			for i := range count {
+				digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
+					Upstream: lentilmux.HashUpstream(fmt.Sprintf("worker-%04d", i)), Streams: 60, PendingPromptTokens: 3000, Reserved: 800_000, Slowdown: 1,
+				})
+			}
+			var data []byte
+			for b.Loop() {
+				var err error
+				if data, err = proto.Marshal(loadDigestToProto(digest)); err != nil {
+					b.Fatal(err)
+				}
+				if _, err = loadDigestFromProto(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "bytes/digest")
+		})
+	}
+}
--- a/peer/loaddigest_test.go
+++ b/peer/loaddigest_test.go
@@ -8,8 +8,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/peer"
+	"lentilmux.example/lentilmux/peer/peerpb"
 )
 
 // inbox is a node that passes on the load digests it receives.
@@ -76,3 +79,40 @@
 	cancel()
 	<-stopped
 }
+
+// TestLoadDigestWithUnequalColumns sends a digest whose columns have different
+// lengths, as a faulty or newer peer may. It must be reported and ignored; read by
+// index, it would end the process.
+func TestLoadDigestWithUnequalColumns(t *testing.T) {
+	message := &peerpb.LoadDigest{Vm: "entry-1", Addr: "10.0.0.1:7000", Loads: &peerpb.UpstreamLoads{Upstream: []uint32{1, 2}, Streams: []uint32{3}}}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver, err := peer.ListenLoadDigests(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	digests, failures := make(inbox, 1), make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go receiver.Run(ctx, digests, func(_ netip.AddrPort, err error) { failures <- err })
+	sender, err := net.Dial("udp4", receiver.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = sender.Close() }()
+	if _, err := sender.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-failures:
+		if err == nil {
+			t.Error("no error is reported")
+		}
+	case digest := <-digests:
+		t.Errorf("the digest was accepted: %+v", digest)
+	case <-time.After(5 * time.Second):
+		t.Error("nothing was received within 5 s")
+	}
+}
