Name unknown words, and tell a failed output from an unreachable VM

Cause: lentilload and lentilstand took an unknown word without an error and began their work; lentilctl exited with 3, no entry VM answered, when it could not write a result; faults.sh ignored OUT in three places. Change: a program with flags only names the first other word and exits with 2 before it does anything; lentilctl exits with 5; faults.sh follows OUT. Result: lentilload nosuch and lentilstand nosuch print the word and exit with 2. TestRejectArgs. No code that lentilmux runs is changed.

--- a/cmd/lentilctl/main.go
+++ b/cmd/lentilctl/main.go
@@ -10,7 +10,8 @@
 //
 // The exit code gives the result to scripts: 0 for success, 1 if the statement
 // was refused, 2 for invalid settings or an invalid statement, 3 if no entry VM
-// answered, and 4 if it is not known whether a command was accepted.
+// answered, 4 if it is not known whether a command was accepted, and 5 if the
+// result could not be written.
 package main
 
 import (
@@ -41,6 +42,7 @@
 	exitUsage       = 2
 	exitUnavailable = 3
 	exitUnknown     = 4
+	exitOutput      = 5
 )
 
 func main() { os.Exit(run()) }
@@ -141,8 +143,8 @@
 			return exitCode(err)
 		}
 		if err := writeResult(os.Stdout, result, output); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return exitUnavailable
+			fmt.Fprintln(os.Stderr, errors.Annotate(err, "writing the result, which an entry VM returned"))
+			return exitOutput
 		}
 		switch {
 		case !result.OutcomeKnown:
--- a/cmd/lentilload/main.go
+++ b/cmd/lentilload/main.go
@@ -8,7 +8,7 @@
 // could be opened, or if the connection broke before the first token. Responses
 // are compared with the tokens that the stand-in model generates, and bookings
 // with the ledgers of the services. The exit code is 1 if any of them are wrong
-// or an error occurs.
+// or an error occurs, and 2 for invalid settings; then nothing is sent.
 //
 // # Usage
 //
@@ -82,20 +82,31 @@
 	}
 }
 
+// Exit codes of the program.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
 func main() {
-	if err := run(); err != nil {
+	set := settings.New("lentilload", "LENTILLOAD", "Generates load for entry VMs and reports goodput and latency.", version)
+	flags := declareOptions(set)
+	err := set.Read(os.Args[1:], os.LookupEnv)
+	if err == nil {
+		err = set.RejectArgs()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitUsage)
+	}
+	if err := run(flags); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
 	}
 }
 
 // run generates the load and reports on it, or compares two reports.
-func run() (err error) {
-	set := settings.New("lentilload", "LENTILLOAD", "Generates load for entry VMs and reports goodput and latency.", version)
-	flags := declareOptions(set)
-	if err := set.Read(os.Args[1:], os.LookupEnv); err != nil {
-		return err
-	}
+func run(flags *options) (err error) {
 	if len(*flags.compare) == 2 {
 		return compareFiles((*flags.compare)[0], (*flags.compare)[1])
 	}
--- a/cmd/lentilstand/main.go
+++ b/cmd/lentilstand/main.go
@@ -87,20 +87,31 @@
 	}
 }
 
+// Exit codes of the program.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
 func main() {
-	if err := run(); err != nil {
+	set := settings.New("lentilstand", "LENTILSTAND", "Simulates the systems that lentilmux depends on.", version)
+	flags := declareOptions(set)
+	err := set.Read(os.Args[1:], os.LookupEnv)
+	if err == nil {
+		err = set.RejectArgs()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitUsage)
+	}
+	if err := run(flags); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
 	}
 }
 
 // run serves until the process gets SIGTERM or SIGINT.
-func run() (err error) {
-	set := settings.New("lentilstand", "LENTILSTAND", "Simulates the systems that lentilmux depends on.", version)
-	flags := declareOptions(set)
-	if err := set.Read(os.Args[1:], os.LookupEnv); err != nil {
-		return err
-	}
+func run(flags *options) (err error) {
 	deployment, err := buildDeployment(flags)
 	if err != nil {
 		return err
--- a/examples/punnathara/faults.sh
+++ b/examples/punnathara/faults.sh
@@ -12,8 +12,8 @@
 restart() { # NUMBER of an entry VM: starts it with the flags of start.sh
   bin/lentilmux --name "entry-$1" --zone "${zones[$((($1 - 1) % 3))]}" --seed "$1" \
     --caller-addr "127.0.0.1:$((8100 + $1))" --control-addr "127.0.0.1:$((7100 + $1))" \
-    --log-addr 127.0.0.1:9000 --list-addr 127.0.0.1:9000 >>out/"entry-$1.out" 2>>out/"entry-$1.log" &
-  echo "entry-$1 $!" >>out/pids
+    --log-addr 127.0.0.1:9000 --list-addr 127.0.0.1:9000 >>"${OUT:-out}/entry-$1.out" 2>>"${OUT:-out}/entry-$1.log" &
+  echo "entry-$1 $!" >>"${OUT:-out}/pids"
 }
 # Restarts each entry VM in turn: SIGTERM, wait until it has drained, start again.
 stop_in_turn() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -237,6 +237,15 @@
 // Args returns the arguments after the flags.
 func (s *Set) Args() []string { return s.args }
 
+// RejectArgs returns an error that names the first argument after the flags. It
+// is for programs that have flags only, where such an argument is a mistake.
+func (s *Set) RejectArgs() (err error) {
+	if len(s.args) == 0 {
+		return nil
+	}
+	return errors.Errorf("unknown argument %q; expected flags only, see --help", s.args[0])
+}
+
 // Settings returns the declared settings, sorted by flag.
 func (s *Set) Settings() (settings []Setting) {
 	for _, setting := range s.settings {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -88,3 +88,22 @@
 		_ = newSet().Read([]string{a, b, c}, lookup(nil)) // errors are expected; only a panic fails the test
 	})
 }
+
+// TestRejectArgs guards against a word that is taken for nothing: a program that
+// has flags only would otherwise start its work on a misspelled command.
+func TestRejectArgs(t *testing.T) {
+	set := newSet()
+	if err := set.Read([]string{"--name", "x", "nosuch"}, lookup(nil)); err != nil {
+		t.Fatal(err)
+	}
+	if err := set.RejectArgs(); err == nil || !strings.Contains(err.Error(), `"nosuch"`) {
+		t.Errorf("got error %v, expected one that names the word", err)
+	}
+	set = newSet()
+	if err := set.Read([]string{"--name", "x"}, lookup(nil)); err != nil {
+		t.Fatal(err)
+	}
+	if err := set.RejectArgs(); err != nil {
+		t.Errorf("flags alone: got error %v", err)
+	}
+}
