--- a/placement/zonerate.go
+++ b/placement/zonerate.go
@@ -2,11 +2,15 @@
 
 import (
 	"math"
+	"time"
 
 	"lentilmux.example/lentilmux"
 )
 
 const (
+	// sameZoneHop is the network delay of a token between two upstreams of one
+	// availability zone.
+	sameZoneHop = 200 * time.Microsecond
 	// usableCacheFraction is the fraction of the KV cache that requests can fill
 	// before some of them find no room.
 	usableCacheFraction = 0.95
--- a/placement/zonesearch.go
+++ b/placement/zonesearch.go
@@ -3,15 +3,11 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"lentilmux.example/lentilmux"
 )
 
 const (
-	// sameZoneHop is the network delay of a token between two upstreams of one
-	// availability zone.
-	sameZoneHop = 200 * time.Microsecond
 	// maxCandidates and candidateWork bound the number of greedy placements that
 	// are compared, the latter divided by the number of nodes.
 	maxCandidates = 12
@@ -20,8 +16,10 @@
 	// divided by the square of the zone's nodes, since each trial estimates the
 	// zone without each of them.
 	trialWork = 700_000
-	// minTrialsPerNode is the least number of changes tried for each free node.
+	// minTrialsPerNode is the least number of changes tried for each free node, as
+	// far as maxTrialWork allows, which is divided as trialWork is.
 	minTrialsPerNode = 12
+	maxTrialWork     = 1_500_000
 	// maxTemperature is the greatest fraction of the rate by which a change may
 	// lower it and still be kept.
 	maxTemperature = 0.02
@@ -42,7 +40,7 @@
 // several greedy placements with [ZoneBalanced]'s rule, keeps for each zone the
 // one with the highest estimated rate, and then tries changes of single ranges.
 //
-// It takes tens of milliseconds, so it should not run on the control goroutine.
+// It takes up to a second, so it should not run on the control goroutine.
 type ZoneSearch struct{}
 
 // Place implements [lentilmux.RangePlacement]. Pinned nodes keep their layers.
@@ -129,7 +127,7 @@
 		return
 	}
 	count := len(s.nodes)
-	trials := max(trialWork*len(free)/(count*count*count), minTrialsPerNode*len(free))
+	trials := max(trialWork*len(free)/(count*count*count), min(minTrialsPerNode*len(free), maxTrialWork/(count*count)))
 	current, currentRate := slices.Clone(s.best), s.bestRate
 	changed := slices.Clone(current)
 	for trial := range trials {
--- a/placement/zonesearch_test.go
+++ b/placement/zonesearch_test.go
@@ -116,12 +116,19 @@
 	})
 }
 
-// BenchmarkZoneSearch measures the placement of largeFleet, which runs beside
+// hugeFleet counts 2,400 upstreams in nine zones, like currentFleet.
+var hugeFleet = [][3]int{{24, 90, 153}, {24, 90, 153}, {24, 90, 153}, {24, 90, 153}, {24, 90, 153}, {24, 90, 153}, {24, 90, 153}, {24, 90, 152}, {24, 90, 151}}
+
+// BenchmarkZoneSearch measures the first placement of fleets, which runs beside
 // the control goroutine.
 func BenchmarkZoneSearch(b *testing.B) {
 	model := fleetModel()
-	nodes := fleetNodes(model, largeFleet)
-	for b.Loop() {
-		placement.ZoneSearch{}.Place(model, len(largeFleet), nodes)
+	for _, counts := range [][][3]int{currentFleet, grownFleet, largeFleet, hugeFleet} {
+		nodes := fleetNodes(model, counts)
+		b.Run(fmt.Sprint(len(nodes)), func(b *testing.B) {
+			for b.Loop() {
+				placement.ZoneSearch{}.Place(model, len(counts), nodes)
+			}
+		})
 	}
 }
