Bound borrowing from the retry budget so that the sum cannot exceed it

A VM could use three times its share while the fleet was known to have used less than 0.3 of the budget, and digests by way of relays are up to 0.6 s old since they are sent each 300 ms. Change: a VM uses 1.25 times its share at most. Shares sum up to 0.8 of the ratio and 0.6 of the slack, so that the sum stays within the budget whatever the VMs know of each other.

--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -84,8 +84,10 @@
 
 const (
 	// maxBorrowFactor is the maximum use of the budget by one VM, as a multiple
-	// of its share.
-	maxBorrowFactor = 3
+	// of its share. Together with retryRatioFraction and retrySlackFraction it
+	// keeps the sum over all VMs within the deployment's budget, however late they
+	// learn of each other's retries.
+	maxBorrowFactor = 1 / retryRatioFraction
 	// borrowFraction is the fraction of the fleet-wide budget up to which VMs
 	// may borrow.
 	borrowFraction = 0.3
