--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -85,7 +85,7 @@
 const (
 	// maxBorrowFactor is the maximum use of the budget by one VM, as a multiple
 	// of its share. Together with retryRatioFraction and retrySlackFraction it
-	// keeps the sum over all VMs within the deployment's budget, however late they
+	// keeps the sum over VMs that know of each other within the deployment's budget, however late they
 	// learn of each other's retries.
 	maxBorrowFactor = 1 / retryRatioFraction
 	// borrowFraction is the fraction of the fleet-wide budget up to which VMs
