Log the prompt parts of failed attempts, and whether they had begun to answer

On-call engineers could not tell from the log whether upstreams crash by one request, by one VM's counts or by something that requests share. attempt_failed now shows started and parts; InboundRequest carries the parts that others may share, 256 at most.

Golden files of package fleet differ in the two new fields only.

--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -9,6 +9,9 @@
 	"lentilmux.example/lentilmux"
 )
 
+// maxLoggedParts bounds the prompt parts that one log line shows.
+const maxLoggedParts = 8
+
 // handleFailedAttempt retries a request whose attempt failed, or refuses it.
 func (a *AdmitRequests) handleFailedAttempt(t *Tables, failed FailedAttemptRow, now time.Time) {
 	request := t.Requests.Find(failed.Request)
@@ -32,7 +35,9 @@
 		What: "attempt_failed", Subject: string(request.ID), Chosen: map[bool]string{true: "resend", false: "end"}[reason == ""],
 		// delivered is the number of events that the caller has, runs the number of
 		// attempts that may have run the request and sends the number of all attempts.
-		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream, failed.Delivered, request.PossibleRuns, request.Attempts, detail),
+		// started tells whether the attempt had begun to answer; parts are the first
+		// shared parts of the prompt.
+		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), detail),
 	})
 	var refusal *lentilmux.Refusal
 	if reason == "" {
--- a/forward.go
+++ b/forward.go
@@ -14,14 +14,19 @@
 	Path           string
 	Key            string // the caller's API key, or empty
 	ReceivedAt     time.Time
-	Deadline       time.Time   // when the caller stops waiting
-	Fingerprint    Fingerprint // of method, path, key and body, to recognize crash suspects
+	Deadline       time.Time    // when the caller stops waiting
+	Fingerprint    Fingerprint  // of method, path, key and body, to recognize crash suspects
+	SharedParts    []PromptPart // parts of the prompt that other requests may share, in order; at most [MaxSharedParts]
 	PromptTokens   int
 	MaxTokens      int   // maximum number of completion tokens
 	ExpectedTokens int   // completion tokens that the caller expects; 0 if it gave no hint
 	ResumeAfter    int64 // number of the event after which the stream resumes; negative to start at the first
 }
 
+// MaxSharedParts bounds the prompt parts that are kept of a request, so that a long
+// header cannot fill the memory of a VM.
+const MaxSharedParts = 256
+
 // ForwardMsg asks for the first attempt of a request. The answer is an
 // [AttemptAnswer] or a [RefusalAnswer].
 type ForwardMsg struct {
