Hold prompt parts that crash upstream after upstream

Callers saw answers refused for as long as requests with one prompt part came: each crashed the first upstream of its path (BUDGET, LOST). Cause: a crash was blamed on one exact request, on one VM, though the cause was something that unlike requests share.

A part is now suspected when an upstream crashes before it began to answer a prompt with it, and cleared when any upstream begins to answer one. An attempt counts one crash more than was known when it was sent, so several upstreams that die together count once. After three in a row (six for a part that was answered lately) the part is held: refused at once, with the time to return. VMs merge what they know with their digests; a hold is also written to the store, for a start of all VMs. An attempt with a suspected part is a trial, and no other request starts at its upstream.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -84,6 +84,7 @@
 	state        GatewayState
 	node         *lentilmux.Node
 	metrics      *metrics
+	heldParts    heldParts
 	decisionLog  *decisionLog
 	digests      *peer.LoadDigestConn
 	copies       *platformlog.CopyCache
@@ -107,6 +108,9 @@
 	if g.metrics, err = newMetrics(); err != nil {
 		return nil, err
 	}
+	if err = g.metrics.observeHeldParts(g.heldParts.count); err != nil {
+		return nil, err
+	}
 	g.state.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.limits.Store(&config.Limits)
 	g.sharedReads.Store(true)
@@ -237,6 +241,8 @@
 		go g.moveRequest(x)
 	case lentilmux.PutEffect:
 		go g.putRecord(x)
+	case lentilmux.HeldPartsEffect:
+		g.heldParts.publish(x.Parts)
 	}
 }
 
@@ -272,11 +278,11 @@
 	g.sendToNode(lentilmux.MoveResultMsg{Request: effect.Request, Epoch: effect.Epoch, Answer: answer, Err: err})
 }
 
-// putRecord writes this VM's record to the store and logs a failure.
+// putRecord writes a record to the store, or deletes its key, and logs a failure.
 func (g *Gateway) putRecord(effect lentilmux.PutEffect) {
 	ctx, cancel := context.WithTimeout(g.ctx, putTimeout)
 	defer cancel()
-	value, err := platformlog.EncodeVM(effect.VM)
+	value, err := encodeRecord(effect)
 	if err == nil {
 		err = g.log.Put(ctx, effect.Stream, effect.Key, value)
 	}
@@ -285,6 +291,18 @@
 	}
 }
 
+// encodeRecord encodes the record of an effect. It returns no value if there is
+// none, which deletes the key.
+func encodeRecord(effect lentilmux.PutEffect) (value []byte, err error) {
+	switch {
+	case effect.VM != nil:
+		return platformlog.EncodeVM(*effect.VM)
+	case effect.HeldPart != nil:
+		return platformlog.EncodeHeldPart(*effect.HeldPart)
+	}
+	return nil, nil
+}
+
 // sendToNode sends the result of an effect to the node. The error of Send is
 // ignored, since Send fails only when the node stops.
 func (g *Gateway) sendToNode(msg lentilmux.Msg) { _ = g.node.Send(g.ctx, msg) }
@@ -319,6 +337,8 @@
 	if g.config.MetricsAddr.IsValid() {
 		mux := http.NewServeMux()
 		mux.Handle("GET "+g.config.MetricsPath, g.metrics.handler())
+		mux.HandleFunc("GET "+heldPartsPath, g.listHeldParts)
+		mux.HandleFunc("POST "+releasePartPath, g.releaseHeldPart)
 		s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: g.config.HeaderTimeout}
 		if err := g.serve(s.metrics, g.config.MetricsAddr); err != nil {
 			return err
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -21,6 +21,7 @@
 // sets only, which bounds the number of time series.
 type metrics struct {
 	registry        *prometheus.Registry
+	meter           metric.Meter
 	requests        metric.Int64Counter
 	tokens          metric.Int64Counter
 	decisions       metric.Int64Counter
@@ -38,7 +39,7 @@
 		return nil, err
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("lentilmux")
-	m = &metrics{registry: registry}
+	m = &metrics{registry: registry, meter: meter}
 	if m.requests, err = meter.Int64Counter("lentilmux_requests", metric.WithDescription("Requests that ended, by outcome and reason.")); err != nil {
 		return nil, err
 	}
@@ -58,6 +59,16 @@
 	return m, err
 }
 
+// observeHeldParts adds the number of held prompt parts, which count returns.
+func (m *metrics) observeHeldParts(count func() int) (err error) {
+	_, err = m.meter.Int64ObservableGauge("lentilmux_held_parts", metric.WithDescription("Prompt parts that are held since they crash upstreams."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(int64(count()))
+			return nil
+		}))
+	return err
+}
+
 // countRequest records a finished request of a [VM].
 func (m *metrics) countRequest(observation caller.Observation) {
 	ctx := context.Background()
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -87,6 +87,9 @@
 	if suspect := t.CrashSuspects.Find(inbound.Fingerprint); suspect != nil && suspect.Crashes >= t.Limits.MaxCrashes {
 		return nil, t.notRunRefusal(lentilmux.ReasonQuarantined, fmt.Sprintf("crashed upstreams %d times", suspect.Crashes))
 	}
+	if row := t.heldPart(inbound.SharedParts, now); row != nil {
+		return nil, t.heldPartRefusal(row, now)
+	}
 	request.Deadline = earliest(request.Deadline, request.ReceivedAt.Add(route.Timeout))
 	return request, nil
 }
@@ -119,6 +122,7 @@
 	request.Epoch, request.AnswerStarted, request.SentAt, request.LastUpstream = attempt.Epoch, false, now, attempt.Upstream
 	request.Attempts++
 	t.reserve(request)
+	t.startTrial(request, now)
 	t.Answer(correlationID, lentilmux.AttemptAnswer{Attempt: attempt})
 	return nil
 }
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -26,7 +26,7 @@
 		s.lastAnnouncedAt = now
 		t.AddEffect(lentilmux.PutEffect{
 			Stream: lentilmux.StreamVMs, Key: t.Self.Name,
-			VM: lentilmux.VMRecord{Name: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr},
+			VM: &lentilmux.VMRecord{Name: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr},
 		})
 	}
 	interval := t.Limits.DigestInterval
@@ -50,11 +50,11 @@
 		for _, vm := range t.VMs.Rows {
 			names = append(names, vm.Name)
 		}
-		s.send(t, own, t.digestAddrs(names, now))
+		s.send(t, own, t.digestAddrs(names, now), now)
 	case t.isRelay(now):
 		s.sendAsRelay(t, own, now)
 	default:
-		s.send(t, own, t.digestAddrs(t.zoneRelays(t.Self.Zone, now), now))
+		s.send(t, own, t.digestAddrs(t.zoneRelays(t.Self.Zone, now), now), now)
 	}
 }
 
@@ -76,16 +76,16 @@
 // its zone.
 func (s *SendDigests) sendAsRelay(t *Tables, own lentilmux.LoadDigest, now time.Time) {
 	zoneRelays := t.zoneRelays(t.Self.Zone, now)
-	s.send(t, own, t.digestAddrs(zoneRelays, now))
+	s.send(t, own, t.digestAddrs(zoneRelays, now), now)
 	if t.isStandbyRelay(zoneRelays, now) && s.rounds%standbyRounds != 0 {
 		return
 	}
-	s.send(t, s.aggregate(t, own, lentilmux.ScopeZone, now), t.digestAddrs(t.relaysOfOtherZones(now), now))
+	s.send(t, s.aggregate(t, own, lentilmux.ScopeZone, now), t.digestAddrs(t.relaysOfOtherZones(now), now), now)
 	sum := s.aggregate(t, own, lentilmux.ScopeFleet, now)
 	if len(sum.Loads) > maxWholeSum {
 		sum = s.slice(t, sum)
 	}
-	s.send(t, sum, t.digestAddrs(t.otherVMsInZone(), now))
+	s.send(t, sum, t.digestAddrs(t.otherVMsInZone(), now), now)
 }
 
 // isStandbyRelay reports whether another relay of the zone with a lower name is
@@ -113,12 +113,13 @@
 
 // send assigns the next sequence number to a digest and sends it to the given
 // addresses.
-func (s *SendDigests) send(t *Tables, digest lentilmux.LoadDigest, to []netip.AddrPort) {
+func (s *SendDigests) send(t *Tables, digest lentilmux.LoadDigest, to []netip.AddrPort, now time.Time) {
 	if len(to) == 0 {
 		return
 	}
 	s.sequence++
 	digest.Sequence = s.sequence
+	digest.Parts = t.PartSuspects.suspicions(now)
 	t.AddEffect(lentilmux.LoadDigestEffect{Digest: digest, To: to})
 }
 
--- a/fleet/eject.go
+++ b/fleet/eject.go
@@ -39,12 +39,12 @@
 	}
 }
 
-// excludeEjected removes ejected upstreams and the one of the last attempt from
-// the candidates, unless no candidate would be left.
+// excludeEjected removes ejected upstreams, those with a trial and the one of the
+// last attempt from the candidates, unless no candidate would be left.
 func (a *AdmitRequests) excludeEjected(lastUpstream string, now time.Time) {
 	keptCount := 0
 	for i, row := range a.rows {
-		if row.ID != lastUpstream && !now.Before(row.EjectedUntil) {
+		if row.ID != lastUpstream && !now.Before(row.EjectedUntil) && row.Trials == 0 {
 			a.rows[keptCount], a.candidates[keptCount] = row, a.candidates[i]
 			keptCount++
 		}
@@ -54,11 +54,12 @@
 	}
 }
 
-// excludeFirstHops keeps ejected upstreams and the one of the last attempt from
-// being the first hop of a path. It reports whether there were any.
+// excludeFirstHops keeps ejected upstreams, those with a trial and the one of the
+// last attempt from being the first hop of a path. It reports whether there were
+// any.
 func (a *AdmitRequests) excludeFirstHops(lastUpstream string, now time.Time) (excluded bool) {
 	for i, row := range a.rows {
-		if row.ID == lastUpstream || now.Before(row.EjectedUntil) {
+		if row.ID == lastUpstream || now.Before(row.EjectedUntil) || row.Trials > 0 {
 			a.nodes[i].Full, excluded = true, true
 		}
 	}
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -22,6 +22,12 @@
 	CorrelationID lentilmux.CorrelationID
 }
 
+// PartReleaseRow is an operator's request to end the suspicion of a prompt part.
+type PartReleaseRow struct {
+	lentilmux.ReleasePartMsg
+	CorrelationID lentilmux.CorrelationID
+}
+
 // LimitsMsg replaces the limits in force.
 type LimitsMsg struct {
 	Limits Limits
@@ -41,6 +47,7 @@
 	StalledAttempts []StalledAttemptRow
 	MoveResults     []lentilmux.MoveResultMsg
 	Done            []lentilmux.ForwardDoneMsg
+	PartReleases    []PartReleaseRow
 	Limits          *Limits
 	BeginDrain      bool
 }
@@ -73,6 +80,8 @@
 		e.MoveResults = append(e.MoveResults, x)
 	case lentilmux.ForwardDoneMsg:
 		e.Done = append(e.Done, x)
+	case lentilmux.ReleasePartMsg:
+		e.PartReleases = append(e.PartReleases, PartReleaseRow{ReleasePartMsg: x, CorrelationID: envelope.CorrelationID})
 	case LimitsMsg:
 		e.Limits = &x.Limits
 	case lentilmux.BeginDrainMsg:
@@ -96,5 +105,6 @@
 		StreamUpdates: e.StreamUpdates[:0], StreamFailures: e.StreamFailures[:0], Digests: e.Digests[:0], Reports: e.Reports[:0],
 		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
+		PartReleases: e.PartReleases[:0],
 	}
 }
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -8,8 +8,8 @@
 )
 
 // FinishRequests records first events of answers and removes finished requests.
-// It reads Events.AnswersStarted and Events.Done and writes Requests, Pending
-// and Upstreams.
+// It reads Events.AnswersStarted and Events.Done and writes Requests, Pending,
+// Upstreams and PartSuspects.
 type FinishRequests struct{}
 
 // Run implements [System].
@@ -18,6 +18,7 @@
 		if request := t.Requests.Find(msg.Request); request != nil && request.Epoch == msg.Epoch && !request.AnswerStarted {
 			t.markAnswerStarted(request)
 			t.clearEjection(request)
+			t.clearParts(request, now)
 		}
 	}
 	for _, msg := range t.Events.Done {
@@ -28,6 +29,7 @@
 		}
 		if msg.Outcome == lentilmux.OutcomeAnswered {
 			t.clearEjection(request)
+			t.clearParts(request, now)
 		}
 		t.release(request)
 		t.Requests.Remove(request.ID)
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -40,6 +40,9 @@
 	RefusalRetryAfter        time.Duration // after which a refused caller may retry
 	MaxCrashes               int           // upstream crashes after which a request is quarantined
 	CrashRetention           time.Duration // for which crashes of a request are remembered
+	BasePartHold             time.Duration // for which a prompt part is held first; doubles with each crash of a trial up to MaxPartHold
+	MaxPartHold              time.Duration
+	SoundPartWindow          time.Duration // for which an answer speaks for the parts of its prompt: they need twice MaxCrashes to be held
 	AnnounceInterval         time.Duration // between two writes of this VM's record to the store
 	ProgressTimeout          time.Duration // without progress until an upstream of a stalled path is probed
 	MinProbeInterval         time.Duration // between two probes of an upstream because of failures and stalls
@@ -94,6 +97,9 @@
 		RefusalRetryAfter:        500 * time.Millisecond,
 		MaxCrashes:               3,
 		CrashRetention:           2 * time.Minute,
+		BasePartHold:             2 * time.Minute,
+		MaxPartHold:              time.Hour,
+		SoundPartWindow:          10 * time.Second,
 		AnnounceInterval:         10 * time.Minute,
 		ProgressTimeout:          200 * time.Millisecond,
 		MinProbeInterval:         300 * time.Millisecond,
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -28,6 +28,8 @@
 	HeldBefore    []Reservation   // reservations of PathBefore
 	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
 	SentAt        time.Time       // when the last attempt was sent
+	PartsAtSend   []PartEvidence  // of the shared parts when the last attempt was sent; nil if none was suspected
+	TrialUpstream string          // first hop of the last attempt if that is a trial which has not begun to answer; empty otherwise
 }
 
 // MoveState says whether the current attempt of a request can be moved.
@@ -105,12 +107,14 @@
 		}
 	}
 	request.Reservations = request.Reservations[:0]
+	t.endTrial(request)
 }
 
 // markAnswerStarted records that an attempt's prefill is complete and its answer
 // has begun.
 func (t *Tables) markAnswerStarted(request *RequestRow) {
 	request.AnswerStarted = true
+	t.endTrial(request)
 	for i := range request.Reservations {
 		reservation := &request.Reservations[i]
 		if row := t.Upstreams.Find(reservation.Upstream); row != nil {
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -137,6 +137,8 @@
 		return lentilmux.ReasonUpstreamFailed, "all attempts are used up"
 	case request.Attempts >= t.Limits.MaxAttempts:
 		return lentilmux.ReasonUpstreamFailed, "sent too often"
+	case t.heldPart(request.SharedParts, now) != nil:
+		return lentilmux.ReasonQuarantined, "it has a prompt part that crashes upstreams"
 	case failed.Kind == lentilmux.FailureDial && failed.NotRun && !failed.Answered:
 		return "", "" // nothing reached the upstream, so the retry budget is not charged
 	}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -50,7 +52,6 @@
 	attempt  lentilmux.Attempt
 	began    bool // whether its first attempt began to answer
 	delivery int  // events delivered
-	refused  bool
 	done     bool
 }
 
@@ -70,6 +71,7 @@
 	requests  []*simulatedRequest
 	crashes   []time.Time
 	store     map[string]lentilmux.PutEffect // records that VMs wrote, by key
+	trace     bool
 	onSend    func(request *simulatedRequest, upstream *simulatedUpstream)
 }
 
@@ -152,6 +154,11 @@
 		record := lentilmux.VMRecord{Name: peer.name, Zone: peer.model.Tables().Self.Zone, Addr: vmAddr(peer.name)}
 		peers.Updates = append(peers.Updates, lentilmux.StreamUpdate{Key: peer.name, VM: &record})
 	}
+	for _, key := range slices.Sorted(maps.Keys(s.store)) {
+		if put := s.store[key]; put.HeldPart != nil {
+			peers.Updates = append(peers.Updates, lentilmux.StreamUpdate{Key: key, HeldPart: put.HeldPart})
+		}
+	}
 	s.deliver(vm, peers)
 }
 
@@ -234,6 +241,10 @@
 			s.after(simulatedLatency, func() { s.report(vm, x.Upstream) })
 		case lentilmux.PutEffect:
 			s.store[x.Key] = x
+		case lentilmux.DecisionEffect:
+			if s.trace {
+				fmt.Println(s.now.Sub(s.start), vm.name, x.Decision.What, x.Decision.Subject, x.Decision.Chosen, x.Decision.Reason)
+			}
 		}
 	}
 }
@@ -265,8 +276,7 @@
 func (s *simulation) answer(request *simulatedRequest, answer lentilmux.Answer) {
 	switch x := answer.(type) {
 	case lentilmux.RefusalAnswer:
-		request.refused = true
-		s.finish(request)
+		s.finish(request, x.Refusal.Outcome)
 	case lentilmux.AttemptAnswer:
 		request.attempt = x.Attempt
 		request.sends = append(request.sends, s.now)
@@ -275,10 +285,10 @@
 }
 
 // finish ends a request.
-func (s *simulation) finish(request *simulatedRequest) {
+func (s *simulation) finish(request *simulatedRequest, outcome lentilmux.Outcome) {
 	request.done = true
 	s.after(0, func() {
-		s.deliver(request.vm, lentilmux.ForwardDoneMsg{Request: request.inbound.ID, Outcome: lentilmux.OutcomeAnswered, Status: 200})
+		s.deliver(request.vm, lentilmux.ForwardDoneMsg{Request: request.inbound.ID, Outcome: outcome})
 	})
 }
 
@@ -307,7 +317,7 @@
 		s.after(simulatedStream, func() {
 			if upstream.active[request] && request.attempt.Epoch == attempt.Epoch {
 				delete(upstream.active, request)
-				s.finish(request)
+				s.finish(request, lentilmux.OutcomeAnswered)
 			}
 		})
 	})
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -78,6 +78,8 @@
 		a.installRules(t, update.Rules)
 	case update.Upstream != nil:
 		a.applyUpstream(t, *update.Upstream, update.Offset, now)
+	case update.HeldPart != nil:
+		t.applyHeldPart(*update.HeldPart, now)
 	case update.VM != nil:
 		if update.VM.Name != t.Self.Name {
 			vm := t.VMs.GetOrCreate(update.VM.Name)
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -34,6 +34,7 @@
 	Pending         []PendingRow
 	RetryBudgets    RetryBudgets
 	CrashSuspects   CrashSuspects
+	PartSuspects    PartSuspects
 	Zones           Zones
 	ProbeBucket     TokenBucket // rate limit of probes because of failures and stalls
 	CrossZoneBucket TokenBucket // rate limit of activations that cross zones, in bits
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
@@ -95,6 +96,11 @@
 	for _, counts := range digest.RetryCounts {
 		message.Sends = append(message.Sends, &peerpb.ServiceSends{Service: counts.Service, Requests: int32(counts.Requests), Repeats: int32(counts.Retries)})
 	}
+	for _, part := range digest.Parts {
+		message.Parts = append(message.Parts, &peerpb.PartSuspicion{
+			Part: uint64(part.Part), Clears: uint32(part.Clears), Crashes: uint32(part.Crashes), Held: part.Held, AgeMs: uint64(part.Age.Milliseconds()),
+		})
+	}
 	return message
 }
 
@@ -164,5 +170,20 @@
 	for _, counts := range message.GetSends() {
 		digest.RetryCounts = append(digest.RetryCounts, lentilmux.RetryCounts{Service: counts.GetService(), Requests: int(counts.GetRequests()), Retries: int(counts.GetRepeats())})
 	}
+	digest.Parts = partsFromProto(message.GetParts())
 	return digest, nil
 }
+
+// maxPartAge bounds the age of a suspicion, so that its decoding cannot overflow.
+const maxPartAge = 24 * time.Hour
+
+// partsFromProto converts the suspected prompt parts of a digest.
+func partsFromProto(parts []*peerpb.PartSuspicion) (suspicions []lentilmux.PartSuspicion) {
+	for _, part := range parts {
+		suspicions = append(suspicions, lentilmux.PartSuspicion{
+			Part: lentilmux.PromptPart(part.GetPart()), Clears: int(part.GetClears()), Crashes: int(part.GetCrashes()), Held: part.GetHeld(),
+			Age: time.Duration(min(part.GetAgeMs(), uint64(maxPartAge.Milliseconds()))) * time.Millisecond,
+		})
+	}
+	return suspicions
+}
--- a/platformlog/record.go
+++ b/platformlog/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -90,14 +91,17 @@
 	return json.Marshal(record)
 }
 
-// DecodeVM decodes an entry of [lentilmux.StreamVMs]. An entry without a value
-// is a deletion. If the entry cannot be decoded, the update's DecodeError says
-// why.
+// DecodeVM decodes an entry of [lentilmux.StreamVMs], the record of a VM or of a
+// held prompt part. An entry without a value is a deletion. If the entry cannot be
+// decoded, the update's DecodeError says why.
 func DecodeVM(entry lentilmux.CompactedEntry) (update lentilmux.StreamUpdate) {
 	update = lentilmux.StreamUpdate{Key: entry.Key, Offset: entry.Offset}
 	if len(entry.Value) == 0 {
 		return update
 	}
+	if strings.HasPrefix(entry.Key, lentilmux.HeldPartKeyPrefix) {
+		return decodeHeldPart(update, entry.Value)
+	}
 	var record lentilmux.VMRecord
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
 		update.DecodeError = err.Error()
--- a/promptpart.go
+++ b/promptpart.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // PromptPart identifies one part of a prompt, such as the instructions that many
@@ -30,3 +31,48 @@
 	}
 	return text.String()
 }
+
+// PartSuspicion is what VMs tell each other of a prompt part that may crash
+// upstreams. Of two suspicions of a part, the one with more Clears replaces the
+// other; with the same number, they add up to the larger Crashes, and the part is
+// held if one of them says so.
+type PartSuspicion struct {
+	Part    PromptPart
+	Clears  int           // how often the part was found sound
+	Crashes int           // upstreams that crashed in a row, each in an attempt that was sent when the previous crash was known
+	Held    bool          // whether requests with the part are refused
+	Age     time.Duration // since the last crash
+}
+
+// HeldPartKeyPrefix starts the keys of held prompt parts in [StreamVMs].
+const HeldPartKeyPrefix = "held_part/"
+
+// HeldPartKey returns the key of a held prompt part in [StreamVMs].
+func HeldPartKey(part PromptPart) string { return HeldPartKeyPrefix + part.String() }
+
+// HeldPartRecord is the entry in the store of a prompt part that is held. It
+// outlives all VMs.
+type HeldPartRecord struct {
+	Part        PromptPart
+	Clears      int
+	Crashes     int
+	LastCrashAt time.Time
+}
+
+// ReleasePartMsg ends the suspicion of a prompt part on an operator's request. The
+// answer is a [ReleasePartAnswer].
+type ReleasePartMsg struct {
+	Part PromptPart
+	Who  string // who asks, for the log
+}
+
+// ReleasePartAnswer answers a [ReleasePartMsg].
+type ReleasePartAnswer struct {
+	Found bool // whether the part was suspected
+}
+
+// HeldPartsEffect publishes the prompt parts that this VM holds. It is sent
+// whenever they change.
+type HeldPartsEffect struct {
+	Parts []HeldPartRecord
+}
--- a/streams.go
+++ b/streams.go
@@ -21,7 +21,8 @@
 	StreamRules Stream = "rules"
 	// StreamUpstreams carries the records with which upstreams register.
 	StreamUpstreams Stream = "members"
-	// StreamVMs carries the addresses of the entry VMs.
+	// StreamVMs carries what the entry VMs publish: their addresses and the prompt
+	// parts that they hold.
 	StreamVMs Stream = "vms"
 )
 
@@ -90,6 +91,7 @@
 	Rules       *Ruleset
 	Upstream    *UpstreamRecord
 	VM          *VMRecord
+	HeldPart    *HeldPartRecord
 	DecodeError string // why the entry could not be decoded
 }
 
@@ -114,11 +116,13 @@
 	Err    error
 }
 
-// PutEffect appends the record of this VM to a compacted stream.
+// PutEffect appends a record to a compacted stream. Without a record it deletes
+// the key.
 type PutEffect struct {
-	Stream Stream
-	Key    string
-	VM     VMRecord
+	Stream   Stream
+	Key      string
+	VM       *VMRecord
+	HeldPart *HeldPartRecord
 }
 
 // UpstreamReport is the state that an upstream reports.
@@ -278,6 +282,7 @@
 	Slice       int            // slice that it covers: upstreams whose hash modulo Slices is this number
 	Suspects    []string       // upstreams that are suspected to be dead
 	RetryCounts []RetryCounts
+	Parts       []PartSuspicion // prompt parts that may crash upstreams, as the sender knows them
 }
 
 // RetryCounts counts the sends to one service in the retry window, for the retry
