Tell the part that crashes upstreams from parts that died beside it

Now VMs also exchange which crashes each part was in. The part with the most crashes is the cause; crashes that a held part shares are explained; a decision between rivals waits 150 ms for the digests of peers; a hold that another part explains within 10 s ends. Requests that had events before are no evidence.

TestPartCrashes checks that no sound part is ever held, also beside lost groups of upstreams.

--- a/entryvm/heldparts.go
+++ b/entryvm/heldparts.go
@@ -47,8 +47,8 @@
 
 // heldPartView is a held prompt part as operators see it.
 type heldPartView struct {
-	Part        string    `json:"part"` // hexadecimal
-	Crashes     int       `json:"crashes"`
+	Part        string    `json:"part"`  // hexadecimal
+	Round       int       `json:"round"` // crashes in a row
 	LastCrashAt time.Time `json:"last_crash_at"`
 }
 
@@ -56,7 +56,7 @@
 func (g *Gateway) listHeldParts(w http.ResponseWriter, _ *http.Request) {
 	views := make([]heldPartView, 0)
 	for _, record := range g.heldParts.list() {
-		views = append(views, heldPartView{Part: record.Part.String(), Crashes: record.Crashes, LastCrashAt: record.LastCrashAt})
+		views = append(views, heldPartView{Part: record.Part.String(), Round: record.Round, LastCrashAt: record.LastCrashAt})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(views) // fails only if the client has disconnected
--- /dev/null
+++ b/fleet/heldparts.go
@@ -0,0 +1,212 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+const (
+	// trialInterval is the time between two trials of one VM with a part whose
+	// hold has ended.
+	trialInterval = 2 * time.Second
+	// storeHoldInterval is the time after which a hold that was not read back from
+	// the store is written again.
+	storeHoldInterval = 5 * time.Second
+	// mistakenHold is the time after the beginning of a hold in which that of
+	// another part can show that it was a mistake.
+	mistakenHold = 10 * time.Second
+)
+
+// holdPart starts to refuse requests with a part. Source is the VM that reported
+// the hold, or empty if this VM decided on it. A hold that began shortly before
+// was a mistake if the part explains all of its crashes.
+func (t *Tables) holdPart(row *PartSuspectRow, source string, now time.Time) {
+	row.Held, row.HeldAt = true, now
+	t.NewSuspects, t.PartSuspects.heldChanged = true, true
+	if source == "" {
+		source = "this VM"
+	}
+	t.RecordDecision(lentilmux.Decision{
+		What: "part_held", Subject: row.Part.String(), Chosen: t.holdDuration(row.Round).String(),
+		Reason: fmt.Sprintf("%d crashes in %d rounds, reported by %s", len(row.Crashes), row.Round, source),
+	})
+	for _, other := range t.PartSuspects.Rows {
+		if other != row && other.Held && now.Sub(other.HeldAt) < mistakenHold && len(other.Crashes) > 0 && t.PartSuspects.unexplained(other) == 0 {
+			t.endHold(other, "part "+row.Part.String()+" explains its crashes")
+			t.deleteHeldPart(other.Part, now)
+		}
+	}
+}
+
+// endHold ends the hold of a part.
+func (t *Tables) endHold(row *PartSuspectRow, reason string) {
+	row.Held, row.MustStore = false, false
+	t.NewSuspects, t.PartSuspects.heldChanged = true, true
+	t.RecordDecision(lentilmux.Decision{What: "part_released", Subject: row.Part.String(), Reason: reason})
+}
+
+// holdDuration returns for how long a part is held after the last crash of a
+// round.
+func (t *Tables) holdDuration(round int) time.Duration {
+	duration := t.Limits.BasePartHold
+	for i := t.Limits.MaxCrashes; i < round && duration < t.Limits.MaxPartHold; i++ {
+		duration *= 2
+	}
+	return min(duration, t.Limits.MaxPartHold)
+}
+
+// heldPart returns the first of the parts that is held, or nil. When a hold has
+// ended, one request passes as a trial in each trialInterval.
+func (t *Tables) heldPart(parts []lentilmux.PromptPart, now time.Time) *PartSuspectRow {
+	for _, part := range parts {
+		row := t.PartSuspects.Find(part)
+		if row != nil && row.Held && (now.Before(row.LastCrashAt.Add(t.holdDuration(row.Round))) || now.Sub(row.TrialAt) < trialInterval) {
+			return row
+		}
+	}
+	return nil
+}
+
+// heldPartRefusal returns the refusal of a request with a held part.
+func (t *Tables) heldPartRefusal(row *PartSuspectRow, now time.Time) *lentilmux.Refusal {
+	refusal := t.notRunRefusal(lentilmux.ReasonQuarantined, fmt.Sprintf("prompt part %s crashed upstreams in %d rounds", row.Part, row.Round))
+	refusal.RetryAfter = max(row.LastCrashAt.Add(t.holdDuration(row.Round)).Sub(now), trialInterval)
+	return refusal
+}
+
+// startTrial records what is known of a request's parts as an attempt is sent. If
+// one of them is suspected, the attempt is a trial, and no other request starts at
+// its upstream: a crash then tells which of them is the cause.
+func (t *Tables) startTrial(request *RequestRow, now time.Time) {
+	request.PartsAtSend = t.PartSuspects.evidence(request.SharedParts)
+	if request.Delivered > 0 || !t.PartSuspects.anySuspected(request.SharedParts) {
+		return
+	}
+	for _, part := range request.SharedParts {
+		if row := t.PartSuspects.Find(part); row != nil && row.Held {
+			row.TrialAt = now
+			t.RecordDecision(lentilmux.Decision{What: "part_tried", Subject: part.String(), Chosen: request.LastUpstream, Reason: "the hold has ended, request " + string(request.ID)})
+		}
+	}
+	if row := t.Upstreams.Find(request.LastUpstream); row != nil {
+		request.TrialUpstream = row.ID
+		row.Trials++
+	}
+}
+
+// endTrial ends the trial of a request, if there is one.
+func (t *Tables) endTrial(request *RequestRow) {
+	if request.TrialUpstream == "" {
+		return
+	}
+	if row := t.Upstreams.Find(request.TrialUpstream); row != nil {
+		row.Trials = max(row.Trials-1, 0)
+	}
+	request.TrialUpstream = ""
+}
+
+// clearParts records that an upstream began to answer a request: its parts do not
+// crash upstreams.
+func (t *Tables) clearParts(request *RequestRow, now time.Time) {
+	for _, part := range request.SharedParts {
+		t.PartSuspects.Sound.record(part, now, t.Limits.SoundPartWindow)
+		if row := t.PartSuspects.Find(part); row != nil && row.Round > 0 {
+			t.clearPart(row, "request "+string(request.ID)+" was answered", now)
+		}
+	}
+}
+
+// clearPart ends the suspicion of a part on all VMs.
+func (t *Tables) clearPart(row *PartSuspectRow, reason string, now time.Time) {
+	if row.Held {
+		t.endHold(row, reason)
+		t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(row.Part)})
+	}
+	row.Clears++
+	row.Round, row.Crashes, row.ChangedAt = 0, nil, now
+}
+
+// releasePart ends the suspicion of a part on an operator's request.
+func (t *Tables) releasePart(release PartReleaseRow, now time.Time) {
+	row := t.PartSuspects.Find(release.Part)
+	found := row != nil && row.Round > 0
+	if found {
+		t.clearPart(row, "by "+release.Who, now)
+	}
+	t.Answer(release.CorrelationID, lentilmux.ReleasePartAnswer{Found: found})
+}
+
+// applyHeldPart merges a hold that was read from the store. The leader deletes a
+// record that no VM needs any more.
+func (t *Tables) applyHeldPart(record lentilmux.HeldPartRecord, now time.Time) {
+	age := now.Sub(record.LastCrashAt)
+	if age > t.partRetention(record.Round, true) {
+		t.deleteHeldPart(record.Part, now)
+		return
+	}
+	t.mergeSuspicion(lentilmux.PartSuspicion{Part: record.Part, Clears: record.Clears, Round: record.Round, Held: true, Age: age}, "the store", now)
+	if row := t.PartSuspects.Find(record.Part); row != nil && row.Clears == record.Clears {
+		row.MustStore = false
+	}
+}
+
+// storeHolds writes the holds that this VM started until it reads them back.
+func (t *Tables) storeHolds(now time.Time) {
+	for _, row := range t.PartSuspects.Rows {
+		if row.MustStore && row.Held && now.Sub(row.StoredBy) >= storeHoldInterval {
+			row.StoredBy = now
+			record := row.record()
+			t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(row.Part), HeldPart: &record})
+		}
+	}
+}
+
+// partRetention returns how long after its last crash a part is remembered: a held
+// one for twice the hold, so that a trial is possible.
+func (t *Tables) partRetention(round int, held bool) time.Duration {
+	if held {
+		return 2 * t.holdDuration(round)
+	}
+	return t.Limits.CrashRetention
+}
+
+// deleteHeldPart deletes the record of a part from the store, if this VM is the
+// leader.
+func (t *Tables) deleteHeldPart(part lentilmux.PromptPart, now time.Time) {
+	if t.IsLeader(now) {
+		t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(part)})
+	}
+}
+
+// expireParts forgets parts whose last crash is long ago.
+func (t *Tables) expireParts(now time.Time) {
+	for _, row := range slices.Backward(t.PartSuspects.Rows) {
+		age := now.Sub(row.LastCrashAt)
+		if age <= t.partRetention(row.Round, row.Held) {
+			continue
+		}
+		if row.Held {
+			t.endHold(row, "no crash for "+age.Round(time.Second).String())
+			t.deleteHeldPart(row.Part, now)
+		}
+		t.PartSuspects.remove(row.Part)
+	}
+}
+
+// publishHeldParts publishes the held parts if they changed in this tick.
+func (t *Tables) publishHeldParts() {
+	if !t.PartSuspects.heldChanged {
+		return
+	}
+	t.PartSuspects.heldChanged = false
+	var records []lentilmux.HeldPartRecord
+	for _, row := range t.PartSuspects.Rows {
+		if row.Held {
+			records = append(records, row.record())
+		}
+	}
+	t.AddEffect(lentilmux.HeldPartsEffect{Parts: records})
+}
--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -10,23 +9,33 @@
 
 // One part of a prompt can crash each upstream that begins to answer it, whatever
 // else the request holds. Such requests are not alike, so the part is found by
-// what they share. A part is suspected when an upstream crashes before it began to
-// answer a request with it, and cleared when any upstream begins to answer one.
-// The crashes in a row are counted over all VMs: an attempt adds one to those that
-// were known when it was sent, so that several upstreams that die together count
-// once. After MaxCrashes in a row the part is held: requests with it are refused.
-
-// trialInterval is the time between two trials of one VM with a part whose hold
-// has ended.
-const trialInterval = 2 * time.Second
-
-// storeHoldInterval is the time after which a hold that was not read back from
-// the store is written again.
-const storeHoldInterval = 5 * time.Second
+// what they share:
+//
+//   - A part is suspected when an upstream crashes before it began to answer a
+//     request with it, and cleared when any upstream begins to answer one.
+//   - Crashes are counted in rounds over all VMs: an attempt adds one to the round
+//     that was known when it was sent. Several upstreams that die together are one
+//     round.
+//   - After MaxCrashes rounds, the part with the most crashes is the cause and is
+//     held: requests with it are refused. Crashes of other parts that are also
+//     crashes of a held part are explained.
+
+const (
+	// judgeDelay is how long the decision between several suspected parts waits
+	// for the digests of peers.
+	judgeDelay = 150 * time.Millisecond
+	// tiedCrashes is the number of further crashes after which one of several
+	// parts with equally many is held.
+	tiedCrashes = 2
+	// explainedCrashes is how long after the crash of a held part, or after its
+	// hold began, no other part is held: requests with it may still be in flight on
+	// other VMs.
+	explainedCrashes = time.Second
+)
 
 // TrackPartCrashes finds prompt parts that crash upstreams. It reads
-// Events.Digests, Events.FailedAttempts, Events.PartReleases and Requests and
-// writes PartSuspects.
+// Events.Digests, Events.FailedAttempts, Events.PartReleases, Requests and
+// Upstreams and writes PartSuspects.
 type TrackPartCrashes struct{}
 
 // Run implements [System].
@@ -45,52 +54,46 @@
 		}
 	}
 	for _, release := range t.Events.PartReleases {
-		c.release(t, release, now)
+		t.releasePart(release, now)
 	}
+	c.judge(t, now)
 	if len(t.PartSuspects.Rows) > 0 {
-		c.storeHolds(t, now)
-		c.expire(t, now)
+		t.storeHolds(now)
+		t.expireParts(now)
 	}
 	t.publishHeldParts()
 }
 
-// isUnansweredCrash reports whether the upstream of an attempt crashed before it
-// began to answer.
+// isUnansweredCrash reports whether the upstream of an attempt crashed before any
+// upstream began to answer the request.
 func isUnansweredCrash(request *RequestRow, failed FailedAttemptRow) bool {
-	return failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered && !request.AnswerStarted
+	return failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered && !request.AnswerStarted && failed.Delivered == 0
 }
 
-// recordCrash counts a crash against the parts of a request, and holds one of them
-// if that makes enough in a row. If one is held already, it explains the crash.
+// recordCrash counts a crash against the parts of a request. If one of them is
+// held already, the crash is counted against that one alone.
 func (c *TrackPartCrashes) recordCrash(t *Tables, request *RequestRow, now time.Time) {
-	var candidate *PartSuspectRow
+	if len(request.SharedParts) == 0 {
+		return
+	}
+	crash := lentilmux.ComputeCrashID(request.LastUpstream, time.Time{})
+	if row := t.Upstreams.Find(request.LastUpstream); row != nil {
+		crash = lentilmux.ComputeCrashID(row.ID, row.StartedAt)
+	}
 	for i, part := range request.SharedParts {
 		if row := t.PartSuspects.Find(part); row != nil && row.Held {
-			row.countCrash(request.partEvidence(i), now)
+			row.countCrash(crash, request.partEvidence(i), now)
 			return
 		}
 	}
 	for i, part := range request.SharedParts {
 		row := t.PartSuspects.GetOrCreate(part)
-		row.countCrash(request.partEvidence(i), now)
-		needed := t.Limits.MaxCrashes
-		if t.PartSuspects.Sound.contains(part, now, t.Limits.SoundPartWindow) {
-			needed = 2 * t.Limits.MaxCrashes
-		}
-		if row.Crashes < needed {
-			continue
-		}
-		// Of several candidates, the last one is held, which fewer sound requests
-		// have. If it is not the cause, the next crash shows that.
-		if candidate != nil {
-			candidate.Crashes = min(candidate.Crashes, t.Limits.MaxCrashes-1)
-		}
-		candidate = row
+		row.Position = max(row.Position, i)
+		row.countCrash(crash, request.partEvidence(i), now)
 	}
-	t.NewSuspects = t.NewSuspects || len(request.SharedParts) > 0 // peers must learn of the crash
-	if candidate != nil {
-		candidate.MustStore = true
-		t.hold(candidate, fmt.Sprintf("%d upstreams crashed in a row, the last one %s by request %s", candidate.Crashes, request.LastUpstream, request.ID))
+	t.NewSuspects = true // peers must learn of the crash
+	if t.PartSuspects.JudgeAt.IsZero() {
+		t.PartSuspects.JudgeAt = now
 	}
 }
 
@@ -103,122 +106,115 @@
 	return r.PartsAtSend[i]
 }
 
-// countCrash adds a crash to those that were known when the attempt was sent. An
-// attempt that was sent before the part was last cleared counts as the first.
-func (p *PartSuspectRow) countCrash(atSend PartEvidence, now time.Time) {
-	crashes := 1
+// countCrash adds a crash. It is one round more than was known when the attempt
+// was sent, or the first round if the part was cleared since then.
+func (p *PartSuspectRow) countCrash(crash lentilmux.CrashID, atSend PartEvidence, now time.Time) {
+	round := 1
 	if atSend.Clears == p.Clears {
-		crashes = atSend.Crashes + 1
+		round = atSend.Round + 1
 	}
-	p.Crashes, p.LastCrashAt, p.ChangedAt = max(p.Crashes, crashes), now, now
+	p.Round, p.LastCrashAt, p.ChangedAt = max(p.Round, round), now, now
+	p.addCrash(crash)
 }
 
-// hold starts to refuse requests with a part.
-func (t *Tables) hold(row *PartSuspectRow, reason string) {
-	row.Held = true
-	t.NewSuspects, t.PartSuspects.heldChanged = true, true
-	t.RecordDecision(lentilmux.Decision{What: "part_held", Subject: row.Part.String(), Chosen: t.holdDuration(row.Crashes).String(), Reason: reason})
-}
-
-// holdDuration returns for how long a part is held after the last of a number of
-// crashes in a row.
-func (t *Tables) holdDuration(crashes int) time.Duration {
-	duration := t.Limits.BasePartHold
-	for i := t.Limits.MaxCrashes; i < crashes && duration < t.Limits.MaxPartHold; i++ {
-		duration *= 2
-	}
-	return min(duration, t.Limits.MaxPartHold)
-}
-
-// heldPart returns the first of the parts that is held, or nil. When a hold has
-// ended, one request passes as a trial in each trialInterval.
-func (t *Tables) heldPart(parts []lentilmux.PromptPart, now time.Time) *PartSuspectRow {
-	for _, part := range parts {
-		row := t.PartSuspects.Find(part)
-		if row != nil && row.Held && (now.Before(row.LastCrashAt.Add(t.holdDuration(row.Crashes))) || now.Sub(row.TrialAt) < trialInterval) {
-			return row
-		}
+// judge decides whether a part is the cause of the last crashes. If several are
+// likely, it waits once for judgeDelay.
+func (c *TrackPartCrashes) judge(t *Tables, now time.Time) {
+	judgeAt := t.PartSuspects.JudgeAt
+	if judgeAt.IsZero() {
+		return
 	}
-	return nil
-}
-
-// heldPartRefusal returns the refusal of a request with a held part.
-func (t *Tables) heldPartRefusal(row *PartSuspectRow, now time.Time) *lentilmux.Refusal {
-	refusal := t.notRunRefusal(lentilmux.ReasonQuarantined, fmt.Sprintf("prompt part %s crashed %d upstreams in a row", row.Part, row.Crashes))
-	refusal.RetryAfter = max(row.LastCrashAt.Add(t.holdDuration(row.Crashes)).Sub(now), trialInterval)
-	return refusal
-}
-
-// startTrial records what is known of a request's parts as an attempt is sent. If
-// one of them is suspected, the attempt is a trial, and no other request starts at
-// its upstream: a crash then tells which of them is the cause.
-func (t *Tables) startTrial(request *RequestRow, now time.Time) {
-	request.PartsAtSend = t.PartSuspects.evidence(request.SharedParts)
-	if !slices.ContainsFunc(request.PartsAtSend, func(e PartEvidence) bool { return e.Crashes > 0 }) {
+	if now.Before(judgeAt) {
+		t.WakeAt(judgeAt)
 		return
 	}
-	for _, part := range request.SharedParts {
-		if row := t.PartSuspects.Find(part); row != nil && row.Held {
-			row.TrialAt = now
-			t.RecordDecision(lentilmux.Decision{What: "part_tried", Subject: part.String(), Chosen: request.LastUpstream, Reason: "the hold has ended, request " + string(request.ID)})
-		}
+	t.PartSuspects.JudgeAt = time.Time{}
+	if t.isExplained(now) {
+		return
 	}
-	if row := t.Upstreams.Find(request.LastUpstream); row != nil {
-		request.TrialUpstream = row.ID
-		row.Trials++
+	cause, rivals := t.likelyCause(now)
+	if cause == nil {
+		return
 	}
-}
-
-// endTrial ends the trial of a request, if there is one.
-func (t *Tables) endTrial(request *RequestRow) {
-	if request.TrialUpstream == "" {
+	if len(rivals) > 0 && !t.PartSuspects.JudgeDelayed {
+		t.PartSuspects.JudgeAt, t.PartSuspects.JudgeDelayed = now.Add(judgeDelay), true
+		t.WakeAt(t.PartSuspects.JudgeAt)
 		return
 	}
-	if row := t.Upstreams.Find(request.TrialUpstream); row != nil {
-		row.Trials = max(row.Trials-1, 0)
+	t.PartSuspects.JudgeDelayed = false
+	tied := slices.ContainsFunc(rivals, func(rival *PartSuspectRow) bool {
+		return t.PartSuspects.unexplained(rival) >= t.PartSuspects.unexplained(cause)
+	})
+	if !tied || t.PartSuspects.unexplained(cause) >= t.Limits.MaxCrashes+tiedCrashes {
+		cause.MustStore = true
+		t.holdPart(cause, "", now)
 	}
-	request.TrialUpstream = ""
 }
 
-// clearParts records that an upstream began to answer a request: its parts do not
-// crash upstreams.
-func (t *Tables) clearParts(request *RequestRow, now time.Time) {
-	for _, part := range request.SharedParts {
-		t.PartSuspects.Sound.record(part, now, t.Limits.SoundPartWindow)
-		if row := t.PartSuspects.Find(part); row != nil && row.Crashes > 0 {
-			t.clearPart(row, "request "+string(request.ID)+" was answered", now)
+// likelyCause returns the part with the most unexplained crashes, if it has enough
+// rounds, and its rivals, which have as many or one fewer. Of parts with equally
+// many, the one that stands last in its prompt is the likely cause, since fewer
+// sound requests have it.
+func (t *Tables) likelyCause(now time.Time) (cause *PartSuspectRow, rivals []*PartSuspectRow) {
+	var suspects []*PartSuspectRow
+	for _, row := range t.PartSuspects.Rows {
+		enough := row.Round >= t.roundsNeeded(row.Part, now)
+		if row.Held || !enough && t.isSound(row.Part, now) {
+			continue
+		}
+		suspects = append(suspects, row)
+		if !enough || t.PartSuspects.unexplained(row) < t.Limits.MaxCrashes {
+			continue
+		}
+		if cause == nil || t.compareCauses(row, cause) > 0 {
+			cause = row
+		}
+	}
+	for _, row := range suspects {
+		if cause != nil && row != cause && t.PartSuspects.unexplained(row) >= t.PartSuspects.unexplained(cause)-1 {
+			rivals = append(rivals, row)
 		}
 	}
+	return cause, rivals
 }
 
-// clearPart ends the suspicion of a part on all VMs.
-func (t *Tables) clearPart(row *PartSuspectRow, reason string, now time.Time) {
-	if row.Held {
-		t.RecordDecision(lentilmux.Decision{What: "part_released", Subject: row.Part.String(), Reason: reason})
-		t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(row.Part)})
-		t.NewSuspects, t.PartSuspects.heldChanged = true, true
+// compareCauses orders suspected parts by how likely they are the cause.
+func (t *Tables) compareCauses(a, b *PartSuspectRow) int {
+	if difference := t.PartSuspects.unexplained(a) - t.PartSuspects.unexplained(b); difference != 0 {
+		return difference
 	}
-	row.Clears++
-	row.Crashes, row.Held, row.MustStore, row.ChangedAt = 0, false, false, now
+	return a.Position - b.Position
 }
 
-// release ends the suspicion of a part on an operator's request.
-func (c *TrackPartCrashes) release(t *Tables, release PartReleaseRow, now time.Time) {
-	row := t.PartSuspects.Find(release.Part)
-	found := row != nil && row.Crashes > 0
-	if found {
-		t.clearPart(row, "by "+release.Who, now)
+// isSound reports whether this VM saw a prompt with the part answered lately.
+func (t *Tables) isSound(part lentilmux.PromptPart, now time.Time) bool {
+	return t.PartSuspects.Sound.contains(part, now, t.Limits.SoundPartWindow)
+}
+
+// roundsNeeded returns the rounds after which a part is held. A part that was
+// sound lately needs more, since it is likely to have been beside the cause.
+func (t *Tables) roundsNeeded(part lentilmux.PromptPart, now time.Time) int {
+	if t.isSound(part, now) {
+		return 2 * t.Limits.MaxCrashes
 	}
-	t.Answer(release.CorrelationID, lentilmux.ReleasePartAnswer{Found: found})
+	return t.Limits.MaxCrashes
+}
+
+// isExplained reports whether a held part explains a crash at this time.
+func (t *Tables) isExplained(now time.Time) bool {
+	return slices.ContainsFunc(t.PartSuspects.Rows, func(row *PartSuspectRow) bool {
+		return row.Held && (now.Sub(row.LastCrashAt) < explainedCrashes || now.Sub(row.HeldAt) < explainedCrashes)
+	})
 }
 
 // mergeSuspicion merges what another VM knows of a part, see
-// [lentilmux.PartSuspicion].
+// [lentilmux.PartSuspicion]. A VM that saw the part answered lately holds it only
+// if the rounds are enough for that.
 func (t *Tables) mergeSuspicion(s lentilmux.PartSuspicion, source string, now time.Time) {
 	row := t.PartSuspects.Find(s.Part)
 	lastCrashAt := now.Add(-max(s.Age, 0))
 	switch {
-	case row == nil && (s.Crashes <= 0 || s.Age > t.partRetention(s.Crashes, s.Held)):
+	case row == nil && (s.Round <= 0 || s.Age > t.partRetention(s.Round, s.Held)):
 		return
 	case row == nil:
 		row = t.PartSuspects.GetOrCreate(s.Part)
@@ -228,98 +224,21 @@
 		return
 	case s.Clears > row.Clears:
 		if row.Held && !s.Held {
-			t.PartSuspects.heldChanged = true
-			t.RecordDecision(lentilmux.Decision{What: "part_released", Subject: row.Part.String(), Reason: "reported by " + source})
-		}
-		held := row.Held && s.Held
-		row.Clears, row.Crashes, row.Held, row.MustStore, row.ChangedAt = s.Clears, 0, held, false, now
-	}
-	if s.Crashes > row.Crashes {
-		row.Crashes, row.ChangedAt = s.Crashes, now
-	}
-	if s.Crashes > 0 && lastCrashAt.After(row.LastCrashAt) {
-		row.LastCrashAt = lastCrashAt
-	}
-	if s.Held && !row.Held {
-		t.hold(row, fmt.Sprintf("%d upstreams crashed in a row, reported by %s", row.Crashes, source))
-	}
-}
-
-// applyHeldPart merges a hold that was read from the store. The leader deletes a
-// record that no VM needs any more.
-func (t *Tables) applyHeldPart(record lentilmux.HeldPartRecord, now time.Time) {
-	if now.Sub(record.LastCrashAt) > t.partRetention(record.Crashes, true) {
-		t.deleteHeldPart(record.Part, now)
-		return
-	}
-	t.mergeSuspicion(lentilmux.PartSuspicion{
-		Part: record.Part, Clears: record.Clears, Crashes: record.Crashes, Held: true, Age: now.Sub(record.LastCrashAt),
-	}, "the store", now)
-	if row := t.PartSuspects.Find(record.Part); row != nil && row.Clears == record.Clears {
-		row.MustStore = false
-	}
-}
-
-// storeHolds writes the holds that this VM started until it reads them back.
-func (c *TrackPartCrashes) storeHolds(t *Tables, now time.Time) {
-	for _, row := range t.PartSuspects.Rows {
-		if row.MustStore && row.Held && now.Sub(row.StoredBy) >= storeHoldInterval {
-			row.StoredBy = now
-			record := row.record()
-			t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(row.Part), HeldPart: &record})
+			t.endHold(row, "reported by "+source)
 		}
+		row.Clears, row.Round, row.Crashes, row.ChangedAt = s.Clears, 0, nil, now
 	}
-}
-
-// partRetention returns how long after its last crash a part is remembered: a held
-// one for twice the hold, so that a trial is possible.
-func (t *Tables) partRetention(crashes int, held bool) time.Duration {
-	if held {
-		return 2 * t.holdDuration(crashes)
-	}
-	return t.Limits.CrashRetention
-}
-
-// deleteHeldPart deletes the record of a part from the store, if this VM is the
-// leader.
-func (t *Tables) deleteHeldPart(part lentilmux.PromptPart, now time.Time) {
-	if t.IsLeader(now) {
-		t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(part)})
+	if s.Round > row.Round {
+		row.Round, row.ChangedAt = s.Round, now
 	}
-}
-
-// expire forgets parts whose last crash is long ago.
-func (c *TrackPartCrashes) expire(t *Tables, now time.Time) {
-	for i := len(t.PartSuspects.Rows) - 1; i >= 0; i-- {
-		row := t.PartSuspects.Rows[i]
-		if now.Sub(row.LastCrashAt) <= t.partRetention(row.Crashes, row.Held) {
-			continue
-		}
-		t.PartSuspects.remove(row.Part)
-		if row.Held {
-			t.PartSuspects.heldChanged = true
-			t.RecordDecision(lentilmux.Decision{What: "part_released", Subject: row.Part.String(), Reason: "no crash for " + now.Sub(row.LastCrashAt).Round(time.Second).String()})
-			t.deleteHeldPart(row.Part, now)
-		}
+	row.Position = max(row.Position, s.Position)
+	for _, crash := range s.Crashes {
+		row.addCrash(crash)
 	}
-}
-
-// publishHeldParts publishes the held parts if they changed in this tick.
-func (t *Tables) publishHeldParts() {
-	if !t.PartSuspects.heldChanged {
-		return
+	if s.Round > 0 && lastCrashAt.After(row.LastCrashAt) {
+		row.LastCrashAt = lastCrashAt
 	}
-	t.PartSuspects.heldChanged = false
-	var records []lentilmux.HeldPartRecord
-	for _, row := range t.PartSuspects.Rows {
-		if row.Held {
-			records = append(records, row.record())
-		}
+	if s.Held && !row.Held && row.Round >= t.roundsNeeded(row.Part, now) {
+		t.holdPart(row, source, now)
 	}
-	t.AddEffect(lentilmux.HeldPartsEffect{Parts: records})
-}
-
-// record returns the row as the store keeps it.
-func (p *PartSuspectRow) record() lentilmux.HeldPartRecord {
-	return lentilmux.HeldPartRecord{Part: p.Part, Clears: p.Clears, Crashes: p.Crashes, LastCrashAt: p.LastCrashAt}
 }
--- a/fleet/partcrashes_test.go
+++ b/fleet/partcrashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	parts           func(s *simulation) []lentilmux.PromptPart // of a request with the part
 	soundBefore     bool                                       // whether the part was sound until it began to crash upstreams
 	restart         bool                                       // whether a VM is restarted after the part was found
+	unique          bool                                       // whether requests with the part have other parts that no sound request has, which may be held too
+	lostUpstreams   int                                        // first hops that are lost together, twice, beside it
 	restartAll      bool                                       // whether all VMs are killed at once after the part was found
 }
 
@@ -52,7 +55,8 @@
 			return []lentilmux.PromptPart{deadlyPart, firstPart(s)}
 		}},
 		{name: "sound before", vms: 6, pairs: 16, seeds: 8, soundPerSecond: 80, deadlyPerSecond: 3, parts: afterFirst, soundBefore: true},
-		{name: "forty parts", vms: 6, pairs: 16, seeds: 8, soundPerSecond: 80, deadlyPerSecond: 2, parts: func(s *simulation) (parts []lentilmux.PromptPart) {
+		{name: "lost upstreams", vms: 6, pairs: 24, seeds: 8, soundPerSecond: 80, deadlyPerSecond: 2, parts: afterFirst, lostUpstreams: 8},
+		{name: "forty parts", unique: true, vms: 6, pairs: 16, seeds: 8, soundPerSecond: 80, deadlyPerSecond: 2, parts: func(s *simulation) (parts []lentilmux.PromptPart) {
 			for i := range 39 {
 				parts = append(parts, lentilmux.PromptPart(1000+s.random.IntN(1<<30)+i))
 			}
@@ -80,11 +84,19 @@
 		}
 	}
 	const begin, end = 4 * time.Second, 30 * time.Second
-	arrive(c.soundPerSecond, time.Second, end+2*time.Second, func() { s.request(false, firstPart(s)) })
+	s.crashesOn = func(request *simulatedRequest) bool { return hasDeadlyPart(request) && s.now.Sub(s.start) >= begin }
+	arrive(c.soundPerSecond, time.Second, end+2*time.Second, func() { s.request(firstPart(s)) })
 	if c.soundBefore {
-		arrive(c.deadlyPerSecond, time.Second, begin, func() { s.request(false, c.parts(s)...) })
+		arrive(c.deadlyPerSecond, time.Second, begin, func() { s.request(c.parts(s)...) })
+	}
+	arrive(c.deadlyPerSecond, begin, end, func() { s.request(c.parts(s)...) })
+	for _, at := range []time.Duration{begin + 50*time.Millisecond, begin + 300*time.Millisecond} {
+		s.after(at, func() {
+			for i := range c.lostUpstreams {
+				s.lose(s.upstreams[(i+int(at/time.Millisecond)%7)*2])
+			}
+		})
 	}
-	arrive(c.deadlyPerSecond, begin, end, func() { s.request(true, c.parts(s)...) })
 	if c.restart {
 		s.after(15*time.Second, func() { s.startVM(s.vms[2], s.vms[2].model.Tables().Self.Zone); s.introduce(s.vms[2]) })
 	}
@@ -99,6 +111,11 @@
 		})
 	}
 	s.run(end)
+	for part := range s.heldParts {
+		if part != deadlyPart.String() && !c.unique {
+			t.Errorf("%s, seed %d: sound part %s was held", c.name, seed, part)
+		}
+	}
 	checkPartCrashes(t, s, fmt.Sprintf("%s, seed %d: %s", c.name, seed, s.describeCrashes()))
 }
 
@@ -115,12 +132,12 @@
 	for _, request := range s.requests {
 		arrived := request.inbound.ReceivedAt
 		for _, at := range request.sends {
-			if request.deadly && len(s.crashes) >= crashesToJudge && at.After(judged.Add(contactTime)) && at.Sub(request.vm.startedAt) > contactTime {
+			if hasDeadlyPart(request) && len(s.crashes) >= crashesToJudge && at.After(judged.Add(contactTime)) && at.Sub(request.vm.startedAt) > contactTime {
 				sent++
 			}
 		}
 		switch {
-		case request.deadly || arrived.Sub(s.now) > -2*time.Second:
+		case hasDeadlyPart(request) || arrived.Sub(s.now) > -2*time.Second:
 		case arrived.Before(s.crashes[0]):
 			before++
 			beganBefore += count(request.began)
@@ -137,6 +154,10 @@
 	}
 }
 
+func hasDeadlyPart(request *simulatedRequest) bool {
+	return slices.Contains(request.inbound.SharedParts, deadlyPart)
+}
+
 // count returns 1 for true.
 func count(condition bool) int {
 	if condition {
--- a/fleet/partsuspects.go
+++ b/fleet/partsuspects.go
@@ -20,12 +20,16 @@
 )
 
 // PartSuspectRow is a prompt part that may crash upstreams, or that was found
-// sound after it was suspected.
+// sound after it was suspected. [lentilmux.PartSuspicion] describes the fields
+// that VMs share.
 type PartSuspectRow struct {
 	Part        lentilmux.PromptPart
-	Clears      int       // how often the part was found sound, on any VM
-	Crashes     int       // upstreams that crashed in a row, each in an attempt that was sent when the previous crash was known
-	Held        bool      // whether requests with the part are refused until heldUntil
+	Position    int
+	Clears      int
+	Round       int
+	Crashes     []lentilmux.CrashID
+	Held        bool      // whether requests with the part are refused until the hold ends
+	HeldAt      time.Time // when this VM began to hold it
 	LastCrashAt time.Time // by the clock of this VM
 	ChangedAt   time.Time // when this VM learned of the last change
 	TrialAt     time.Time // when this VM last let a request with the part pass after the hold had ended
@@ -33,16 +37,36 @@
 	MustStore   bool      // whether this VM has to write the hold until it reads it back
 }
 
+// addCrash adds the ID of a crash, unless it is known. The oldest ID makes room.
+func (p *PartSuspectRow) addCrash(crash lentilmux.CrashID) {
+	if slices.Contains(p.Crashes, crash) {
+		return
+	}
+	if len(p.Crashes) >= lentilmux.MaxCrashIDs {
+		p.Crashes = slices.Delete(p.Crashes, 0, 1)
+	}
+	p.Crashes = append(p.Crashes, crash)
+}
+
+// record returns the row as the store keeps it.
+func (p *PartSuspectRow) record() lentilmux.HeldPartRecord {
+	return lentilmux.HeldPartRecord{Part: p.Part, Clears: p.Clears, Round: p.Round, LastCrashAt: p.LastCrashAt}
+}
+
 // PartEvidence is what was known of a prompt part when an attempt was sent.
 type PartEvidence struct {
-	Clears  int
-	Crashes int
+	Clears int
+	Round  int
 }
 
 // PartSuspects is the table of prompt parts that may crash upstreams.
 type PartSuspects struct {
-	Rows  []*PartSuspectRow
-	Sound SoundParts
+	Rows    []*PartSuspectRow
+	Sound   SoundParts
+	JudgeAt time.Time // when the cause of the last crashes is decided; zero if nothing is to decide
+	// JudgeDelayed tells whether that decision already waited for the digests of
+	// peers.
+	JudgeDelayed bool
 
 	indexByPart map[lentilmux.PromptPart]int
 	heldChanged bool // whether the held parts changed since they were published
@@ -96,7 +120,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(a.Crashes, b.Crashes), a.ChangedAt.Compare(b.ChangedAt), cmp.Compare(a.Part, b.Part))
+	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(len(a.Crashes), len(b.Crashes)), a.ChangedAt.Compare(b.ChangedAt), cmp.Compare(a.Part, b.Part))
 }
 
 // evidence returns what is known of parts, or nil if none of them was ever
@@ -113,11 +137,32 @@
 		if evidence == nil {
 			evidence = make([]PartEvidence, len(parts))
 		}
-		evidence[i] = PartEvidence{Clears: row.Clears, Crashes: row.Crashes}
+		evidence[i] = PartEvidence{Clears: row.Clears, Round: row.Round}
 	}
 	return evidence
 }
 
+// unexplained returns the number of crashes of a part that are not also crashes of
+// a held part.
+func (p *PartSuspects) unexplained(row *PartSuspectRow) (count int) {
+	for _, crash := range row.Crashes {
+		if !slices.ContainsFunc(p.Rows, func(other *PartSuspectRow) bool {
+			return other.Held && other != row && slices.Contains(other.Crashes, crash)
+		}) {
+			count++
+		}
+	}
+	return count
+}
+
+// anySuspected reports whether one of the parts is held or has unexplained crashes.
+func (p *PartSuspects) anySuspected(parts []lentilmux.PromptPart) bool {
+	return len(p.Rows) > 0 && slices.ContainsFunc(parts, func(part lentilmux.PromptPart) bool {
+		row := p.Find(part)
+		return row != nil && (row.Held || p.unexplained(row) > 0)
+	})
+}
+
 // suspicions returns the rows to tell peers of, those that matter most first:
 // held parts, and others for partGossipDuration after each change.
 func (p *PartSuspects) suspicions(now time.Time) (suspicions []lentilmux.PartSuspicion) {
@@ -130,33 +175,8 @@
 	slices.SortFunc(rows, func(a, b *PartSuspectRow) int { return comparePartSuspects(b, a) })
 	for _, row := range rows[:min(len(rows), maxPartsInDigest)] {
 		suspicions = append(suspicions, lentilmux.PartSuspicion{
-			Part: row.Part, Clears: row.Clears, Crashes: row.Crashes, Held: row.Held, Age: now.Sub(row.LastCrashAt),
+			Part: row.Part, Position: row.Position, Clears: row.Clears, Round: row.Round, Crashes: slices.Clone(row.Crashes), Held: row.Held, Age: now.Sub(row.LastCrashAt),
 		})
 	}
 	return suspicions
 }
-
-// SoundParts remembers, within bounds, the parts of prompts that were answered
-// lately, in two generations.
-type SoundParts struct {
-	current, previous map[lentilmux.PromptPart]bool
-	rotatedAt         time.Time
-}
-
-// maxSoundParts bounds the parts of one generation.
-const maxSoundParts = 2048
-
-// record records that a prompt with the part was answered.
-func (s *SoundParts) record(part lentilmux.PromptPart, now time.Time, window time.Duration) {
-	if s.current == nil || len(s.current) >= maxSoundParts || now.Sub(s.rotatedAt) >= window {
-		s.previous, s.current, s.rotatedAt = s.current, make(map[lentilmux.PromptPart]bool), now
-	}
-	s.current[part] = true
-}
-
-// contains reports whether a prompt with the part was answered within the window,
-// or up to one window before that.
-func (s *SoundParts) contains(part lentilmux.PromptPart, now time.Time, window time.Duration) bool {
-	age := now.Sub(s.rotatedAt)
-	return age < 2*window && s.current[part] || age < window && s.previous[part]
-}
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -171,6 +171,11 @@
 		return lentilmux.RangeOrderResultMsg{Upstream: name, Order: lentilmux.RangeOrder{Layers: row.Target, ExpectedOrders: row.AcceptedOrders}, Accepted: fields["accepted"] != "false"}, nil
 	case "move_result":
 		return s.moveResult(name, fields), nil
+	case "release_part":
+		return lentilmux.ReleasePartMsg{Part: parseParts(name)[0], Who: "operator"}, nil
+	case "held_part":
+		record := &lentilmux.HeldPartRecord{Part: parseParts(name)[0], Round: parseInt(fields["round"]), LastCrashAt: now.Add(-parseDuration(fields["age"]))}
+		return s.streamUpdates(lentilmux.StreamVMs, now, lentilmux.StreamUpdate{Key: lentilmux.HeldPartKey(record.Part), HeldPart: record}), nil
 	case "drain":
 		return lentilmux.BeginDrainMsg{}, nil
 	}
@@ -185,6 +190,7 @@
 		Scope: map[string]lentilmux.DigestScope{"zone": lentilmux.ScopeZone, "fleet": lentilmux.ScopeFleet}[fields["scope"]],
 	}
 	digest.Stale = fields["stale"] == "true"
+	digest.Parts = partSuspicions(fields)
 	if fields["zone"] != "" {
 		digest.Zone = fields["zone"]
 	}
@@ -330,7 +336,12 @@
 	case lentilmux.ReadinessEffect:
 		return fmt.Sprintf("ready=%t %s", x.Ready, x.Reason)
 	case lentilmux.PutEffect:
+		if x.VM == nil && x.HeldPart == nil {
+			return fmt.Sprintf("delete %s from stream %s", x.Key, x.Stream)
+		}
 		return fmt.Sprintf("put %s in stream %s", x.Key, x.Stream)
+	case lentilmux.HeldPartsEffect:
+		return fmt.Sprintf("%d held parts", len(x.Parts))
 	}
 	return ""
 }
@@ -418,8 +429,31 @@
 	}
 	return lentilmux.InboundRequest{
 		ID: lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
-		PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
+		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
+	}
+}
+
+// parseParts parses prompt parts, hexadecimal numbers separated by commas.
+func parseParts(text string) (parts []lentilmux.PromptPart) {
+	for _, id := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		value, _ := strconv.ParseUint(id, 16, 64)
+		parts = append(parts, lentilmux.PromptPart(value))
+	}
+	return parts
+}
+
+// partSuspicions returns what a digest says of one prompt part, if it does.
+func partSuspicions(fields map[string]string) (suspicions []lentilmux.PartSuspicion) {
+	for _, part := range parseParts(fields["part"]) {
+		suspicion := lentilmux.PartSuspicion{
+			Part: part, Clears: parseInt(fields["clears"]), Round: parseInt(fields["round"]), Held: fields["held"] == "true", Age: parseDuration(fields["age"]),
+		}
+		for i := range parseInt(fields["crashes"]) {
+			suspicion.Crashes = append(suspicion.Crashes, lentilmux.CrashID(i))
+		}
+		suspicions = append(suspicions, suspicion)
 	}
+	return suspicions
 }
 
 // parseLayers parses a layer range such as 0-3. It returns false if the field is
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -47,7 +47,6 @@
 type simulatedRequest struct {
 	inbound  lentilmux.InboundRequest
 	vm       *simulatedVM
-	deadly   bool // crashes each upstream that begins to answer it
 	sends    []time.Time
 	attempt  lentilmux.Attempt
 	began    bool // whether its first attempt began to answer
@@ -70,8 +69,9 @@
 	byID      map[string]*simulatedUpstream
 	requests  []*simulatedRequest
 	crashes   []time.Time
-	store     map[string]lentilmux.PutEffect // records that VMs wrote, by key
-	trace     bool
+	crashesOn func(request *simulatedRequest) bool // whether an upstream crashes when it begins to answer the request
+	store     map[string]lentilmux.PutEffect       // records that VMs wrote, by key
+	heldParts map[string]bool                      // parts that a VM ever held, by ID
 	onSend    func(request *simulatedRequest, upstream *simulatedUpstream)
 }
 
@@ -102,7 +102,7 @@
 func newSimulation(t *testing.T, seed uint64, vms, pairs int) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), start: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		byAddr: make(map[netip.AddrPort]*simulatedVM), byID: make(map[string]*simulatedUpstream), store: make(map[string]lentilmux.PutEffect),
+		byAddr: make(map[netip.AddrPort]*simulatedVM), byID: make(map[string]*simulatedUpstream), store: make(map[string]lentilmux.PutEffect), heldParts: make(map[string]bool),
 	}
 	s.now = s.start
 	for i := range 2 * pairs {
@@ -242,8 +242,8 @@
 		case lentilmux.PutEffect:
 			s.store[x.Key] = x
 		case lentilmux.DecisionEffect:
-			if s.trace {
-				fmt.Println(s.now.Sub(s.start), vm.name, x.Decision.What, x.Decision.Subject, x.Decision.Chosen, x.Decision.Reason)
+			if x.Decision.What == "part_held" {
+				s.heldParts[x.Decision.Subject] = true
 			}
 		}
 	}
@@ -262,14 +262,13 @@
 }
 
 // request sends a request to a random VM.
-func (s *simulation) request(deadly bool, parts ...lentilmux.PromptPart) *simulatedRequest {
+func (s *simulation) request(parts ...lentilmux.PromptPart) {
 	id := fmt.Sprintf("r%d", len(s.requests))
-	request := &simulatedRequest{vm: s.vms[s.random.IntN(len(s.vms))], deadly: deadly}
+	request := &simulatedRequest{vm: s.vms[s.random.IntN(len(s.vms))]}
 	request.inbound = inboundRequest(id, map[string]string{"path": "/llm/x", "key": "k1", "prompt": "400", "answer": "100"}, s.now)
 	request.inbound.SharedParts = parts
 	s.requests = append(s.requests, request)
 	s.ask(request, lentilmux.ForwardMsg{Inbound: request.inbound})
-	return request
 }
 
 // answer carries out the decision on a request.
@@ -307,7 +306,7 @@
 		if request.done || request.attempt.Epoch != attempt.Epoch || !upstream.active[request] {
 			return
 		}
-		if request.deadly {
+		if s.crashesOn != nil && s.crashesOn(request) {
 			s.crash(upstream)
 			return
 		}
@@ -323,10 +322,15 @@
 	})
 }
 
-// crash ends the process of an upstream, with all requests on it. It starts again
-// after simulatedDowntime.
+// crash ends the process of an upstream because of a request.
 func (s *simulation) crash(upstream *simulatedUpstream) {
 	s.crashes = append(s.crashes, s.now)
+	s.lose(upstream)
+}
+
+// lose ends the process of an upstream, with all requests on it. It starts again
+// after simulatedDowntime.
+func (s *simulation) lose(upstream *simulatedUpstream) {
 	upstream.downUntil = s.now.Add(simulatedDowntime)
 	victims := make([]*simulatedRequest, 0, len(upstream.active))
 	for _, request := range s.requests { // in a fixed order
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -97,9 +97,7 @@
 		message.Sends = append(message.Sends, &peerpb.ServiceSends{Service: counts.Service, Requests: int32(counts.Requests), Repeats: int32(counts.Retries)})
 	}
 	for _, part := range digest.Parts {
-		message.Parts = append(message.Parts, &peerpb.PartSuspicion{
-			Part: uint64(part.Part), Clears: uint32(part.Clears), Crashes: uint32(part.Crashes), Held: part.Held, AgeMs: uint64(part.Age.Milliseconds()),
-		})
+		message.Parts = append(message.Parts, partToProto(part))
 	}
 	return message
 }
@@ -177,13 +175,31 @@
 // maxPartAge bounds the age of a suspicion, so that its decoding cannot overflow.
 const maxPartAge = 24 * time.Hour
 
-// partsFromProto converts the suspected prompt parts of a digest.
+// partToProto converts a suspected prompt part to its protobuf message.
+func partToProto(part lentilmux.PartSuspicion) *peerpb.PartSuspicion {
+	message := &peerpb.PartSuspicion{
+		Part: uint64(part.Part), Position: uint32(part.Position), Clears: uint32(part.Clears), Round: uint32(part.Round), Held: part.Held,
+		AgeMs: uint64(part.Age.Milliseconds()),
+	}
+	for _, crash := range part.Crashes {
+		message.Crashes = append(message.Crashes, uint32(crash))
+	}
+	return message
+}
+
+// partsFromProto converts the suspected prompt parts of a digest. Crashes beyond
+// [lentilmux.MaxCrashIDs] are dropped.
 func partsFromProto(parts []*peerpb.PartSuspicion) (suspicions []lentilmux.PartSuspicion) {
 	for _, part := range parts {
-		suspicions = append(suspicions, lentilmux.PartSuspicion{
-			Part: lentilmux.PromptPart(part.GetPart()), Clears: int(part.GetClears()), Crashes: int(part.GetCrashes()), Held: part.GetHeld(),
+		suspicion := lentilmux.PartSuspicion{
+			Part: lentilmux.PromptPart(part.GetPart()), Position: int(part.GetPosition()), Clears: int(part.GetClears()), Round: int(part.GetRound()), Held: part.GetHeld(),
 			Age: time.Duration(min(part.GetAgeMs(), uint64(maxPartAge.Milliseconds()))) * time.Millisecond,
-		})
+		}
+		crashes := part.GetCrashes()
+		for _, crash := range crashes[:min(len(crashes), lentilmux.MaxCrashIDs)] {
+			suspicion.Crashes = append(suspicion.Crashes, lentilmux.CrashID(crash))
+		}
+		suspicions = append(suspicions, suspicion)
 	}
 	return suspicions
 }
--- a/platformlog/heldpart.go
+++ b/platformlog/heldpart.go
@@ -14,14 +14,14 @@
 // heldPart is the record of a held prompt part, as stored.
 type heldPart struct {
 	Clears      int       `json:"clears"`
-	Crashes     int       `json:"crashes"`
+	Round       int       `json:"round"`
 	LastCrashAt time.Time `json:"last_crash_at"`
 }
 
 // EncodeHeldPart encodes the record of a held prompt part.
 func EncodeHeldPart(record lentilmux.HeldPartRecord) (data []byte, err error) {
 	defer errors.DeferredAnnotatef(&err, "encoding held part %s", record.Part)
-	return json.Marshal(heldPart{Clears: record.Clears, Crashes: record.Crashes, LastCrashAt: record.LastCrashAt})
+	return json.Marshal(heldPart{Clears: record.Clears, Round: record.Round, LastCrashAt: record.LastCrashAt})
 }
 
 // decodeHeldPart adds the record of a held prompt part to an update, or says in
@@ -37,10 +37,10 @@
 		update.DecodeError = err.Error()
 		return update
 	}
-	if record.Clears < 0 || record.Crashes < 1 || record.LastCrashAt.IsZero() {
+	if record.Clears < 0 || record.Round < 1 || record.LastCrashAt.IsZero() {
 		update.DecodeError = "held part has a negative count or no time"
 		return update
 	}
-	update.HeldPart = &lentilmux.HeldPartRecord{Part: lentilmux.PromptPart(id), Clears: record.Clears, Crashes: record.Crashes, LastCrashAt: record.LastCrashAt}
+	update.HeldPart = &lentilmux.HeldPartRecord{Part: lentilmux.PromptPart(id), Clears: record.Clears, Round: record.Round, LastCrashAt: record.LastCrashAt}
 	return update
 }
--- a/promptpart.go
+++ b/promptpart.go
@@ -32,18 +32,32 @@
 	return text.String()
 }
 
+// CrashID identifies the crash of one process of an upstream.
+type CrashID uint32
+
+// ComputeCrashID returns the ID of the crash of an upstream's process that started
+// at the given time.
+func ComputeCrashID(upstream string, startedAt time.Time) CrashID {
+	return CrashID(ComputeFingerprint(upstream, strconv.FormatInt(startedAt.UnixMilli(), 10)))
+}
+
 // PartSuspicion is what VMs tell each other of a prompt part that may crash
 // upstreams. Of two suspicions of a part, the one with more Clears replaces the
-// other; with the same number, they add up to the larger Crashes, and the part is
-// held if one of them says so.
+// other; with the same number, they add up to the larger Round and to all Crashes,
+// and the part is held if one of them says so.
 type PartSuspicion struct {
-	Part    PromptPart
-	Clears  int           // how often the part was found sound
-	Crashes int           // upstreams that crashed in a row, each in an attempt that was sent when the previous crash was known
-	Held    bool          // whether requests with the part are refused
-	Age     time.Duration // since the last crash
+	Part     PromptPart
+	Position int           // largest index at which prompts had the part
+	Clears   int           // how often the part was found sound
+	Round    int           // crashes in a row, each in an attempt that was sent when the previous one was known
+	Crashes  []CrashID     // the last crashes, at most [MaxCrashIDs]
+	Held     bool          // whether requests with the part are refused
+	Age      time.Duration // since the last crash
 }
 
+// MaxCrashIDs bounds the crashes that are kept of one prompt part.
+const MaxCrashIDs = 12
+
 // HeldPartKeyPrefix starts the keys of held prompt parts in [StreamVMs].
 const HeldPartKeyPrefix = "held_part/"
 
@@ -55,7 +69,7 @@
 type HeldPartRecord struct {
 	Part        PromptPart
 	Clears      int
-	Crashes     int
+	Round       int
 	LastCrashAt time.Time
 }
 
