Read and log the limits that upstreams name

The log could not tell whether VMs know a limit and keep to it each for itself, or take no notice. upstream_limited, upstream_unlimited and limit_ignored now show what an upstream names and in which answer; routing is unchanged.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -118,6 +118,9 @@
 	if !ok {
 		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonNoUpstream, fmt.Sprintf("nothing of %s has room, of %d upstreams", request.Service, len(a.rows))))
 	}
+	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
+		attempt.Limited = row.Limited
+	}
 	request.Move, request.PathBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.SentAt, request.LastUpstream = attempt.Epoch, false, now, attempt.Upstream
 	request.Attempts++
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -48,6 +48,7 @@
 	MoveResults     []lentilmux.MoveResultMsg
 	Done            []lentilmux.ForwardDoneMsg
 	PartReleases    []PartReleaseRow
+	UpstreamLimits  []lentilmux.UpstreamLimitMsg
 	Limits          *Limits
 	BeginDrain      bool
 }
@@ -82,6 +83,8 @@
 		e.Done = append(e.Done, x)
 	case lentilmux.ReleasePartMsg:
 		e.PartReleases = append(e.PartReleases, PartReleaseRow{ReleasePartMsg: x, CorrelationID: envelope.CorrelationID})
+	case lentilmux.UpstreamLimitMsg:
+		e.UpstreamLimits = append(e.UpstreamLimits, x)
 	case LimitsMsg:
 		e.Limits = &x.Limits
 	case lentilmux.BeginDrainMsg:
@@ -105,6 +108,6 @@
 		StreamUpdates: e.StreamUpdates[:0], StreamFailures: e.StreamFailures[:0], Digests: e.Digests[:0], Reports: e.Reports[:0],
 		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
-		PartReleases: e.PartReleases[:0],
+		PartReleases: e.PartReleases[:0], UpstreamLimits: e.UpstreamLimits[:0],
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,6 +76,7 @@
 		&ApplyReports{},
 		&FinishRequests{},
 		&TrackPartCrashes{},
+		&ApplyRequestLimits{},
 		&DetectFailures{},
 		&PlaceLayers{},
 		&SendOrders{},
--- a/forward.go
+++ b/forward.go
@@ -46,6 +46,7 @@
 	FirstEventTimeout time.Duration // time without a first event after which the attempt is stalled; 0 for no limit
 	EventGapTimeout   time.Duration // time between events after which the attempt is stalled
 	Progress          []*Progress   // of the path's upstreams
+	Limited           bool          // whether the upstream named a limit, so that an answer without one has to be reported
 }
 
 // AttemptAnswer carries the next attempt of a request.
@@ -128,6 +129,8 @@
 	// BlamedUpstream returns the address of the hop that an error answer names
 	// as the cause, or the zero value.
 	BlamedUpstream() (addr netip.AddrPort)
+	// RequestLimit returns the limit that the answer names.
+	RequestLimit() (limit RequestLimit)
 	// Next returns the next complete event and its number. It returns [io.EOF]
 	// after the last event of a complete response stream, and another error if
 	// the stream breaks off. The bytes are valid until the next call.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -196,6 +196,7 @@
 		return r.handleError(ctx, attemptCtx, attempt, err)
 	}
 	defer response.Close()
+	r.reportLimit(attemptCtx, attempt, response)
 	switch {
 	case response.Verdict() == lentilmux.VerdictSuccess && attempt.Kind.Streams():
 		err = r.relayStream(attemptCtx, attempt, response, stallWatchdog)
@@ -210,6 +211,17 @@
 	return r.handleError(ctx, attemptCtx, attempt, err)
 }
 
+// reportLimit reports the request limit that an answer names, or that it no longer
+// names one.
+func (r *relayedRequest) reportLimit(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) {
+	limit := response.RequestLimit()
+	if response.Verdict() == lentilmux.VerdictInvalid || !limit.Named && !attempt.Limited {
+		return
+	}
+	// Send fails only if the request is ending; a later answer tells the limit too.
+	_ = r.relay.node.Send(ctx, lentilmux.UpstreamLimitMsg{Request: attempt.Request, Upstream: attempt.Upstream, Limit: limit})
+}
+
 // relayReply passes on a response that is not a stream.
 func (r *relayedRequest) relayReply(attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) (err error) {
 	body, err := response.Body()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -114,10 +114,11 @@
 	return s.send(ctx, attempt, after)
 }
 
-func (r *scriptedResponse) Verdict() lentilmux.Verdict     { return r.verdict }
-func (r *scriptedResponse) BlamedUpstream() netip.AddrPort { return netip.AddrPort{} }
-func (r *scriptedResponse) Body() ([]byte, error)          { return []byte("body"), nil }
-func (r *scriptedResponse) Close()                         { r.script.logf("upstream: closed") }
+func (r *scriptedResponse) Verdict() lentilmux.Verdict           { return r.verdict }
+func (r *scriptedResponse) RequestLimit() lentilmux.RequestLimit { return lentilmux.RequestLimit{} }
+func (r *scriptedResponse) BlamedUpstream() netip.AddrPort       { return netip.AddrPort{} }
+func (r *scriptedResponse) Body() ([]byte, error)                { return []byte("body"), nil }
+func (r *scriptedResponse) Close()                               { r.script.logf("upstream: closed") }
 
 func (r *scriptedResponse) Next() (event []byte, number int64, err error) {
 	if len(r.steps) == 0 {
