--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -30,7 +30,16 @@
 type simulatedUpstream struct {
 	record    lentilmux.UpstreamRecord
 	downUntil time.Time
-	active    map[*simulatedRequest]bool // requests whose first hop it is
+	active    map[*simulatedRequest]bool    // requests whose first hop it is
+	limit     func() lentilmux.RequestLimit // that its answers name; nil for none
+}
+
+// namedLimit returns the limit that an answer names at the moment.
+func (u *simulatedUpstream) namedLimit() (limit lentilmux.RequestLimit) {
+	if u.limit == nil {
+		return limit
+	}
+	return u.limit()
 }
 
 // simulatedVM is one of the entry VMs of a simulation.
@@ -73,6 +82,8 @@
 	store     map[string]lentilmux.PutEffect       // records that VMs wrote, by key
 	heldParts map[string]bool                      // parts that a VM ever held, by ID
 	onSend    func(request *simulatedRequest, upstream *simulatedUpstream)
+	onLimit   func(vm *simulatedVM, upstream *simulatedUpstream) // when a VM got an answer that names a limit
+	pickVM    func() *simulatedVM                                // of the next request; nil for a random one
 }
 
 // simulatedEvent is a function that runs at a time.
@@ -265,6 +276,9 @@
 func (s *simulation) request(parts ...lentilmux.PromptPart) {
 	id := fmt.Sprintf("r%d", len(s.requests))
 	request := &simulatedRequest{vm: s.vms[s.random.IntN(len(s.vms))]}
+	if s.pickVM != nil {
+		request.vm = s.pickVM()
+	}
 	request.inbound = inboundRequest(id, map[string]string{"path": "/llm/x", "key": "k1", "prompt": "400", "answer": "100"}, s.now)
 	request.inbound.SharedParts = parts
 	s.requests = append(s.requests, request)
@@ -312,6 +326,12 @@
 		}
 		request.began = request.began || len(request.sends) == 1
 		request.delivery++
+		if limit := upstream.namedLimit(); limit.Named || attempt.Limited {
+			s.deliver(request.vm, lentilmux.UpstreamLimitMsg{Request: request.inbound.ID, Upstream: attempt.Upstream, Limit: limit})
+			if s.onLimit != nil && limit.Named {
+				s.onLimit(request.vm, upstream)
+			}
+		}
 		s.deliver(request.vm, lentilmux.ForwardStartedMsg{Request: request.inbound.ID, Epoch: attempt.Epoch})
 		s.after(simulatedStream, func() {
 			if upstream.active[request] && request.attempt.Epoch == attempt.Epoch {
