Share the limits that upstreams name between VMs

Cause: no VM read the limit; what an upstream says of itself for all VMs together had no place in the design, where each VM knows its own load and a limit is the upstream's slots. VMs now tell each other the newest limit of each upstream and share it: each starts requests there through a token bucket at the rate of its part of the service's recent requests. Where more VMs than a limit bears would exceed it by one request each, some are chosen by hash, those of its zone first. A limit ends with the first answer without it, a new process, or after a minute without an answer; what is no number changes nothing.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -18,6 +18,7 @@
 	rows       []*UpstreamRow       // rows of nodes or candidates
 	hops       []lentilmux.PathHop  // buffer for the selected path
 	candidates []lentilmux.Candidate
+	atLimit    int // upstreams considered last at which this VM may not start a request because of their limit
 }
 
 // Run implements [System].
@@ -116,20 +117,30 @@
 		ok = a.chooseUpstream(t, request, &attempt, now)
 	}
 	if !ok {
-		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonNoUpstream, fmt.Sprintf("nothing of %s has room, of %d upstreams", request.Service, len(a.rows))))
+		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonNoUpstream, a.describeNoRoom(request.Service)))
 	}
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
-		attempt.Limited = row.Limited
+		attempt.Limited = row.RequestLimit.Named
 	}
 	request.Move, request.PathBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.SentAt, request.LastUpstream = attempt.Epoch, false, now, attempt.Upstream
 	request.Attempts++
 	t.reserve(request)
 	t.startTrial(request, now)
+	t.takeLimitToken(request.LastUpstream, now)
 	t.Answer(correlationID, lentilmux.AttemptAnswer{Attempt: attempt})
 	return nil
 }
 
+// describeNoRoom returns why no upstream of a service was chosen.
+func (a *AdmitRequests) describeNoRoom(service string) string {
+	text := fmt.Sprintf("nothing of %s has room, of %d upstreams", service, len(a.rows))
+	if a.atLimit > 0 {
+		text += fmt.Sprintf(", %d at the limit that they named", a.atLimit)
+	}
+	return text
+}
+
 // adjustOutcome sets the outcome of a refusal to unknown if an earlier attempt may
 // have run the request.
 func (a *AdmitRequests) adjustOutcome(request *RequestRow, refusal *lentilmux.Refusal) *lentilmux.Refusal {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -105,7 +105,7 @@
 // collectNodes collects the upstreams of a service that hold layers and may get
 // new requests.
 func (a *AdmitRequests) collectNodes(t *Tables, service string, now time.Time) {
-	a.nodes, a.rows = a.nodes[:0], a.rows[:0]
+	a.nodes, a.rows, a.atLimit = a.nodes[:0], a.rows[:0], 0
 	for _, row := range t.Upstreams.Rows {
 		if row.Service != service || !row.HasLayers || !row.Usable(now) || now.Before(row.FullUntil) {
 			continue
@@ -115,13 +115,17 @@
 		if model == nil || layers.Len() <= 0 {
 			continue
 		}
+		atLimit := !t.hasLimitToken(row, now)
+		if atLimit {
+			a.atLimit++
+		}
 		a.rows = append(a.rows, row)
 		a.nodes = append(a.nodes, lentilmux.PathNode{
 			Zone: t.Zones.Index(row.Zone), Layers: layers,
 			StepFactor: accelerator.StepFactor * row.Slowdown, PrefillFactor: accelerator.PrefillFactor * row.Slowdown,
 			Streams: row.OwnLoad.Streams + row.PeerLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens + row.PeerLoad.PendingPromptTokens,
 			Reserved: row.OwnLoad.Reserved + row.PeerLoad.Reserved, Capacity: model.CacheCapacity(accelerator, max(row.Layers.Len(), row.plannedLayers().Len())),
-			Full: row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
+			Full: atLimit || row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
 		})
 	}
 }
@@ -163,11 +167,15 @@
 // and fills in the attempt. A repeatable request with a retry left gets a
 // timeout for its first event.
 func (a *AdmitRequests) chooseUpstream(t *Tables, request *RequestRow, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
-	a.candidates, a.rows = a.candidates[:0], a.rows[:0]
+	a.candidates, a.rows, a.atLimit = a.candidates[:0], a.rows[:0], 0
 	for _, row := range t.Upstreams.Rows {
 		if row.Service != request.Service || !row.Usable(now) {
 			continue
 		}
+		if !t.hasLimitToken(row, now) {
+			a.atLimit++
+			continue
+		}
 		a.rows = append(a.rows, row)
 		a.candidates = append(a.candidates, lentilmux.Candidate{
 			Upstream: row.ID, SameZone: row.Zone == t.Self.Zone,
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -119,7 +119,7 @@
 	}
 	s.sequence++
 	digest.Sequence = s.sequence
-	digest.Parts = t.PartSuspects.suspicions(now)
+	digest.Parts, digest.Limits = t.PartSuspects.suspicions(now), t.knownLimits(now)
 	t.AddEffect(lentilmux.LoadDigestEffect{Digest: digest, To: to})
 }
 
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -31,11 +31,7 @@
 	Dead                bool          // whether requests in flight on it have to move
 	ReportedByPeer      bool          // whether Dead was reported by a peer
 
-	Limit        float64   // requests a second that it takes from all VMs together, if Limited
-	Limited      bool      // whether its newest answer names a limit
-	LimitSeenAt  time.Time // when the answer arrived that says so, or that it names none; zero if none ever did
-	LimitLogged  float64   // limit that was logged last
-	LimitLogNext time.Time // when the next change of the limit may be logged
+	RequestLimit RequestLimitState
 
 	Slowdown   float64   // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
 	ReportedAt time.Time // when its last report arrived
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -99,6 +99,11 @@
 	for _, part := range digest.Parts {
 		message.Parts = append(message.Parts, partToProto(part))
 	}
+	for _, limit := range digest.Limits {
+		message.Limits = append(message.Limits, &peerpb.UpstreamLimit{
+			Upstream: uint32(limit.Upstream), Named: limit.Named, PerSecond: limit.PerSecond, AgeMs: uint64(limit.Age.Milliseconds()),
+		})
+	}
 	return message
 }
 
@@ -169,11 +174,30 @@
 		digest.RetryCounts = append(digest.RetryCounts, lentilmux.RetryCounts{Service: counts.GetService(), Requests: int(counts.GetRequests()), Retries: int(counts.GetRepeats())})
 	}
 	digest.Parts = partsFromProto(message.GetParts())
+	digest.Limits = limitsFromProto(message.GetLimits())
 	return digest, nil
 }
 
-// maxPartAge bounds the age of a suspicion, so that its decoding cannot overflow.
-const maxPartAge = 24 * time.Hour
+// maxAge bounds the ages in a digest, so that their decoding cannot overflow.
+const maxAge = 24 * time.Hour
+
+// ageFromProto converts an age in milliseconds.
+func ageFromProto(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
+
+// limitsFromProto converts the limits of upstreams. It drops limits that are not
+// finite, or negative.
+func limitsFromProto(messages []*peerpb.UpstreamLimit) (limits []lentilmux.UpstreamLimit) {
+	for _, message := range messages {
+		if perSecond := message.GetPerSecond(); perSecond >= 0 && !math.IsInf(perSecond, 0) {
+			limits = append(limits, lentilmux.UpstreamLimit{
+				Upstream: lentilmux.UpstreamHash(message.GetUpstream()), Named: message.GetNamed(), PerSecond: perSecond, Age: ageFromProto(message.GetAgeMs()),
+			})
+		}
+	}
+	return limits
+}
 
 // partToProto converts a suspected prompt part to its protobuf message.
 func partToProto(part lentilmux.PartSuspicion) *peerpb.PartSuspicion {
@@ -193,7 +217,7 @@
 	for _, part := range parts {
 		suspicion := lentilmux.PartSuspicion{
 			Part: lentilmux.PromptPart(part.GetPart()), Position: int(part.GetPosition()), Clears: int(part.GetClears()), Round: int(part.GetRound()), Held: part.GetHeld(),
-			Age: time.Duration(min(part.GetAgeMs(), uint64(maxPartAge.Milliseconds()))) * time.Millisecond,
+			Age: ageFromProto(part.GetAgeMs()),
 		}
 		crashes := part.GetCrashes()
 		for _, crash := range crashes[:min(len(crashes), lentilmux.MaxCrashIDs)] {
--- a/streams.go
+++ b/streams.go
@@ -283,6 +283,7 @@
 	Suspects    []string       // upstreams that are suspected to be dead
 	RetryCounts []RetryCounts
 	Parts       []PartSuspicion // prompt parts that may crash upstreams, as the sender knows them
+	Limits      []UpstreamLimit // limits that upstreams named, as the sender knows them
 }
 
 // RetryCounts counts the sends to one service in the retry window, for the retry
