Quarantine prompt parts behind the product's own front end too

The same cause as on the platform: crashes were blamed on the fingerprint of one exact request, so chats that share one message and nothing else could crash engine after engine. A crash record in the log now carries the parts of a chat that got no token yet, all messages but the last. Scenario poison_part of package system: before, its requests r2 and r3 got a route after three crashes, now they are refused. Old records without parts read as before.

--- a/call.go
+++ b/call.go
@@ -26,6 +26,7 @@
 	Key         string         `json:"key,omitempty"`
 	CreatedAt   time.Time      `json:"born,omitzero"`
 	Fingerprint Fingerprint    `json:"fingerprint,omitempty"`
+	Parts       []PromptPart   `json:"parts,omitempty"` // of a crash before any token: parts of the prompt that other requests may share
 	Outcome     Outcome        `json:"outcome,omitempty"`
 	Upstream    string         `json:"upstream,omitempty"`
 	Status      int            `json:"status,omitempty"`
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -107,6 +107,15 @@
 	return text.String()
 }
 
+// sharedParts returns the messages that other requests may share: all but the
+// last one, at most [lentilmux.MaxSharedParts].
+func sharedParts(model string, messages []chatMessage) (parts []lentilmux.PromptPart) {
+	for _, m := range messages[:min(len(messages)-1, lentilmux.MaxSharedParts)] {
+		parts = append(parts, lentilmux.PromptPart(lentilmux.ComputeFingerprint(model, m.Role, m.Content)))
+	}
+	return parts
+}
+
 // handleChat serves POST /v1/chat/completions.
 func (h *Handler) handleChat(w http.ResponseWriter, r *http.Request) {
 	startedAt := time.Now()
@@ -124,6 +133,7 @@
 	request.Model = chat.Model
 	request.MaxTokens = chat.MaxTokens
 	request.Fingerprint = lentilmux.ComputeFingerprint(request.Workspace, chat.Model, prompt)
+	request.SharedParts = sharedParts(chat.Model, chat.Messages)
 	request.Prefix = lentilmux.ComputePrefixFingerprint(chat.Model, prompt)
 	w.Header().Set(RequestIDHeader, string(request.ID))
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
--- a/request.go
+++ b/request.go
@@ -18,16 +18,17 @@
 type Request struct {
 	ID             RequestID
 	Workspace      string
-	Model          string      // requested model, or empty
-	Service        string      // requested plain service, or empty
-	Method         string      // of a call to a plain service
-	CredentialHash string      // hash of the caller's credential
-	Key            string      // the caller's idempotency key, or empty
-	KeyCreatedAt   time.Time   // when the caller generated the key
-	FirstWithKey   bool        // whether the caller states that it sent no earlier request with the key
-	Fingerprint    Fingerprint // of the contents, to detect reused keys and crash suspects
-	Prefix         Fingerprint // of the prompt's prefix, for cache affinity
-	MaxTokens      int         // maximum number of completion tokens
+	Model          string       // requested model, or empty
+	Service        string       // requested plain service, or empty
+	Method         string       // of a call to a plain service
+	CredentialHash string       // hash of the caller's credential
+	Key            string       // the caller's idempotency key, or empty
+	KeyCreatedAt   time.Time    // when the caller generated the key
+	FirstWithKey   bool         // whether the caller states that it sent no earlier request with the key
+	Fingerprint    Fingerprint  // of the contents, to detect reused keys and crash suspects
+	Prefix         Fingerprint  // of the prompt's prefix, for cache affinity
+	SharedParts    []PromptPart // parts of the prompt that other requests may share, in order; at most [MaxSharedParts]
+	MaxTokens      int          // maximum number of completion tokens
 	Deadline       time.Time
 }
 
--- a/system/accept.go
+++ b/system/accept.go
@@ -150,7 +150,10 @@
 		return
 	}
 	suspect := t.CrashSuspects.Find(fingerprintText(r.Request.Fingerprint))
+	part := quarantinedPart(t, r)
 	switch {
+	case part != nil:
+		refuse(t, now, r, notRunRefusal(lentilmux.ReasonQuarantined, t.Limits.QuarantineDuration, "requests with prompt part %s crashed %d upstreams", part.Fingerprint, len(part.Upstreams)))
 	case suspect == nil || isTrial(r):
 		enqueue(t, now, r)
 	case isQuarantined(t, suspect):
--- a/system/claim.go
+++ b/system/claim.go
@@ -127,6 +127,7 @@
 			u.CrashedAt = now
 		}
 		addCrash(t, now, record.Fingerprint, record.Upstream)
+		addPartCrashes(t, now, record.Parts, record.Upstream)
 	}
 }
 
--- a/system/quarantine.go
+++ b/system/quarantine.go
@@ -21,8 +21,8 @@
 )
 
 // Quarantine limits how many upstreams requests with one fingerprint can crash.
-// It reads the failures and releases that arrived and writes CrashSuspects,
-// Requests and the records that it appends to the calls stream.
+// It reads the failures, progress and releases that arrived and writes
+// CrashSuspects, Requests and the records that it appends to the calls stream.
 //
 // An attempt whose connection broke counts as a crash against the request's
 // fingerprint, here and through the log on every VM. After the first crash
@@ -44,6 +44,9 @@
 			s.recordCrash(t, now, failure)
 		}
 	}
+	for _, progress := range t.Events.Progress {
+		clearParts(t, now, progress)
+	}
 	for _, event := range t.Events.Releases {
 		s.releaseSuspect(t, now, event)
 	}
@@ -132,13 +135,18 @@
 		})
 		return
 	}
+	var parts []lentilmux.PromptPart
+	if r.DeliveredTokens == 0 {
+		parts = r.Request.SharedParts
+	}
 	t.Self.LastCallRecord++
 	appendCall(t, now, lentilmux.CallRecord{
 		Kind: lentilmux.CallRecordCrash, ID: fmt.Sprintf("%s-%d", t.Self.Incarnation, t.Self.LastCallRecord),
 		VM: t.Self.Name, Incarnation: t.Self.Incarnation,
-		Fingerprint: r.Request.Fingerprint, Upstream: upstream,
+		Fingerprint: r.Request.Fingerprint, Upstream: upstream, Parts: parts,
 	})
 	addCrash(t, now, r.Request.Fingerprint, upstream)
+	addPartCrashes(t, now, parts, upstream)
 }
 
 // recentCrashes returns how many other upstreams crashed within
@@ -177,5 +185,5 @@
 // isQuarantined reports whether the suspect has crashed Limits.MaxCrashes
 // upstreams or more.
 func isQuarantined(t *table.Tables, suspect *table.CrashSuspect) bool {
-	return len(suspect.Upstreams) >= t.Limits.MaxCrashes
+	return !suspect.Part && len(suspect.Upstreams) >= t.Limits.MaxCrashes
 }
--- a/system/retry.go
+++ b/system/retry.go
@@ -92,6 +92,8 @@
 		refusal = unknownRefusal(lentilmux.ReasonUpstreamFailed, 0, "the upstream failed (%s) and may have run the call", kind)
 	case suspect != nil && isQuarantined(t, suspect):
 		refusal = unknownRefusal(lentilmux.ReasonQuarantined, t.Limits.QuarantineDuration, "the request crashed %d upstreams", len(suspect.Upstreams))
+	case quarantinedPart(t, r) != nil:
+		refusal = unknownRefusal(lentilmux.ReasonQuarantined, t.Limits.QuarantineDuration, "requests with prompt part %s crashed upstreams", quarantinedPart(t, r).Fingerprint)
 	case r.Attempts >= t.Limits.MaxAttempts:
 		refusal = notRunRefusal(lentilmux.ReasonUpstreamFailed, time.Second, "%d attempts failed, the last by %s", r.Attempts, kind)
 	case !now.Before(r.Request.Deadline):
--- a/system/scenario_test.go
+++ b/system/scenario_test.go
@@ -163,6 +163,8 @@
 		return s.arrive(words[2], fields, now)
 	case "fail":
 		return s.fail(words[2], fields)
+	case "tokens":
+		return lentilmux.ProgressMsg{Request: lentilmux.RequestID(words[2]), Tokens: 1, Duration: time.Millisecond}, nil
 	case "done":
 		return lentilmux.RequestDoneMsg{Request: lentilmux.RequestID(words[2]), Outcome: outcomes[fields["outcome"]], Reply: lentilmux.ServiceReply{Status: 200}}, nil
 	case "load":
@@ -239,6 +241,7 @@
 	record := lentilmux.CallRecord{
 		Kind: lentilmux.CallRecordKind(fields["kind"]), ID: fields["id"], VM: fields["vm"], Incarnation: fields["incarnation"],
 		Key: fields["key"], CreatedAt: now, Outcome: outcomes[fields["outcome"]], Upstream: fields["upstream"], Status: 200,
+		Parts: parseParts(fields["parts"]),
 	}
 	if text := fields["fingerprint"]; text != "" {
 		number, err := strconv.ParseUint(text, 10, 64)
@@ -260,7 +263,7 @@
 	}
 	request := lentilmux.Request{
 		ID: lentilmux.RequestID(id), Workspace: fields["workspace"], Model: fields["model"], Service: fields["service"],
-		Method: fields["method"], Key: fields["key"], FirstWithKey: fields["attempt"] == "1", Deadline: now.Add(deadline), Fingerprint: 7,
+		SharedParts: parseParts(fields["parts"]), Method: fields["method"], Key: fields["key"], FirstWithKey: fields["attempt"] == "1", Deadline: now.Add(deadline), Fingerprint: 7,
 	}
 	if request.Key != "" {
 		request.KeyCreatedAt = now
@@ -282,6 +285,15 @@
 	return lentilmux.RequestMsg{Request: request}, nil
 }
 
+// parseParts parses prompt parts, decimal numbers separated by commas.
+func parseParts(text string) (parts []lentilmux.PromptPart) {
+	for _, id := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		value, _ := strconv.ParseUint(id, 10, 64)
+		parts = append(parts, lentilmux.PromptPart(value))
+	}
+	return parts
+}
+
 func (s *scenario) fail(id string, fields map[string]string) (msg lentilmux.Msg, err error) {
 	epoch, err := strconv.Atoi(fields["epoch"])
 	if err != nil {
--- a/system/views.go
+++ b/system/views.go
@@ -186,7 +186,7 @@
 	for i := range t.CrashSuspects.Rows {
 		s := &t.CrashSuspects.Rows[i]
 		state := "suspect"
-		if isQuarantined(t, s) {
+		if isQuarantined(t, s) || isPartQuarantined(t, s) {
 			state = "quarantined"
 		}
 		rows = append(rows, []string{s.Fingerprint, strings.Join(s.Upstreams, ","), state, elapsedMilliseconds(now, s.CrashedAt)})
--- a/table/call.go
+++ b/table/call.go
@@ -54,9 +54,11 @@
 	Tries      int       // appends after the first
 }
 
-// CrashSuspect is the fingerprint of requests that crash upstreams.
+// CrashSuspect is the fingerprint of requests that crash upstreams, or a part of
+// their prompts.
 type CrashSuspect struct {
 	Fingerprint string
+	Part        bool      // whether Fingerprint is a prompt part, which unlike requests share
 	Upstreams   []string  // upstreams that it crashed
 	CrashedAt   time.Time // of the last crash
 }
