Blame prompt parts only for crashes that the upstream's end confirms

A broken attempt now only starts a probe; it counts when the upstream is found dead, or replaced by another process, within 3 s, and is forgotten when the upstream answers. Until then it counts as known for the next attempt, so that each crash stays a round of its own.

--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -12,7 +12,8 @@
 // what they share:
 //
 //   - A part is suspected when an upstream crashes before it began to answer a
-//     request with it, and cleared when any upstream begins to answer one.
+//     request with it, and cleared when any upstream begins to answer one. A broken
+//     connection is a crash only if the process has ended, too.
 //   - Crashes are counted in rounds over all VMs: an attempt adds one to the round
 //     that was known when it was sent. Several upstreams that die together are one
 //     round.
@@ -31,11 +32,17 @@
 	// hold began, no other part is held: requests with it may still be in flight on
 	// other VMs.
 	explainedCrashes = time.Second
+	// maxCrashDoubt is how long after an attempt broke its upstream may be found
+	// dead for this to count as its crash.
+	maxCrashDoubt = 3 * time.Second
+	// lateProgress is how long after a crash events that were sent before it may
+	// still be read.
+	lateProgress = 50 * time.Millisecond
 )
 
 // TrackPartCrashes finds prompt parts that crash upstreams. It reads
 // Events.Digests, Events.FailedAttempts, Events.PartReleases, Requests and
-// Upstreams and writes PartSuspects.
+// Upstreams and writes PartSuspects and ProbeBucket.
 type TrackPartCrashes struct{}
 
 // Run implements [System].
@@ -49,10 +56,11 @@
 		}
 	}
 	for _, failed := range t.Events.FailedAttempts {
-		if request := t.Requests.Find(failed.Request); request != nil && request.Epoch == failed.Epoch && isUnansweredCrash(request, failed) {
-			c.recordCrash(t, request, now)
+		if request := t.Requests.Find(failed.Request); request != nil && request.Epoch == failed.Epoch && isUnansweredBreak(request, failed) {
+			c.recordBreak(t, request, now)
 		}
 	}
+	c.confirmCrashes(t, now)
 	for _, release := range t.Events.PartReleases {
 		t.releasePart(release, now)
 	}
@@ -64,32 +72,60 @@
 	t.publishHeldParts()
 }
 
-// isUnansweredCrash reports whether the upstream of an attempt crashed before any
+// isUnansweredBreak reports whether the connection of an attempt broke before any
 // upstream began to answer the request.
-func isUnansweredCrash(request *RequestRow, failed FailedAttemptRow) bool {
+func isUnansweredBreak(request *RequestRow, failed FailedAttemptRow) bool {
 	return failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered && !request.AnswerStarted && failed.Delivered == 0
 }
 
-// recordCrash counts a crash against the parts of a request. If one of them is
-// held already, the crash is counted against that one alone.
-func (c *TrackPartCrashes) recordCrash(t *Tables, request *RequestRow, now time.Time) {
-	if len(request.SharedParts) == 0 {
+// recordBreak records that the connection of an attempt broke. Whether the
+// upstream crashed is not known yet, since connections also break without that; a
+// probe tells.
+func (c *TrackPartCrashes) recordBreak(t *Tables, request *RequestRow, now time.Time) {
+	row := t.Upstreams.Find(request.LastUpstream)
+	if len(request.SharedParts) == 0 || row == nil {
 		return
 	}
-	crash := lentilmux.ComputeCrashID(request.LastUpstream, time.Time{})
-	if row := t.Upstreams.Find(request.LastUpstream); row != nil {
-		crash = lentilmux.ComputeCrashID(row.ID, row.StartedAt)
+	broken := BrokenAttempt{Upstream: row.ID, StartedAt: row.StartedAt, At: now, Parts: request.SharedParts, AtSend: request.PartsAtSend}
+	if broken.AtSend == nil {
+		broken.AtSend = make([]PartEvidence, len(request.SharedParts))
 	}
-	for i, part := range request.SharedParts {
+	t.PartSuspects.addBroken(broken)
+}
+
+// confirmCrashes counts the crashes of upstreams that were found dead, or replaced
+// by another process, since an attempt broke, and forgets the attempts whose
+// upstream lives on.
+func (c *TrackPartCrashes) confirmCrashes(t *Tables, now time.Time) {
+	t.PartSuspects.Broken = slices.DeleteFunc(t.PartSuspects.Broken, func(broken BrokenAttempt) bool {
+		row := t.Upstreams.Find(broken.Upstream)
+		switch {
+		case row == nil, row.Dead, !row.StartedAt.Equal(broken.StartedAt):
+			c.countCrash(t, broken, now)
+			return true
+		case !row.ProbedAt.Before(broken.At) && row.ReportedAt.After(broken.At), row.Progress.Last().Sub(broken.At) > lateProgress:
+			return true
+		}
+		t.probe(row, now) // once MinProbeInterval has passed
+		t.WakeAt(now.Add(t.Limits.MinProbeInterval))
+		return now.Sub(broken.At) > maxCrashDoubt
+	})
+}
+
+// countCrash counts a crash against the parts of an attempt. If one of them is
+// held already, the crash is counted against that one alone.
+func (c *TrackPartCrashes) countCrash(t *Tables, broken BrokenAttempt, now time.Time) {
+	crash := lentilmux.ComputeCrashID(broken.Upstream, broken.StartedAt)
+	for i, part := range broken.Parts {
 		if row := t.PartSuspects.Find(part); row != nil && row.Held {
-			row.countCrash(crash, request.partEvidence(i), now)
+			row.countCrash(crash, broken.AtSend[i], now)
 			return
 		}
 	}
-	for i, part := range request.SharedParts {
+	for i, part := range broken.Parts {
 		row := t.PartSuspects.GetOrCreate(part)
 		row.Position = max(row.Position, i)
-		row.countCrash(crash, request.partEvidence(i), now)
+		row.countCrash(crash, broken.AtSend[i], now)
 	}
 	t.NewSuspects = true // peers must learn of the crash
 	if t.PartSuspects.JudgeAt.IsZero() {
@@ -97,15 +133,6 @@
 	}
 }
 
-// partEvidence returns what was known of a shared part when the last attempt of
-// the request was sent.
-func (r *RequestRow) partEvidence(i int) PartEvidence {
-	if r.PartsAtSend == nil {
-		return PartEvidence{}
-	}
-	return r.PartsAtSend[i]
-}
-
 // countCrash adds a crash. It is one round more than was known when the attempt
 // was sent, or the first round if the part was cleared since then.
 func (p *PartSuspectRow) countCrash(crash lentilmux.CrashID, atSend PartEvidence, now time.Time) {
--- a/fleet/partcrashes_test.go
+++ b/fleet/partcrashes_test.go
@@ -154,6 +154,23 @@
 	}
 }
 
+// TestLostAnswers guards against sound parts that are held because connections
+// break in place of answers, although no upstream crashes: retries of one request
+// meet that several times in a row.
+func TestLostAnswers(t *testing.T) {
+	for seed := range uint64(8) {
+		s := newSimulation(t, seed, 6, 16)
+		s.losesOn = func(*simulatedRequest) bool { return s.random.IntN(2) == 0 }
+		for at := time.Second; at < 12*time.Second; at += time.Second / 40 {
+			s.after(at, func() { s.request(firstPart(s)) })
+		}
+		s.run(12 * time.Second)
+		if len(s.heldParts) > 0 {
+			t.Errorf("seed %d: parts %v were held", seed, s.heldParts)
+		}
+	}
+}
+
 func hasDeadlyPart(request *simulatedRequest) bool {
 	return slices.Contains(request.inbound.SharedParts, deadlyPart)
 }
--- a/fleet/partsuspects.go
+++ b/fleet/partsuspects.go
@@ -59,9 +59,24 @@
 	Round  int
 }
 
+// BrokenAttempt is an attempt whose connection broke before any upstream began to
+// answer the request.
+type BrokenAttempt struct {
+	Upstream  string
+	StartedAt time.Time // of the upstream's process
+	At        time.Time // when the connection broke
+	Parts     []lentilmux.PromptPart
+	AtSend    []PartEvidence // of Parts
+}
+
+// maxBrokenAttempts bounds the broken attempts of which it is not known yet whether
+// their upstream crashed.
+const maxBrokenAttempts = 256
+
 // PartSuspects is the table of prompt parts that may crash upstreams.
 type PartSuspects struct {
 	Rows    []*PartSuspectRow
+	Broken  []BrokenAttempt
 	Sound   SoundParts
 	JudgeAt time.Time // when the cause of the last crashes is decided; zero if nothing is to decide
 	// JudgeDelayed tells whether that decision already waited for the digests of
@@ -123,21 +138,31 @@
 	return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(len(a.Crashes), len(b.Crashes)), a.ChangedAt.Compare(b.ChangedAt), cmp.Compare(a.Part, b.Part))
 }
 
+// addBroken adds a broken attempt. The oldest one makes room.
+func (p *PartSuspects) addBroken(broken BrokenAttempt) {
+	if len(p.Broken) >= maxBrokenAttempts {
+		p.Broken = slices.Delete(p.Broken, 0, 1)
+	}
+	p.Broken = append(p.Broken, broken)
+}
+
 // evidence returns what is known of parts, or nil if none of them was ever
-// suspected.
+// suspected. Broken attempts count as crashes here, so that the crash of an attempt
+// that is sent before they are confirmed is a round of its own.
 func (p *PartSuspects) evidence(parts []lentilmux.PromptPart) (evidence []PartEvidence) {
-	if len(p.Rows) == 0 {
+	if len(p.Rows) == 0 && len(p.Broken) == 0 {
 		return nil
 	}
+	evidence = make([]PartEvidence, len(parts))
 	for i, part := range parts {
-		row := p.Find(part)
-		if row == nil {
-			continue
+		if row := p.Find(part); row != nil {
+			evidence[i] = PartEvidence{Clears: row.Clears, Round: row.Round}
 		}
-		if evidence == nil {
-			evidence = make([]PartEvidence, len(parts))
+		for _, broken := range p.Broken {
+			if j := slices.Index(broken.Parts, part); j >= 0 && broken.AtSend[j].Clears == evidence[i].Clears {
+				evidence[i].Round = max(evidence[i].Round, broken.AtSend[j].Round+1)
+			}
 		}
-		evidence[i] = PartEvidence{Clears: row.Clears, Round: row.Round}
 	}
 	return evidence
 }
@@ -155,11 +180,13 @@
 	return count
 }
 
-// anySuspected reports whether one of the parts is held or has unexplained crashes.
+// anySuspected reports whether one of the parts is held, has unexplained crashes or
+// was in a broken attempt.
 func (p *PartSuspects) anySuspected(parts []lentilmux.PromptPart) bool {
-	return len(p.Rows) > 0 && slices.ContainsFunc(parts, func(part lentilmux.PromptPart) bool {
+	return slices.ContainsFunc(parts, func(part lentilmux.PromptPart) bool {
 		row := p.Find(part)
-		return row != nil && (row.Held || p.unexplained(row) > 0)
+		return row != nil && (row.Held || p.unexplained(row) > 0) ||
+			slices.ContainsFunc(p.Broken, func(broken BrokenAttempt) bool { return slices.Contains(broken.Parts, part) })
 	})
 }
 
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -78,6 +78,7 @@
 	byID      map[string]*simulatedUpstream
 	requests  []*simulatedRequest
 	crashes   []time.Time
+	losesOn   func(request *simulatedRequest) bool // whether the connection breaks in place of an answer, without a crash
 	crashesOn func(request *simulatedRequest) bool // whether an upstream crashes when it begins to answer the request
 	store     map[string]lentilmux.PutEffect       // records that VMs wrote, by key
 	heldParts map[string]bool                      // parts that a VM ever held, by ID
@@ -324,6 +325,11 @@
 			s.crash(upstream)
 			return
 		}
+		if s.losesOn != nil && s.losesOn(request) {
+			delete(upstream.active, request)
+			s.fail(request, attempt, lentilmux.FailureCrash)
+			return
+		}
 		request.began = request.began || len(request.sends) == 1
 		request.delivery++
 		if limit := upstream.namedLimit(); limit.Named || attempt.Limited {
