Bound the bursts of all VMs at a limited upstream by arithmetic

Each VM may always send one request; with a burst by share beside that, four VMs could send 6 at once at an upstream that takes none, 5 are allowed in 4 s. The burst is now one request each and a share of what remains of 4.2 requests and 1.5 s of the limit, so sum and rate stay within one and a half times the limit and five requests for every number of VMs that may share.

--- a/fleet/requestlimits.go
+++ b/fleet/requestlimits.go
@@ -23,9 +23,9 @@
 	minRequestLimit = 0.1
 	// limitBurst and minLimitBurst make up the burst of all VMs together at a limited
 	// upstream: a time at the rate of its limit, and a number of requests. Each VM
-	// has its share of it, but at least one request.
-	limitBurst    = 1400 * time.Millisecond
-	minLimitBurst = 3
+	// may send one request of it, and its share of the rest.
+	limitBurst    = 1500 * time.Millisecond
+	minLimitBurst = 4.2
 	// minLimitSharers and limitSharersPerRequest bound the VMs that share a limit:
 	// a constant number and some for each request a second. Each may have one
 	// request more at the upstream in any time than its share says.
@@ -152,7 +152,8 @@
 
 // burst returns the requests that a VM with the given share may start at once.
 func (l *RequestLimitState) burst(share float64) float64 {
-	return max(1, (limitBurst.Seconds()*l.total()+minLimitBurst)*share/l.total())
+	rest := limitBurst.Seconds()*l.total() + minLimitBurst - float64(l.sharers)
+	return 1 + max(rest, 0)*share/l.total()
 }
 
 // limitShare returns the requests a second that this VM may start at a limited
--- a/fleet/requestlimits_test.go
+++ b/fleet/requestlimits_test.go
@@ -43,6 +43,7 @@
 		{name: "uneven", vms: 6, pairs: 6, seeds: 6, perSecond: 60, limited: 1, limit: 14, change: 1, uneven: true, servedAtLeast: 0.75, limitedAtLeast: 0.5},
 		{name: "below one", vms: 6, pairs: 6, seeds: 6, perSecond: 80, limited: 0.7, limit: 0.3, change: 1, servedAtLeast: 0.95},
 		{name: "none", vms: 6, pairs: 6, seeds: 6, perSecond: 80, limited: 0.7, limit: 0, change: 1, servedAtLeast: 0.95},
+		{name: "below one, uneven", vms: 4, pairs: 6, seeds: 6, perSecond: 80, limited: 0.7, limit: 0.3, change: 1, uneven: true, servedAtLeast: 0.95},
 		{name: "above the load", vms: 6, pairs: 6, seeds: 2, perSecond: 80, limited: 1, limit: 5000, change: 1, servedAtLeast: 0.99},
 		{name: "changing", vms: 6, pairs: 6, seeds: 6, perSecond: 80, limited: 0.7, limit: 7, change: 1.3, servedAtLeast: 0.95},
 		{name: "one VM", vms: 1, pairs: 6, seeds: 4, perSecond: 60, limited: 0.7, limit: 5, change: 1, servedAtLeast: 0.95},
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -171,6 +171,8 @@
 		return lentilmux.RangeOrderResultMsg{Upstream: name, Order: lentilmux.RangeOrder{Layers: row.Target, ExpectedOrders: row.AcceptedOrders}, Accepted: fields["accepted"] != "false"}, nil
 	case "move_result":
 		return s.moveResult(name, fields), nil
+	case "limit":
+		return upstreamLimit(name, fields), nil
 	case "release_part":
 		return lentilmux.ReleasePartMsg{Part: parseParts(name)[0], Who: "operator"}, nil
 	case "held_part":
@@ -191,6 +193,9 @@
 	}
 	digest.Stale = fields["stale"] == "true"
 	digest.Parts = partSuspicions(fields)
+	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
+		digest.Limits = []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream(upstream), Named: perSecond != "none", PerSecond: parseFloat(perSecond), Age: parseDuration(fields["age"])}}
+	}
 	if fields["zone"] != "" {
 		digest.Zone = fields["zone"]
 	}
@@ -456,6 +461,19 @@
 	return suspicions
 }
 
+// upstreamLimit returns the message for an answer of an upstream that names a
+// limit, such as 6.9, an invalid one, or none.
+func upstreamLimit(name string, fields map[string]string) lentilmux.Msg {
+	limit := lentilmux.RequestLimit{Named: fields["named"] != "none", Invalid: fields["named"] == "invalid", PerSecond: parseFloat(fields["named"])}
+	return lentilmux.UpstreamLimitMsg{Request: "answered", Upstream: name, Limit: limit}
+}
+
+// parseFloat parses a number. Anything else is zero.
+func parseFloat(text string) float64 {
+	value, _ := strconv.ParseFloat(text, 64)
+	return value
+}
+
 // parseLayers parses a layer range such as 0-3. It returns false if the field is
 // missing.
 func parseLayers(text string) (layers lentilmux.LayerRange, hasLayers bool) {
