Let each decision between suspected parts wait for peers

A decision that found no likely cause, or came shortly after a hold, kept the mark that it had waited, so that the next one did not wait for the digests of peers. Found by reading; no run showed it. TestPartCrashes and the scenarios pass as before.

--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -155,7 +155,8 @@
 		t.WakeAt(judgeAt)
 		return
 	}
-	t.PartSuspects.JudgeAt = time.Time{}
+	delayed := t.PartSuspects.JudgeDelayed
+	t.PartSuspects.JudgeAt, t.PartSuspects.JudgeDelayed = time.Time{}, false
 	if t.isExplained(now) {
 		return
 	}
@@ -163,12 +164,11 @@
 	if cause == nil {
 		return
 	}
-	if len(rivals) > 0 && !t.PartSuspects.JudgeDelayed {
+	if len(rivals) > 0 && !delayed {
 		t.PartSuspects.JudgeAt, t.PartSuspects.JudgeDelayed = now.Add(judgeDelay), true
 		t.WakeAt(t.PartSuspects.JudgeAt)
 		return
 	}
-	t.PartSuspects.JudgeDelayed = false
 	tied := slices.ContainsFunc(rivals, func(rival *PartSuspectRow) bool {
 		return t.PartSuspects.unexplained(rival) >= t.PartSuspects.unexplained(cause)
 	})
