Bound the work that prompts of many parts make for the control goroutine

With 256 parts in each of 256 broken attempts, each send of a request with 256 parts would compare 16 million times. 64 of both now, 0.3 million.

--- a/fleet/partsuspects.go
+++ b/fleet/partsuspects.go
@@ -71,7 +71,7 @@
 
 // maxBrokenAttempts bounds the broken attempts of which it is not known yet whether
 // their upstream crashed.
-const maxBrokenAttempts = 256
+const maxBrokenAttempts = 64
 
 // PartSuspects is the table of prompt parts that may crash upstreams.
 type PartSuspects struct {
--- a/forward.go
+++ b/forward.go
@@ -24,8 +24,8 @@
 }
 
 // MaxSharedParts bounds the prompt parts that are kept of a request, so that a long
-// header cannot fill the memory of a VM.
-const MaxSharedParts = 256
+// header can neither fill the memory of a VM nor keep its control goroutine busy.
+const MaxSharedParts = 64
 
 // ForwardMsg asks for the first attempt of a request. The answer is an
 // [AttemptAnswer] or a [RefusalAnswer].
