Log why a request ended without an answer

A body that could not be read left no line.

request_unanswered has all of it, one line for each such request, and lentilmux_unanswered_requests counts them by cause. The requests that the end of a drain cuts off are ended with a cause of their own, and logged before the process goes: the callers' server has a base context that is canceled 0.1 s before the connections close.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -28,6 +28,8 @@
 	reportTimeout = 250 * time.Millisecond
 	// putTimeout bounds the write of a record to the store.
 	putTimeout = 2 * time.Second
+	// abortTimeout bounds the end of the requests that a drain cuts off.
+	abortTimeout = 100 * time.Millisecond
 	// gatewayIdleTimeout is how long a connection may stay idle between requests.
 	gatewayIdleTimeout = 2 * time.Minute
 )
@@ -199,6 +201,7 @@
 	defer cancel()
 	if err := servers.caller.Shutdown(ctx); err != nil {
 		g.decisionLog.enqueue(lentilmux.Decision{What: "drain_incomplete", Subject: g.config.Name, Reason: err.Error()})
+		servers.abortRequests()
 	}
 }
 
@@ -314,15 +317,19 @@
 	readiness *http.Server
 	metrics   *http.Server
 	copies    *http.Server
+
+	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
 // open creates the servers, listens on their addresses and starts serving, the
 // callers' address last.
 func (s *gatewayServers) open(g *Gateway) (err error) {
 	relay := forward.NewRelay(g.node, forward.WithClock(g.config.Clock), forward.WithObserver(g.metrics.countForwarded))
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	s.cancelRequests = cancelRequests
 	s.caller = &http.Server{
 		Handler: g.dependencies.NewCallerHandler(relay, &g.state), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
-		MaxHeaderBytes: g.config.MaxHeaderBytes,
+		MaxHeaderBytes: g.config.MaxHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -368,6 +375,15 @@
 	return nil
 }
 
+// abortRequests ends callers' requests in flight and waits until they are logged,
+// for abortTimeout at most.
+func (s *gatewayServers) abortRequests() {
+	s.cancelRequests(lentilmux.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.caller.Shutdown(ctx) // close follows in any case
+}
+
 // close closes all opened servers and their connections immediately.
 func (s *gatewayServers) close() {
 	for _, server := range []*http.Server{s.caller, s.readiness, s.metrics, s.copies} {
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -24,6 +24,7 @@
 	meter           metric.Meter
 	requests        metric.Int64Counter
 	tokens          metric.Int64Counter
+	unanswered      metric.Int64Counter
 	decisions       metric.Int64Counter
 	requestDuration metric.Float64Histogram
 	firstToken      metric.Float64Histogram
@@ -43,6 +44,9 @@
 	if m.requests, err = meter.Int64Counter("lentilmux_requests", metric.WithDescription("Requests that ended, by outcome and reason.")); err != nil {
 		return nil, err
 	}
+	if m.unanswered, err = meter.Int64Counter("lentilmux_unanswered_requests", metric.WithDescription("Requests that ended without a complete answer or a refusal, by cause.")); err != nil {
+		return nil, err
+	}
 	if m.tokens, err = meter.Int64Counter("lentilmux_tokens", metric.WithDescription("Tokens given to callers.")); err != nil {
 		return nil, err
 	}
@@ -108,6 +112,9 @@
 		attribute.String("reason", string(result.Reason)),
 	)
 	m.requests.Add(ctx, 1, labels)
+	if result.End.Unanswered {
+		m.unanswered.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", result.Kind.String()), attribute.String("cause", string(result.End.Cause))))
+	}
 	m.requestDuration.Record(ctx, result.Duration.Seconds(), labels)
 	m.tokens.Add(ctx, int64(result.Events))
 	if result.TimeToFirstByte > 0 {
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -23,6 +23,9 @@
 	}
 	for _, msg := range t.Events.Done {
 		request := t.Requests.Find(msg.Request)
+		if msg.End.Unanswered {
+			t.recordUnanswered(msg, request, now)
+		}
 		if request == nil {
 			t.dropPending(msg.Request)
 			continue
@@ -41,3 +44,25 @@
 		})
 	}
 }
+
+// recordUnanswered logs a request that ended without a complete answer or a
+// refusal. A request that is not in the table was not sent to an upstream.
+func (t *Tables) recordUnanswered(msg lentilmux.ForwardDoneMsg, request *RequestRow, now time.Time) {
+	route, upstream := "", ""
+	if request != nil {
+		route, upstream = request.Route.Name, request.LastUpstream
+	}
+	lastFailure := "none"
+	if msg.End.Failures > 0 {
+		lastFailure = msg.End.LastFailure.String()
+	}
+	t.RecordDecision(lentilmux.Decision{
+		What: "request_unanswered", Subject: string(msg.Request), Chosen: string(msg.End.Cause),
+		// leg is the number of the last attempt, failed and canceled count the attempts
+		// that failed and those that were canceled without having failed. rules is the
+		// version of the configuration, installed the time since it came into force.
+		Reason: fmt.Sprintf("%s %s route=%s upstream=%s leg=%d failed=%d last_failure=%s canceled=%d status_sent=%t events=%d took=%dms rules=%d installed=%dms",
+			msg.Outcome, msg.Reason, route, upstream, msg.End.Epoch, msg.End.Failures, lastFailure, msg.End.Canceled, msg.Status != 0, msg.Events, msg.Duration.Milliseconds(),
+			t.Rules.Version, now.Sub(t.Rules.InstalledAt).Milliseconds()),
+	})
+}
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -158,7 +158,7 @@
 	case "failed":
 		return s.failedAttempt(name, fields), nil
 	case "done":
-		return lentilmux.ForwardDoneMsg{Request: lentilmux.RequestID(name), Outcome: lentilmux.OutcomeAnswered, Status: 200}, nil
+		return s.requestDone(name, fields), nil
 	case "progress":
 		for _, id := range strings.Split(name, ",") {
 			s.tables.Upstreams.Find(id).Progress.Record(now)
@@ -184,6 +184,17 @@
 	return nil, errors.Errorf("unknown event %q", words[1])
 }
 
+// requestDone returns the message for the end of a request: an answer, or the cause
+// for which the caller got none.
+func (s *scenario) requestDone(name string, fields map[string]string) lentilmux.Msg {
+	msg := lentilmux.ForwardDoneMsg{Request: lentilmux.RequestID(name), Outcome: lentilmux.OutcomeAnswered, Status: 200}
+	if cause := lentilmux.EndCause(fields["unanswered"]); cause != "" {
+		msg.Outcome, msg.Reason, msg.Status = lentilmux.OutcomeUnknown, lentilmux.ReasonUpstreamFailed, parseInt(fields["status"])
+		msg.End = lentilmux.RequestEnd{Cause: cause, Unanswered: true, Epoch: s.epochs[name], Failures: parseInt(fields["failed"]), LastFailure: lentilmux.FailureCrash, Canceled: parseInt(fields["canceled"])}
+	}
+	return msg
+}
+
 // loadDigest returns the digest of a peer from the fields of a line.
 func loadDigest(name string, fields map[string]string) lentilmux.LoadDigest {
 	digest := lentilmux.LoadDigest{
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -75,7 +75,7 @@
 	case update.DecodeError != "":
 		t.RecordDecision(lentilmux.Decision{What: "entry_ignored", Subject: string(stream) + "/" + update.Key, Reason: update.DecodeError})
 	case update.Rules != nil:
-		a.installRules(t, update.Rules)
+		a.installRules(t, update.Rules, now)
 	case update.Upstream != nil:
 		a.applyUpstream(t, *update.Upstream, update.Offset, now)
 	case update.HeldPart != nil:
@@ -93,12 +93,13 @@
 
 // installRules puts a configuration in force. A version that is not newer than
 // the current one is ignored.
-func (a *ApplyStoreUpdates) installRules(t *Tables, rules *lentilmux.Ruleset) {
+func (a *ApplyStoreUpdates) installRules(t *Tables, rules *lentilmux.Ruleset, now time.Time) {
 	if t.Rules.Loaded && rules.Version <= t.Rules.Version {
 		return
 	}
 	previous := t.Rules.Version
 	t.Rules.install(rules)
+	t.Rules.InstalledAt = now
 	t.AddEffect(lentilmux.BodyLimitEffect{MaxBytes: rules.Limits.MaxBodyBytes})
 	t.RecordDecision(lentilmux.Decision{
 		What: "rules_installed", Subject: fmt.Sprint(rules.Version), Chosen: fmt.Sprintf("%d routes, %d workspaces", len(rules.Routes), len(rules.Workspaces)),
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -53,6 +53,7 @@
 	routesByHost   map[string][]*lentilmux.RouteRule // longest prefix first
 	workspaceByKey map[string]*lentilmux.WorkspaceRule
 	serviceByName  map[string]*lentilmux.ServiceRule
+	InstalledAt    time.Time
 	Loaded         bool   // whether a configuration has been read
 	EngineService  string // name of the service whose upstreams hold layers; empty if there is none
 }
--- a/forward.go
+++ b/forward.go
@@ -95,6 +95,7 @@
 	TimeToFirstByte time.Duration // 0 if there was no answer
 	MaxEventGap     time.Duration // longest gap between two events
 	Duration        time.Duration // since the request was received
+	End             RequestEnd
 }
 
 // Verdict classifies an upstream's answer to a request.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -17,7 +17,7 @@
 // runAttempt makes one attempt. It returns nil if the request has ended, else a
 // report of what failed.
 func (r *relayedRequest) runAttempt(ctx context.Context, attempt lentilmux.Attempt) (failure *lentilmux.ForwardFailedMsg) {
-	r.result.Kind = attempt.Kind
+	r.result.Kind, r.result.End.Epoch = attempt.Kind, attempt.Epoch
 	ctx, cancel := context.WithTimeout(ctx, attempt.Deadline.Sub(r.relay.clock()))
 	defer cancel()
 	attemptCtx, cancelAttempt := context.WithCancelCause(ctx)
@@ -65,8 +65,7 @@
 	}
 	r.recordProgress(attempt)
 	r.result.TimeToFirstByte = r.relay.clock().Sub(r.inbound.ReceivedAt)
-	r.result.Outcome = lentilmux.OutcomeAnswered
-	r.result.Status = r.sink.WriteReply(response, body)
+	r.recordAnswer(r.sink.WriteReply(response, body))
 	return nil
 }
 
@@ -77,7 +76,7 @@
 	for started := false; ; started = true {
 		event, number, err := response.Next()
 		if errors.Is(err, io.EOF) && started {
-			r.result.Outcome = lentilmux.OutcomeAnswered
+			r.recordAnswer(r.result.Status)
 			return nil
 		}
 		if err != nil {
@@ -146,8 +145,7 @@
 		}
 		r.failedResponse, r.failedBody = response, body
 		if !attempt.Kind.Repeatable() && !r.headersSent {
-			r.result.Outcome = lentilmux.OutcomeAnswered
-			r.result.Status = r.sink.WriteReply(response, body)
+			r.recordAnswer(r.sink.WriteReply(response, body))
 			return nil
 		}
 	default:
@@ -168,7 +166,7 @@
 	failure.NotRun = failure.Kind == lentilmux.FailureDial
 	switch {
 	case errors.Is(err, errCallerDisconnected), errors.Is(ctx.Err(), context.Canceled):
-		r.abort(err)
+		r.abort(ctx, err)
 		return nil
 	case ctx.Err() != nil:
 		r.expire(failure.NotRun)
@@ -184,6 +182,15 @@
 	return &lentilmux.ForwardFailedMsg{Request: attempt.Request, Epoch: attempt.Epoch, Kind: kind, Delivered: r.result.Events}
 }
 
+// recordFailure records a failed attempt for the report of the request's end. An
+// attempt that was canceled in favor of another one has not failed.
+func (r *relayedRequest) recordFailure(failure *lentilmux.ForwardFailedMsg) {
+	if r.replacement.Load() == nil {
+		r.result.End.Failures++
+		r.result.End.LastFailure = failure.Kind
+	}
+}
+
 // recordProgress records progress of all upstreams on the path of an attempt.
 func (r *relayedRequest) recordProgress(attempt lentilmux.Attempt) {
 	now := r.relay.clock()
--- a/forward/end.go
+++ b/forward/end.go
@@ -13,9 +13,10 @@
 // upstream, if there is one and the request may have run, or else the refusal.
 func (r *relayedRequest) refuse(refusal *lentilmux.Refusal) {
 	r.result.Outcome, r.result.Reason = refusal.Outcome, refusal.Reason
+	r.result.End.Cause = r.refusalCause(refusal)
 	switch {
 	case r.headersSent:
-		r.sink.Abort()
+		r.breakOff()
 	case r.failedResponse != nil && refusal.Outcome != lentilmux.OutcomeNotRun:
 		r.result.Status = r.sink.WriteReply(r.failedResponse, r.failedBody)
 	default:
@@ -23,15 +24,41 @@
 	}
 }
 
-// abort ends a request whose caller disconnected or whose node stopped.
-func (r *relayedRequest) abort(err error) {
-	r.result.Reason = lentilmux.ReasonCanceled
-	if errors.Is(err, lentilmux.ErrStopped) {
-		r.result.Reason = lentilmux.ReasonDraining
+// refusalCause returns what ended a request that gets no further attempt.
+func (r *relayedRequest) refusalCause(refusal *lentilmux.Refusal) lentilmux.EndCause {
+	switch {
+	case refusal.Reason == lentilmux.ReasonDeadline:
+		return lentilmux.EndDeadline
+	case r.result.End.Failures == 0:
+		return lentilmux.EndRefused
+	case r.canceled.Load() > 0:
+		return lentilmux.EndAttemptCanceled
+	default:
+		return lentilmux.EndUpstreamFailed
+	}
+}
+
+// abort ends a request whose caller disconnected or whose node stopped. The
+// cause of ctx tells which, unless err does.
+func (r *relayedRequest) abort(ctx context.Context, err error) {
+	r.result.Reason, r.result.End.Cause = lentilmux.ReasonCanceled, lentilmux.EndCallerDisconnected
+	if errors.Is(err, lentilmux.ErrStopped) || errors.Is(context.Cause(ctx), lentilmux.ErrStopped) {
+		r.result.Reason, r.result.End.Cause = lentilmux.ReasonDraining, lentilmux.EndNodeStopped
 	}
+	r.breakOff()
+}
+
+// breakOff ends the connection without a complete answer.
+func (r *relayedRequest) breakOff() {
+	r.result.End.Unanswered = true
 	r.sink.Abort()
 }
 
+// recordAnswer records that the caller got an upstream's answer, with a status.
+func (r *relayedRequest) recordAnswer(status int) {
+	r.result.Outcome, r.result.Status, r.result.End.Cause = lentilmux.OutcomeAnswered, status, lentilmux.EndAnswered
+}
+
 // expire ends a request whose deadline has passed.
 func (r *relayedRequest) expire(notRun bool) {
 	refusal := &lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonDeadline, Detail: "the deadline or the route's timeout has passed"}
@@ -46,11 +73,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	r.result.Duration = r.relay.clock().Sub(r.inbound.ReceivedAt)
+	r.result.End.Canceled = int(r.canceled.Load())
 	// Send fails only if the node has stopped or does not respond in time.
 	// There is nothing left to do in either case.
 	_ = r.relay.node.Send(ctx, lentilmux.ForwardDoneMsg{
 		Request: r.inbound.ID, Outcome: r.result.Outcome, Reason: r.result.Reason, Status: r.result.Status,
 		Events: r.result.Events, TimeToFirstByte: r.result.TimeToFirstByte, MaxEventGap: r.result.MaxEventGap, Duration: r.result.Duration,
+		End: r.result.End,
 	})
 	r.relay.observe(r.result)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,7 @@
 	TimeToFirstByte time.Duration // from arrival to the first byte of the answer; 0 without one
 	MaxEventGap     time.Duration // longest time between two events
 	Duration        time.Duration // from arrival to the end of the request
+	End             lentilmux.RequestEnd
 }
 
 // Relay relays requests to upstreams. It is safe for concurrent use.
@@ -91,6 +92,7 @@
 			if failure == nil {
 				return
 			}
+			request.recordFailure(failure)
 			if next := request.replacement.Load(); next != nil {
 				answer = lentilmux.AttemptAnswer{Attempt: *next}
 				continue
@@ -100,7 +102,16 @@
 			err = errors.Errorf("unexpected answer %T", answer)
 		}
 	}
-	request.abort(err)
+	request.abort(ctx, err)
+}
+
+// Abandon ends a request whose body did not arrive completely. Nothing of it was
+// sent to an upstream.
+func (r *Relay) Abandon(inbound lentilmux.InboundRequest, sink lentilmux.Sink) {
+	request := &relayedRequest{relay: r, inbound: inbound, sink: sink, result: Result{Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled}}
+	request.result.End.Cause = lentilmux.EndBodyUnreadable
+	request.breakOff()
+	request.reportDone()
 }
 
 // relayedRequest is the state of one request while [Relay.Run] serves it.
@@ -119,6 +130,7 @@
 
 	// Both are also used by the goroutine of the watchdog.
 	delivered   atomic.Int64                      // events sent to the caller
+	canceled    atomic.Int64                      // attempts canceled in favor of another one
 	replacement atomic.Pointer[lentilmux.Attempt] // replaces the current attempt, which has stalled; nil for none
 }
 
@@ -135,6 +147,7 @@
 		return x.Wait
 	case lentilmux.AttemptAnswer:
 		r.replacement.Store(&x.Attempt)
+		r.canceled.Add(1)
 		cancel(errStalled)
 	}
 	return 0
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -45,7 +45,7 @@
 	case lentilmux.ForwardStartedMsg:
 		s.logf("node: attempt %d started", x.Epoch)
 	case lentilmux.ForwardDoneMsg:
-		s.logf("node: done %s %s status=%d events=%d first=%s", x.Outcome, x.Reason, x.Status, x.Events, x.TimeToFirstByte)
+		s.logf("node: done %s %s status=%d events=%d first=%s %s", x.Outcome, x.Reason, x.Status, x.Events, x.TimeToFirstByte, formatEnd(x.End))
 	}
 	return nil
 }
@@ -73,6 +73,15 @@
 	}
 }
 
+// formatEnd formats how a request ended.
+func formatEnd(end lentilmux.RequestEnd) string {
+	lastFailure := "none"
+	if end.Failures > 0 {
+		lastFailure = end.LastFailure.String()
+	}
+	return fmt.Sprintf("cause=%s unanswered=%t attempt=%d failed=%d last_failure=%s canceled=%d", end.Cause, end.Unanswered, end.Epoch, end.Failures, lastFailure, end.Canceled)
+}
+
 // nextAttempt returns the attempt after the last one, or a refusal if there is
 // none.
 func (s *script) nextAttempt(last lentilmux.Epoch) lentilmux.Answer {
@@ -169,6 +178,7 @@
 		name       string
 		script     script
 		disconnect time.Duration // when the caller disconnects; zero for never
+		stop       time.Duration // when the process ends; zero for never
 	}{
 		{name: "complete stream", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(tick, 0, 1, 2)}}},
 		{name: "connection lost and resumed", script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{append(events(tick, 0, 1), connectionLost), events(tick, 2, 3)}}},
@@ -182,18 +192,24 @@
 		{name: "failure response to a call that is not repeatable", script: script{kind: lentilmux.CallOnce, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed)}}},
 		{name: "failure response to a repeatable call, retried", script: script{kind: lentilmux.CallRepeatable, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed), verdict(lentilmux.VerdictFailed)}}},
 		{name: "deadline exceeded", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(3*time.Second, 0)}}},
+		{name: "stalled, canceled for another attempt and broken off with it", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(time.Second, 1)...), verdict(lentilmux.VerdictNotRun)}}},
+		{name: "refused at once", script: script{kind: lentilmux.CallOnce}},
+		{name: "process ends", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 	}
 	var out strings.Builder
 	for i := range cases {
 		c := &cases[i]
 		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
 			s := &c.script
 			s.started = time.Now()
 			if c.disconnect > 0 {
-				time.AfterFunc(c.disconnect, cancel)
+				time.AfterFunc(c.disconnect, func() { cancel(nil) })
+			}
+			if c.stop > 0 {
+				time.AfterFunc(c.stop, func() { cancel(lentilmux.ErrStopped) })
 			}
 			relay := forward.NewRelay(s)
 			relay.Run(ctx, lentilmux.InboundRequest{ID: "r", ReceivedAt: s.started, Deadline: s.started.Add(2 * time.Second), ResumeAfter: -1}, sender{s}, s)
