--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -107,7 +107,7 @@
 		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonDeadline, "no time left"))
 	}
 	attempt := lentilmux.Attempt{
-		Request: request.ID, Epoch: request.Epoch + 1, Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
+		Request: request.ID, Epoch: lentilmux.Epoch(request.Attempts + 1), Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
 	}
 	service := t.Rules.Service(request.Service)
 	ok := false
@@ -122,8 +122,9 @@
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
 		attempt.Limited = row.RequestLimit.Named
 	}
-	request.Move, request.PathBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
-	request.Epoch, request.AnswerStarted, request.SentAt, request.LastUpstream = attempt.Epoch, false, now, attempt.Upstream
+	request.Move, request.HopsBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
+	request.Epoch, request.AnswerStarted, request.RunCounted = attempt.Epoch, false, false
+	request.SentAt, request.LastUpstream = now, attempt.Upstream
 	request.Attempts++
 	t.reserve(request)
 	t.startTrial(request, now)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -34,7 +34,7 @@
 			Upstream: row.ID, Load: Load{Streams: 1, PendingPromptTokens: pathRequest.PromptTokens, Reserved: cacheTokens * int64(hop.Layers.Len())},
 		})
 	}
-	request.Path = attempt.Path
+	request.Hops = attempt.Path
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
 	attempt.FirstEventTimeout = min(max(3*estimate.TimeToFirstEvent, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	attempt.EventGapTimeout = min(max(4*estimate.EventGap, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
--- a/fleet/failures.go
+++ b/fleet/failures.go
@@ -19,7 +19,7 @@
 // Run implements [System].
 func (d *DetectFailures) Run(t *Tables, now time.Time) {
 	for _, msg := range t.Events.FailedAttempts {
-		if request := t.Requests.Find(msg.Request); request != nil && request.Epoch == msg.Epoch && len(request.Reservations) > 0 {
+		if request := t.findAttempt(msg.Request, msg.Epoch); request != nil && len(request.Reservations) > 0 {
 			d.handleFailure(t, request, msg.ForwardFailedMsg, now)
 		}
 	}
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -7,7 +7,7 @@
 	"lentilmux.example/lentilmux"
 )
 
-// FinishRequests records first events of answers and removes finished requests.
+// FinishRequests records which attempts answer and removes finished requests.
 // It reads Events.AnswersStarted and Events.Done and writes Requests, Pending,
 // Upstreams and PartSuspects.
 type FinishRequests struct{}
@@ -15,7 +15,12 @@
 // Run implements [System].
 func (f *FinishRequests) Run(t *Tables, now time.Time) {
 	for _, msg := range t.Events.AnswersStarted {
-		if request := t.Requests.Find(msg.Request); request != nil && request.Epoch == msg.Epoch && !request.AnswerStarted {
+		request := t.findAttempt(msg.Request, msg.Epoch)
+		if request == nil {
+			continue
+		}
+		request.Older = nil // the relay has canceled them
+		if !request.AnswerStarted {
 			t.markAnswerStarted(request)
 			t.clearEjection(request)
 			t.clearParts(request, now)
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -28,7 +28,7 @@
 	roomFreed := t.Events.mayFreeRoom()
 	for _, request := range t.Requests.Rows {
 		ready := request.Move == MoveIdle || request.Move == MoveBlocked && roomFreed
-		if len(request.Path) > 1 && ready && request.Moves < t.Limits.MaxMoves && (anyDead || len(request.LostHops) > 0) {
+		if len(request.Hops) > 1 && ready && request.Moves < t.Limits.MaxMoves && (anyDead || len(request.LostHops) > 0) {
 			m.moveRequest(t, request, now)
 		}
 	}
@@ -52,7 +52,7 @@
 // moveRequest replaces all lost hops of a path at once. The first hop of the path
 // cannot be replaced, since its connection carries the answer.
 func (m *MoveRequests) moveRequest(t *Tables, request *RequestRow, now time.Time) {
-	path, reservations := request.Path, request.Reservations
+	path, reservations := request.Hops, request.Reservations
 	if t.isLost(request, path[0]) {
 		return
 	}
@@ -67,7 +67,7 @@
 			return
 		}
 	}
-	if !slices.Equal(path, request.Path) {
+	if !slices.Equal(path, request.Hops) {
 		m.startMove(t, request, path, reservations)
 	}
 }
@@ -122,8 +122,8 @@
 
 // startMove requests the move and reserves capacity at the new upstreams.
 func (m *MoveRequests) startMove(t *Tables, request *RequestRow, path []lentilmux.Hop, reservations []Reservation) {
-	t.RecordDecision(lentilmux.Decision{What: "request_moved", Subject: string(request.ID), Chosen: formatPath(path), Reason: "from " + formatPath(request.Path)})
-	request.PathBefore, request.HeldBefore = request.Path, slices.Clone(request.Reservations)
+	t.RecordDecision(lentilmux.Decision{What: "request_moved", Subject: string(request.ID), Chosen: formatPath(path), Reason: "from " + formatPath(request.Hops)})
+	request.HopsBefore, request.HeldBefore = request.Hops, slices.Clone(request.Reservations)
 	t.replacePath(request, path, reservations)
 	request.Move = MoveInFlight
 	request.Moves++
@@ -133,7 +133,7 @@
 // replacePath replaces the path and the reservations of a request in flight.
 func (t *Tables) replacePath(request *RequestRow, path []lentilmux.Hop, reservations []Reservation) {
 	t.release(request)
-	request.Path, request.Reservations = path, reservations
+	request.Hops, request.Reservations = path, reservations
 	t.reserve(request)
 }
 
@@ -155,7 +155,7 @@
 		return
 	}
 	m.markUnavailable(t, request, msg.Answer.UnavailableHop, now)
-	t.replacePath(request, request.PathBefore, request.HeldBefore)
+	t.replacePath(request, request.HopsBefore, request.HeldBefore)
 }
 
 // markUnavailable handles a refusal that names a hop. A hop that the request ran
@@ -163,9 +163,9 @@
 // A new hop gets no new requests for FullDuration; if the upstream named none,
 // that holds for all new hops.
 func (m *MoveRequests) markUnavailable(t *Tables, request *RequestRow, named netip.AddrPort, now time.Time) {
-	for _, hop := range request.Path {
+	for _, hop := range request.Hops {
 		row := t.Upstreams.Find(hop.Upstream)
-		isNew := !slices.Contains(request.PathBefore, hop)
+		isNew := !slices.Contains(request.HopsBefore, hop)
 		switch {
 		case row == nil || named.IsValid() && hop.Addr != named:
 		case isNew:
@@ -173,7 +173,7 @@
 			t.RecordDecision(lentilmux.Decision{What: "upstream_full", Subject: row.ID, Chosen: t.Limits.FullDuration.String(), Reason: "could not take over request " + string(request.ID)})
 		case named.IsValid():
 			request.LostHops = append(request.LostHops, row.ID)
-			t.markSuspected(row, now, "named by "+request.Path[0].Upstream)
+			t.markSuspected(row, now, "named by "+request.Hops[0].Upstream)
 			t.probe(row, now)
 		}
 	}
--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -56,7 +56,7 @@
 		}
 	}
 	for _, failed := range t.Events.FailedAttempts {
-		if request := t.Requests.Find(failed.Request); request != nil && request.Epoch == failed.Epoch && isUnansweredBreak(request, failed) {
+		if request := t.findAttempt(failed.Request, failed.Epoch); request != nil && isUnansweredBreak(request, failed) {
 			c.recordBreak(t, request, now)
 		}
 	}
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -6,30 +6,37 @@
 	"lentilmux.example/lentilmux"
 )
 
-// RequestRow is a request in flight.
+// RequestRow is a request in flight. Its newest attempt is embedded.
 type RequestRow struct {
 	lentilmux.InboundRequest
-	Route         *lentilmux.RouteRule
-	Service       string
-	Workspace     string
-	Priority      int
+	AttemptState
+	Older        []AttemptState // attempts in flight beside the newest, which races with them
+	Route        *lentilmux.RouteRule
+	Service      string
+	Workspace    string
+	Priority     int
+	Attempts     int  // attempts so far
+	PossibleRuns int  // attempts that may have run the request
+	MayHaveRun   bool // whether any attempt may have run the request
+	Delivered    int  // events that the caller had when the last attempt began
+	Moves        int  // moves so far, also refused ones
+}
+
+// AttemptState is the state of one attempt of a request.
+type AttemptState struct {
 	Epoch         lentilmux.Epoch
-	Attempts      int    // attempts so far
-	PossibleRuns  int    // attempts that may have run the request
-	MayHaveRun    bool   // whether any attempt may have run the request
-	AnswerStarted bool   // whether the current attempt has delivered an event
-	LastUpstream  string // first hop of the last attempt
-	Delivered     int    // events that the caller had when the last attempt began
+	AnswerStarted bool   // whether it has delivered an event
+	RunCounted    bool   // whether PossibleRuns counts it already
+	LastUpstream  string // its first hop
 	Reservations  []Reservation
-	Path          []lentilmux.Hop
+	Hops          []lentilmux.Hop // its path
 	Move          MoveState
-	Moves         int             // moves so far, also refused ones
-	PathBefore    []lentilmux.Hop // path before the move in flight, which continues if the move is refused
-	HeldBefore    []Reservation   // reservations of PathBefore
+	HopsBefore    []lentilmux.Hop // hops before the move in flight, which continues if the move is refused
+	HeldBefore    []Reservation   // reservations of HopsBefore
 	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
-	SentAt        time.Time       // when the last attempt was sent
-	PartsAtSend   []PartEvidence  // of the shared parts when the last attempt was sent; nil if none was suspected
-	TrialUpstream string          // first hop of the last attempt if that is a trial which has not begun to answer; empty otherwise
+	SentAt        time.Time
+	PartsAtSend   []PartEvidence // of the shared parts when it was sent; nil if none was suspected
+	TrialUpstream string         // its first hop if it is a trial which has not begun to answer; empty otherwise
 }
 
 // MoveState says whether the current attempt of a request can be moved.
@@ -90,22 +97,24 @@
 	delete(r.indexByID, id)
 }
 
-// reserve adds the reservations of a request to the load of its upstreams.
-func (t *Tables) reserve(request *RequestRow) {
-	for _, reservation := range request.Reservations {
+// reserve adds the reservations of a request's newest attempt to the load of its
+// upstreams.
+func (t *Tables) reserve(request *RequestRow) { t.addLoad(request.Reservations, 1) }
+
+// addLoad adds reservations to the load of their upstreams, or subtracts them if
+// sign is -1.
+func (t *Tables) addLoad(reservations []Reservation, sign int) {
+	for _, reservation := range reservations {
 		if row := t.Upstreams.Find(reservation.Upstream); row != nil {
-			row.OwnLoad.add(reservation.Load, 1)
+			row.OwnLoad.add(reservation.Load, sign)
 		}
 	}
 }
 
-// release removes the reservations of a request from the load of its upstreams.
+// release removes the reservations of a request's newest attempt from the load of
+// its upstreams.
 func (t *Tables) release(request *RequestRow) {
-	for _, reservation := range request.Reservations {
-		if row := t.Upstreams.Find(reservation.Upstream); row != nil {
-			row.OwnLoad.add(reservation.Load, -1)
-		}
-	}
+	t.addLoad(request.Reservations, -1)
 	request.Reservations = request.Reservations[:0]
 	t.endTrial(request)
 }
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -14,8 +14,8 @@
 
 // handleFailedAttempt retries a request whose attempt failed, or refuses it.
 func (a *AdmitRequests) handleFailedAttempt(t *Tables, failed FailedAttemptRow, now time.Time) {
-	request := t.Requests.Find(failed.Request)
-	if request == nil || request.Epoch != failed.Epoch {
+	request := t.findAttempt(failed.Request, failed.Epoch)
+	if request == nil {
 		t.Answer(failed.CorrelationID, lentilmux.RefusalAnswer{Refusal: lentilmux.Refusal{Reason: lentilmux.ReasonOutcomeUnknown, Detail: "the leg is not known"}})
 		return
 	}
@@ -24,21 +24,17 @@
 		t.markFull(request, failed.BlamedUpstream, now)
 	}
 	if !failed.NotRun {
-		request.MayHaveRun = true
-		request.PossibleRuns++
+		request.countRun()
 	}
 	if failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered {
 		t.CrashSuspects.RecordCrash(request.Fingerprint, now, t.Limits.CrashRetention)
 	}
+	if len(request.Older) > 0 {
+		a.continueOlder(t, request, failed, now)
+		return
+	}
 	reason, detail := a.checkRetry(t, request, failed, now)
-	t.RecordDecision(lentilmux.Decision{
-		What: "attempt_failed", Subject: string(request.ID), Chosen: map[bool]string{true: "resend", false: "end"}[reason == ""],
-		// delivered is the number of events that the caller has, runs the number of
-		// attempts that may have run the request and sends the number of all attempts.
-		// started tells whether the attempt had begun to answer; parts are the first
-		// shared parts of the prompt.
-		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), detail),
-	})
+	t.recordFailedAttempt(request, failed, map[bool]string{true: "resend", false: "end"}[reason == ""], detail)
 	var refusal *lentilmux.Refusal
 	if reason == "" {
 		request.continueAfter(t, failed.Delivered)
@@ -51,21 +47,50 @@
 	}
 }
 
-// handleStalledAttempt decides on an attempt without progress. It is replaced
-// only if it cannot continue and a retry is allowed; otherwise it is kept and
-// reported again after StallReportInterval.
+// continueOlder handles the failure of an attempt beside which others are in
+// flight: these go on. If the newest of them cannot, it is replaced again.
+func (a *AdmitRequests) continueOlder(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) {
+	t.recordFailedAttempt(request, failed, "continue", "another attempt is in flight")
+	t.returnToOlder(request)
+	a.replaceOrKeep(t, request, failed, now)
+}
+
+// recordFailedAttempt logs a failed attempt and what follows.
+func (t *Tables) recordFailedAttempt(request *RequestRow, failed FailedAttemptRow, chosen, detail string) {
+	t.RecordDecision(lentilmux.Decision{
+		What: "attempt_failed", Subject: string(request.ID), Chosen: chosen,
+		// delivered is the number of events that the caller has, runs the number of
+		// attempts that may have run the request and sends the number of all attempts.
+		// started tells whether the attempt had begun to answer; parts are the first
+		// shared parts of the prompt.
+		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), detail),
+	})
+}
+
+// handleStalledAttempt decides on an attempt without progress. Another one is sent
+// beside it only if it cannot continue at the moment and a retry is allowed. It
+// is reported again after StallReportInterval.
 func (a *AdmitRequests) handleStalledAttempt(t *Tables, stalled StalledAttemptRow, now time.Time) {
 	request := t.Requests.Find(stalled.Request)
-	if request == nil || request.Epoch != stalled.Epoch {
+	switch {
+	case request == nil, request.Epoch != stalled.Epoch && !request.hasOlder(stalled.Epoch):
 		t.Answer(stalled.CorrelationID, lentilmux.WaitAnswer{})
-		return
-	}
-	failed := FailedAttemptRow{
-		ForwardFailedMsg: lentilmux.ForwardFailedMsg{Request: stalled.Request, Epoch: stalled.Epoch, Kind: lentilmux.FailureTimeout, Delivered: stalled.Delivered},
-		CorrelationID:    stalled.CorrelationID,
+	case request.Epoch != stalled.Epoch:
+		t.Answer(stalled.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
+	default:
+		a.replaceOrKeep(t, request, FailedAttemptRow{
+			ForwardFailedMsg: lentilmux.ForwardFailedMsg{Request: stalled.Request, Epoch: stalled.Epoch, Kind: lentilmux.FailureTimeout, Delivered: stalled.Delivered},
+			CorrelationID:    stalled.CorrelationID,
+		}, now)
 	}
+}
+
+// replaceOrKeep answers with another attempt if the newest one of a request cannot
+// continue and a retry after failed is allowed, and else lets the attempts in
+// flight go on.
+func (a *AdmitRequests) replaceOrKeep(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) {
 	if !t.cannotContinue(request) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
-		t.Answer(stalled.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
+		t.Answer(failed.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
 	}
 }
 
@@ -74,7 +99,7 @@
 // (again), or if it waits for a place to move to. An attempt without a path
 // cannot be moved; its stall is always final.
 func (t *Tables) cannotContinue(request *RequestRow) bool {
-	if len(request.Path) == 0 || t.isDead(request.Path[0].Upstream) {
+	if len(request.Hops) == 0 || t.isDead(request.Hops[0].Upstream) {
 		return true
 	}
 	switch request.Move {
@@ -86,28 +111,40 @@
 	if request.Moves < t.Limits.MaxMoves {
 		return false
 	}
-	return slices.ContainsFunc(request.Path, func(hop lentilmux.Hop) bool { return t.isLost(request, hop) })
+	return slices.ContainsFunc(request.Hops, func(hop lentilmux.Hop) bool { return t.isLost(request, hop) })
+}
+
+// countRun counts the newest attempt as one that may have run the request.
+func (r *RequestRow) countRun() {
+	if !r.RunCounted {
+		r.MayHaveRun, r.RunCounted = true, true
+		r.PossibleRuns++
+	}
 }
 
-// replaceAttempt replaces an attempt that is still in flight, if a retry is
-// allowed and there is an alternative. Otherwise the request keeps its attempt.
+// replaceAttempt sends another attempt beside one that is still in flight, if a
+// retry is allowed and there is an alternative. The one in flight gives up its
+// reservations, since one of the two ends soon.
 func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (sent bool) {
-	mayHaveRun, possibleRuns := request.MayHaveRun, request.PossibleRuns
-	request.MayHaveRun, request.PossibleRuns = true, request.PossibleRuns+1
+	mayHaveRun, possibleRuns, stalled := request.MayHaveRun, request.PossibleRuns, request.AttemptState
+	request.countRun()
 	reason, detail := a.checkRetry(t, request, failed, now)
 	if reason == "" {
-		reservations, path := slices.Clone(request.Reservations), request.Path
+		older := request.AttemptState
+		older.Reservations = slices.Clone(older.Reservations)
 		t.release(request)
+		request.AttemptState = AttemptState{LastUpstream: older.LastUpstream}
 		request.continueAfter(t, failed.Delivered)
 		if a.sendAttempt(t, request, failed.CorrelationID, now) == nil {
-			t.RecordDecision(lentilmux.Decision{What: "attempt_replaced", Subject: string(request.ID), Chosen: request.LastUpstream, Reason: fmt.Sprintf("stalled at %s, delivered=%d", formatPath(path), failed.Delivered)})
+			request.Older = append(request.Older, older)
+			t.RecordDecision(lentilmux.Decision{What: "attempt_replaced", Subject: string(request.ID), Chosen: request.LastUpstream, Reason: fmt.Sprintf("stalled at %s, delivered=%d", formatPath(older.Hops), failed.Delivered)})
 			return true
 		}
-		request.Reservations, request.Path = reservations, path
-		t.reserve(request)
+		stalled.Reservations = older.Reservations
+		t.addLoad(older.Reservations, 1)
 		detail = "no alternative upstream or path"
 	}
-	request.MayHaveRun, request.PossibleRuns = mayHaveRun, possibleRuns
+	request.MayHaveRun, request.PossibleRuns, request.AttemptState = mayHaveRun, possibleRuns, stalled
 	t.RecordDecision(lentilmux.Decision{What: "attempt_kept", Subject: string(request.ID), Chosen: request.LastUpstream, Reason: detail})
 	return false
 }
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -152,9 +152,9 @@
 	case "arrive":
 		return lentilmux.ForwardMsg{Inbound: inboundRequest(name, fields, now)}, nil
 	case "started":
-		return lentilmux.ForwardStartedMsg{Request: lentilmux.RequestID(name), Epoch: s.epochs[name]}, nil
+		return lentilmux.ForwardStartedMsg{Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields)}, nil
 	case "stalled":
-		return lentilmux.ForwardStalledMsg{Request: lentilmux.RequestID(name), Epoch: s.epochs[name], Delivered: parseInt(fields["delivered"])}, nil
+		return lentilmux.ForwardStalledMsg{Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Delivered: parseInt(fields["delivered"])}, nil
 	case "failed":
 		return s.failedAttempt(name, fields), nil
 	case "done":
@@ -253,13 +253,22 @@
 	return lentilmux.StreamUpdatesMsg{Stream: stream, AsOf: now, Updates: []lentilmux.StreamUpdate{update}}
 }
 
+// epoch returns the epoch that a line names, or that of the request's newest
+// attempt.
+func (s *scenario) epoch(name string, fields map[string]string) lentilmux.Epoch {
+	if epoch := parseInt(fields["epoch"]); epoch > 0 {
+		return lentilmux.Epoch(epoch)
+	}
+	return s.epochs[name]
+}
+
 // failedAttempt returns the message for a failed attempt.
 func (s *scenario) failedAttempt(name string, fields map[string]string) lentilmux.Msg {
 	kinds := map[string]lentilmux.FailureKind{
 		"dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash, "timeout": lentilmux.FailureTimeout, "refused": lentilmux.FailureRefused,
 	}
 	msg := lentilmux.ForwardFailedMsg{
-		Request: lentilmux.RequestID(name), Epoch: s.epochs[name], Kind: kinds[fields["kind"]],
+		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]],
 		NotRun: fields["not_run"] == "true", Answered: fields["answered"] == "true", Delivered: parseInt(fields["delivered"]),
 	}
 	if row := s.tables.Upstreams.Find(fields["blamed"]); row != nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,104 +10,182 @@
 	"lentilmux.example/lentilmux"
 )
 
-// errCallerDisconnected ends a stream whose events can no longer be written to
-// the caller.
-const errCallerDisconnected = errors.ConstError("caller disconnected")
-
-// runAttempt makes one attempt. It returns nil if the request has ended, else a
-// report of what failed.
-func (r *relayedRequest) runAttempt(ctx context.Context, attempt lentilmux.Attempt) (failure *lentilmux.ForwardFailedMsg) {
-	r.result.Kind, r.result.End.Epoch = attempt.Kind, attempt.Epoch
-	ctx, cancel := context.WithTimeout(ctx, attempt.Deadline.Sub(r.relay.clock()))
-	defer cancel()
-	attemptCtx, cancelAttempt := context.WithCancelCause(ctx)
-	defer cancelAttempt(nil)
-	r.replacement.Store(nil)
-	stallWatchdog := newWatchdog(attempt.FirstEventTimeout)
-	stallWatchdog.start(func() (wait time.Duration) { return r.reportStall(attemptCtx, attempt, cancelAttempt) })
-	defer stallWatchdog.stop()
-	response, err := r.sender.Send(attemptCtx, attempt, r.lastEvent)
-	if err != nil {
-		return r.handleError(ctx, attemptCtx, attempt, err)
+const (
+	// errCallerDisconnected ends a stream whose events can no longer be written to
+	// the caller.
+	errCallerDisconnected = errors.ConstError("caller disconnected")
+	// errSuperseded cancels an attempt when another one is passed on.
+	errSuperseded = errors.ConstError("another attempt is passed on")
+	// errUnsuccessful ends an attempt whose response is not a success.
+	errUnsuccessful = errors.ConstError("unsuccessful response")
+)
+
+// runningAttempt is an attempt in flight.
+type runningAttempt struct {
+	lentilmux.Attempt
+	ctx      context.Context // of the attempt, until its deadline
+	cancel   context.CancelCauseFunc
+	watchdog *watchdog
+	after    int64 // number of the event after which its stream begins; negative to begin at the first
+	started  bool  // whether an event of it was passed on
+
+	response lentilmux.UpstreamResponse // nil until it arrives
+	body     []byte                     // of a response that is not a stream
+	event    []byte                     // first event of a stream
+	number   int64                      // of event
+}
+
+// startAttempt returns an attempt that is not sent yet and starts its watchdog.
+func (r *relayedRequest) startAttempt(ctx context.Context, attempt lentilmux.Attempt) *runningAttempt {
+	a := &runningAttempt{Attempt: attempt, watchdog: newWatchdog(attempt.FirstEventTimeout)}
+	deadlineCtx, cancelDeadline := context.WithTimeout(ctx, attempt.Deadline.Sub(r.relay.clock()))
+	attemptCtx, cancel := context.WithCancelCause(deadlineCtx)
+	a.ctx = attemptCtx
+	a.cancel = func(cause error) {
+		cancel(cause)
+		cancelDeadline()
+	}
+	a.watchdog.start(func() (wait time.Duration) { return r.reportStall(ctx, a) })
+	return a
+}
+
+// close ends an attempt. It waits until a report of its stall is answered, so that
+// later reports reach the node after it.
+func (a *runningAttempt) close() {
+	a.watchdog.stop()
+	if a.response != nil {
+		a.response.Close()
 	}
-	defer response.Close()
-	r.reportLimit(attemptCtx, attempt, response)
+	defer a.cancel(nil)
+}
+
+// begin sends an attempt and reads the beginning of its response: the first event
+// of a stream, or else the whole body.
+func (r *relayedRequest) begin(a *runningAttempt) (err error) {
+	if a.response, err = r.sender.Send(a.ctx, a.Attempt, a.after); err != nil {
+		a.response = nil
+		return err
+	}
+	r.reportLimit(a)
+	verdict := a.response.Verdict()
 	switch {
-	case response.Verdict() == lentilmux.VerdictSuccess && attempt.Kind.Streams():
-		err = r.relayStream(attemptCtx, attempt, response, stallWatchdog)
-	case response.Verdict() == lentilmux.VerdictSuccess:
-		err = r.relayReply(attempt, response)
+	case verdict == lentilmux.VerdictSuccess && a.Kind.Streams():
+		return r.nextEvent(a, a.after)
+	case verdict == lentilmux.VerdictSuccess:
+		a.body, err = a.response.Body()
+	case verdict == lentilmux.VerdictFailed:
+		r.recordProgress(a)
+		if a.body, err = a.response.Body(); err != nil {
+			return &lentilmux.UpstreamError{Kind: lentilmux.FailureCrash, Err: err}
+		}
+		return errUnsuccessful
 	default:
-		return r.handleUnsuccessful(attempt, response)
+		r.recordProgress(a)
+		return errUnsuccessful
 	}
 	if err == nil {
-		return nil
+		r.recordProgress(a)
 	}
-	return r.handleError(ctx, attemptCtx, attempt, err)
+	return err
+}
+
+// nextEvent reads the next event of a stream. An event number that does not
+// increase is a protocol error, since the caller would get an event twice.
+func (r *relayedRequest) nextEvent(a *runningAttempt, lastEvent int64) (err error) {
+	event, number, err := a.response.Next()
+	if err != nil {
+		return err
+	}
+	if lastEvent >= 0 && number <= lastEvent {
+		return &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: errors.Errorf("event %d after event %d", number, lastEvent)}
+	}
+	a.event, a.number = event, number
+	a.watchdog.reset(a.EventGapTimeout)
+	r.recordProgress(a)
+	return nil
 }
 
 // reportLimit reports the request limit that an answer names, or that it no longer
 // names one.
-func (r *relayedRequest) reportLimit(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) {
-	limit := response.RequestLimit()
-	if response.Verdict() == lentilmux.VerdictInvalid || !limit.Named && !attempt.Limited {
+func (r *relayedRequest) reportLimit(a *runningAttempt) {
+	limit := a.response.RequestLimit()
+	if a.response.Verdict() == lentilmux.VerdictInvalid || !limit.Named && !a.Limited {
 		return
 	}
 	// Send fails only if the request is ending; a later answer tells the limit too.
-	_ = r.relay.node.Send(ctx, lentilmux.UpstreamLimitMsg{Request: attempt.Request, Upstream: attempt.Upstream, Limit: limit})
+	_ = r.relay.node.Send(a.ctx, lentilmux.UpstreamLimitMsg{Request: a.Request, Upstream: a.Upstream, Limit: limit})
 }
 
-// relayReply passes on a response that is not a stream.
-func (r *relayedRequest) relayReply(attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) (err error) {
-	body, err := response.Body()
-	if err != nil {
-		return err
+// runAttempt passes on an attempt that has begun, or that failed to with
+// beginErr. If another one supersedes it, it passes on that one. It returns nil if
+// the request has ended, else a report of what failed.
+func (r *relayedRequest) runAttempt(ctx context.Context, a *runningAttempt, beginErr error) (failure *lentilmux.ForwardFailedMsg) {
+	for err := beginErr; ; err = nil {
+		r.result.Kind, r.deadline = a.Kind, a.Deadline
+		if err == nil {
+			err = r.passOn(ctx, a)
+		}
+		a.close()
+		if err == nil {
+			return nil
+		}
+		if r.race.remove(a) || ctx.Err() != nil {
+			return r.handleError(ctx, a, err)
+		}
+		a = (<-r.results).attempt // the one that superseded it
+	}
+}
+
+// passOn passes on the response of an attempt that has begun.
+func (r *relayedRequest) passOn(ctx context.Context, a *runningAttempt) (err error) {
+	if a.Kind.Streams() {
+		return r.relayStream(ctx, a)
+	}
+	if claimed, _ := r.race.claim(a); !claimed {
+		return errSuperseded
 	}
-	r.recordProgress(attempt)
 	r.result.TimeToFirstByte = r.relay.clock().Sub(r.inbound.ReceivedAt)
-	r.recordAnswer(r.sink.WriteReply(response, body))
+	r.recordAnswer(r.sink.WriteReply(a.response, a.body))
 	return nil
 }
 
-// relayStream passes on the events of a stream as they arrive. An event number
-// that does not increase is a protocol error, since the caller would get an
-// event twice; so is a stream without events.
-func (r *relayedRequest) relayStream(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse, stallWatchdog *watchdog) (err error) {
-	for started := false; ; started = true {
-		event, number, err := response.Next()
-		if errors.Is(err, io.EOF) && started {
-			r.recordAnswer(r.result.Status)
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if r.lastEvent >= 0 && number <= r.lastEvent {
-			return &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: errors.Errorf("event %d after event %d", number, r.lastEvent)}
+// relayStream passes on the events of a stream as they arrive.
+func (r *relayedRequest) relayStream(ctx context.Context, a *runningAttempt) (err error) {
+	for err == nil {
+		claimed, contended := r.race.claim(a)
+		if !claimed {
+			return errSuperseded
 		}
-		stallWatchdog.reset(attempt.EventGapTimeout)
-		r.recordProgress(attempt)
-		if !started {
-			r.start(ctx, attempt, response)
+		if !a.started || contended {
+			r.start(ctx, a)
 		}
-		if err := r.sink.WriteEvent(event); err != nil {
+		if err := r.sink.WriteEvent(a.event); err != nil {
 			return errCallerDisconnected
 		}
-		r.recordEvent(number)
+		r.recordEvent(a.number)
+		err = r.nextEvent(a, a.number)
 	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if claimed, _ := r.race.claim(a); !claimed {
+		return errSuperseded
+	}
+	r.recordAnswer(r.result.Status)
+	return nil
 }
 
-// start sends status and headers to the caller, once per request, and reports
-// the first event of an attempt to the node, which means that prefill is
-// complete.
-func (r *relayedRequest) start(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) {
+// start sends status and headers to the caller, once per request, and reports to
+// the node that the answer of an attempt begins, which means that prefill is
+// complete, or goes on.
+func (r *relayedRequest) start(ctx context.Context, a *runningAttempt) {
+	a.started = true
 	if !r.headersSent {
-		r.sink.WriteHeader(response)
+		r.sink.WriteHeader(a.response)
 		r.headersSent = true
 		r.result.Status = 200
 	}
-	// Send fails only if the request is ending, which is reported in any case.
-	_ = r.relay.node.Send(ctx, lentilmux.ForwardStartedMsg{Request: attempt.Request, Epoch: attempt.Epoch})
+	r.reportProgress(ctx, a)
 }
 
 // recordEvent records an event that was sent to the caller.
@@ -120,81 +198,13 @@
 	}
 	r.lastEventAt = now
 	r.result.Events++
-	r.lastEvent = number
-	r.delivered.Add(1)
-}
-
-// handleUnsuccessful handles a response that is not a success, and returns as
-// [relayedRequest.runAttempt] does. A failure response is kept for the case
-// that no later attempt succeeds; it is passed on immediately if the call is
-// not repeatable.
-func (r *relayedRequest) handleUnsuccessful(attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) (failure *lentilmux.ForwardFailedMsg) {
-	r.recordProgress(attempt)
-	failure = r.failureReport(attempt, lentilmux.FailureRefused)
-	failure.BlamedUpstream = response.BlamedUpstream()
-	switch response.Verdict() {
-	case lentilmux.VerdictNotRun:
-		failure.NotRun = true
-		failure.Answered = true
-	case lentilmux.VerdictFailed:
-		failure.Answered = true
-		body, err := response.Body()
-		if err != nil {
-			failure.Answered, failure.Kind = false, lentilmux.FailureCrash
-			return failure
-		}
-		r.failedResponse, r.failedBody = response, body
-		if !attempt.Kind.Repeatable() && !r.headersSent {
-			r.recordAnswer(r.sink.WriteReply(response, body))
-			return nil
-		}
-	default:
-		failure.Kind = lentilmux.FailureProtocol
-	}
-	return failure
-}
-
-// handleError handles an attempt that ended with err, and returns as
-// [relayedRequest.runAttempt] does. It ends the request if the caller
-// disconnected or the deadline passed.
-func (r *relayedRequest) handleError(ctx, attemptCtx context.Context, attempt lentilmux.Attempt, err error) (failure *lentilmux.ForwardFailedMsg) {
-	failure = r.failureReport(attempt, lentilmux.FailureProtocol)
-	var upstreamErr *lentilmux.UpstreamError
-	if errors.As(err, &upstreamErr) {
-		failure.Kind = upstreamErr.Kind
-	}
-	failure.NotRun = failure.Kind == lentilmux.FailureDial
-	switch {
-	case errors.Is(err, errCallerDisconnected), errors.Is(ctx.Err(), context.Canceled):
-		r.abort(ctx, err)
-		return nil
-	case ctx.Err() != nil:
-		r.expire(failure.NotRun)
-		return nil
-	case errors.Is(context.Cause(attemptCtx), errStalled):
-		failure.Kind = lentilmux.FailureTimeout
-	}
-	return failure
-}
-
-// failureReport returns the report of a failed attempt.
-func (r *relayedRequest) failureReport(attempt lentilmux.Attempt, kind lentilmux.FailureKind) *lentilmux.ForwardFailedMsg {
-	return &lentilmux.ForwardFailedMsg{Request: attempt.Request, Epoch: attempt.Epoch, Kind: kind, Delivered: r.result.Events}
-}
-
-// recordFailure records a failed attempt for the report of the request's end. An
-// attempt that was canceled in favor of another one has not failed.
-func (r *relayedRequest) recordFailure(failure *lentilmux.ForwardFailedMsg) {
-	if r.replacement.Load() == nil {
-		r.result.End.Failures++
-		r.result.End.LastFailure = failure.Kind
-	}
+	r.race.deliver(number)
 }
 
 // recordProgress records progress of all upstreams on the path of an attempt.
-func (r *relayedRequest) recordProgress(attempt lentilmux.Attempt) {
+func (r *relayedRequest) recordProgress(a *runningAttempt) {
 	now := r.relay.clock()
-	for _, progress := range attempt.Progress {
+	for _, progress := range a.Progress {
 		progress.Record(now)
 	}
 }
--- a/forward/end.go
+++ b/forward/end.go
@@ -14,11 +14,12 @@
 func (r *relayedRequest) refuse(refusal *lentilmux.Refusal) {
 	r.result.Outcome, r.result.Reason = refusal.Outcome, refusal.Reason
 	r.result.End.Cause = r.refusalCause(refusal)
+	response, body := r.race.failure()
 	switch {
 	case r.headersSent:
 		r.breakOff()
-	case r.failedResponse != nil && refusal.Outcome != lentilmux.OutcomeNotRun:
-		r.result.Status = r.sink.WriteReply(r.failedResponse, r.failedBody)
+	case response != nil && refusal.Outcome != lentilmux.OutcomeNotRun:
+		r.result.Status = r.sink.WriteReply(response, body)
 	default:
 		r.result.Status = r.sink.Refuse(refusal)
 	}
@@ -29,9 +30,9 @@
 	switch {
 	case refusal.Reason == lentilmux.ReasonDeadline:
 		return lentilmux.EndDeadline
-	case r.result.End.Failures == 0:
+	case r.race.attempts().Failures == 0:
 		return lentilmux.EndRefused
-	case r.canceled.Load() > 0:
+	case r.race.attempts().Canceled > 0:
 		return lentilmux.EndAttemptCanceled
 	default:
 		return lentilmux.EndUpstreamFailed
@@ -62,7 +63,7 @@
 // expire ends a request whose deadline has passed.
 func (r *relayedRequest) expire(notRun bool) {
 	refusal := &lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonDeadline, Detail: "the deadline or the route's timeout has passed"}
-	if notRun && r.failedResponse == nil && !r.headersSent {
+	if response, _ := r.race.failure(); notRun && response == nil && !r.headersSent {
 		refusal.Detail = "no upstream could be reached in time"
 	}
 	r.refuse(refusal)
@@ -73,7 +74,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	r.result.Duration = r.relay.clock().Sub(r.inbound.ReceivedAt)
-	r.result.End.Canceled = int(r.canceled.Load())
+	attempts := r.race.attempts()
+	attempts.Cause, attempts.Unanswered = r.result.End.Cause, r.result.End.Unanswered
+	r.result.End = attempts
 	// Send fails only if the node has stopped or does not respond in time.
 	// There is nothing left to do in either case.
 	_ = r.relay.node.Send(ctx, lentilmux.ForwardDoneMsg{
--- /dev/null
+++ b/forward/failure.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+// handleError handles the attempt that was passed on and ended with err. It
+// returns a report of what failed, or nil if the request has ended: the caller
+// disconnected, the deadline passed, or the failure is passed on, since the call
+// is not repeatable.
+func (r *relayedRequest) handleError(ctx context.Context, a *runningAttempt, err error) (failure *lentilmux.ForwardFailedMsg) {
+	switch {
+	case errors.Is(err, errCallerDisconnected), ctx.Err() != nil:
+		r.abort(ctx, err)
+		return nil
+	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
+		r.expire(isDialFailure(err))
+		return nil
+	}
+	failure = r.describeFailure(a, err)
+	if failure.Answered && !failure.NotRun && !a.Kind.Repeatable() && !r.headersSent {
+		r.recordAnswer(r.sink.WriteReply(a.response, a.body))
+		return nil
+	}
+	return failure
+}
+
+// describeFailure returns the report of an attempt that ended with err, and
+// records it. An answer that is a failure is kept for the case that no later
+// attempt succeeds.
+func (r *relayedRequest) describeFailure(a *runningAttempt, err error) (failure *lentilmux.ForwardFailedMsg) {
+	failure = &lentilmux.ForwardFailedMsg{Request: a.Request, Epoch: a.Epoch, Kind: lentilmux.FailureProtocol}
+	if a.response != nil && a.response.Verdict() != lentilmux.VerdictSuccess {
+		failure.BlamedUpstream = a.response.BlamedUpstream()
+	}
+	var upstreamErr *lentilmux.UpstreamError
+	switch {
+	case errors.Is(err, errUnsuccessful):
+		verdict := a.response.Verdict()
+		failure.NotRun = verdict == lentilmux.VerdictNotRun
+		failure.Answered = failure.NotRun || verdict == lentilmux.VerdictFailed
+		if failure.Answered {
+			failure.Kind = lentilmux.FailureRefused
+		}
+	case errors.As(err, &upstreamErr):
+		failure.Kind = upstreamErr.Kind
+		failure.NotRun = failure.Kind == lentilmux.FailureDial
+	}
+	r.race.recordFailure(a, failure)
+	return failure
+}
+
+// isDialFailure reports whether no connection to an upstream could be opened.
+func isDialFailure(err error) bool {
+	var upstreamErr *lentilmux.UpstreamError
+	return errors.As(err, &upstreamErr) && upstreamErr.Kind == lentilmux.FailureDial
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,6 +3,11 @@
 // the caller, and asks for a further attempt if that one fails. A retried
 // stream resumes after the last complete event that the caller has.
 //
+// If an attempt stalls, the node may give another one beside it. Both then race:
+// the one whose answer begins or goes on first is passed on, and the others are
+// canceled. An attempt that may still go on is never given up for one that may
+// not begin.
+//
 // The package decides only what follows from the bytes of a response. The node
 // decides where a request goes and whether it may be retried. The package
 // reaches upstreams through [lentilmux.RequestSender] and callers through
@@ -16,7 +21,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,10 +33,6 @@
 // has its own context since it is also sent after the caller has disconnected.
 const reportTimeout = 5 * time.Second
 
-// errStalled is the cause with which a stalled attempt is canceled when
-// another one replaces it.
-const errStalled = errors.ConstError("attempt stalled and replaced")
-
 // Result describes how a request ended.
 type Result struct {
 	Kind            lentilmux.CallKind
@@ -79,30 +80,16 @@
 // Run serves one request until it is answered, refused or aborted. It reports
 // the end to the node and to the observer.
 func (r *Relay) Run(ctx context.Context, inbound lentilmux.InboundRequest, sender lentilmux.RequestSender, sink lentilmux.Sink) {
-	request := &relayedRequest{relay: r, inbound: inbound, sender: sender, sink: sink, lastEvent: inbound.ResumeAfter, result: Result{Outcome: lentilmux.OutcomeUnknown}}
-	defer request.reportDone()
-	answer, err := r.node.Ask(ctx, lentilmux.ForwardMsg{Inbound: inbound})
-	for err == nil {
-		switch x := answer.(type) {
-		case lentilmux.RefusalAnswer:
-			request.refuse(&x.Refusal)
-			return
-		case lentilmux.AttemptAnswer:
-			failure := request.runAttempt(ctx, x.Attempt)
-			if failure == nil {
-				return
-			}
-			request.recordFailure(failure)
-			if next := request.replacement.Load(); next != nil {
-				answer = lentilmux.AttemptAnswer{Attempt: *next}
-				continue
-			}
-			answer, err = r.node.Ask(ctx, *failure)
-		default:
-			err = errors.Errorf("unexpected answer %T", answer)
-		}
+	request := &relayedRequest{
+		relay: r, inbound: inbound, sender: sender, sink: sink, result: Result{Outcome: lentilmux.OutcomeUnknown},
+		race: race{lastEvent: inbound.ResumeAfter}, results: make(chan contenderResult, 1),
 	}
-	request.abort(ctx, err)
+	ctx, cancel := context.WithCancel(ctx)
+	defer request.reportDone()
+	defer request.dropResults()
+	defer request.contenders.Wait()
+	defer cancel()
+	request.serve(ctx)
 }
 
 // Abandon ends a request whose body did not arrive completely. Nothing of it was
@@ -114,41 +101,72 @@
 	request.reportDone()
 }
 
-// relayedRequest is the state of one request while [Relay.Run] serves it.
+// relayedRequest is the state of one request while [Relay.Run] serves it. Only
+// the goroutine of Run uses it, except for the fields of the last group.
 type relayedRequest struct {
 	relay   *Relay
 	inbound lentilmux.InboundRequest
 	sender  lentilmux.RequestSender
 	sink    lentilmux.Sink
 
-	lastEvent      int64                      // number of the last event sent to the caller; negative for none
-	headersSent    bool                       // whether status and headers were sent to the caller
-	failedResponse lentilmux.UpstreamResponse // last failure of an upstream, sent to the caller if no attempt succeeds
-	failedBody     []byte                     // body of failedResponse
-	lastEventAt    time.Time                  // when lastEvent was sent
-	result         Result
-
-	// Both are also used by the goroutine of the watchdog.
-	delivered   atomic.Int64                      // events sent to the caller
-	canceled    atomic.Int64                      // attempts canceled in favor of another one
-	replacement atomic.Pointer[lentilmux.Attempt] // replaces the current attempt, which has stalled; nil for none
+	headersSent bool      // whether status and headers were sent to the caller
+	lastEventAt time.Time // when the last event was sent to the caller
+	deadline    time.Time // of the attempts; zero before the first
+	result      Result
+
+	race       race
+	contenders sync.WaitGroup       // goroutines of attempts beside the current one
+	results    chan contenderResult // of the contenders, at most one at a time
 }
 
-// reportStall reports a stalled attempt to the node. If the node replaces the
-// attempt, reportStall cancels it. Otherwise it returns the time until the
-// stall is to be reported again, or zero if it is not.
-func (r *relayedRequest) reportStall(ctx context.Context, attempt lentilmux.Attempt, cancel context.CancelCauseFunc) (wait time.Duration) {
-	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardStalledMsg{Request: attempt.Request, Epoch: attempt.Epoch, Delivered: int(r.delivered.Load())})
-	if err != nil {
-		return 0 // the attempt has ended
+// serve makes attempts until the request has ended.
+func (r *relayedRequest) serve(ctx context.Context) {
+	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
+	for err == nil {
+		var failure *lentilmux.ForwardFailedMsg
+		switch x := answer.(type) {
+		case lentilmux.RefusalAnswer:
+			r.refuse(&x.Refusal)
+			return
+		case lentilmux.AttemptAnswer:
+			attempt := r.startAttempt(ctx, x.Attempt)
+			r.race.add(attempt)
+			failure = r.runAttempt(ctx, attempt, r.begin(attempt))
+		case lentilmux.WaitAnswer:
+			result, ok := r.awaitContender(ctx)
+			if !ok {
+				return
+			}
+			if result.attempt == nil {
+				answer = result.answer
+				continue
+			}
+			failure = r.runAttempt(ctx, result.attempt, nil)
+		default:
+			err = errors.Errorf("unexpected answer %T", answer)
+			continue
+		}
+		if failure == nil {
+			return
+		}
+		answer, err = r.relay.node.Ask(ctx, *failure)
 	}
-	switch x := answer.(type) {
-	case lentilmux.WaitAnswer:
-		return x.Wait
-	case lentilmux.AttemptAnswer:
-		r.replacement.Store(&x.Attempt)
-		r.canceled.Add(1)
-		cancel(errStalled)
+	r.abort(ctx, err)
+}
+
+// awaitContender waits for the result of an attempt beside the one that failed. It
+// ends the request and returns false if the caller disconnects or the deadline
+// passes.
+func (r *relayedRequest) awaitContender(ctx context.Context) (result contenderResult, ok bool) {
+	timer := time.NewTimer(r.deadline.Sub(r.relay.clock()))
+	defer timer.Stop()
+	select {
+	case result := <-r.results:
+		return result, true
+	case <-ctx.Done():
+		r.abort(ctx, ctx.Err())
+	case <-timer.C:
+		r.expire(false)
 	}
-	return 0
+	return contenderResult{}, false
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,12 +22,19 @@
 // script is a scripted node, request sender and sink. It logs the calls of
 // each.
 type script struct {
+	mu             sync.Mutex // guards out
 	out            strings.Builder
+	node           sync.Mutex // guards the next three
+	last           lentilmux.Epoch
+	inFlight       int // attempts that the node knows to be in flight
 	started        time.Time
 	kind           lentilmux.CallKind
-	attempts       int      // maximum number of attempts
-	steps          [][]step // of the response to each attempt
-	replaceStalled []bool   // for each report of a stalled attempt, whether the node replaces it
+	attempts       int           // maximum number of attempts
+	sendTime       time.Duration // until an upstream gets an attempt after the first
+	bodyTime       time.Duration // until the body of the first attempt has arrived
+	steps          [][]step      // of the response to each attempt
+	askTime        time.Duration // until the node answers the report of a stalled attempt
+	replaceStalled []bool        // for each report of a stalled attempt, whether the node replaces it
 }
 
 // step is one event of a stream, or an error in its place.
@@ -37,13 +46,18 @@
 
 // logf logs a call with the time since the start.
 func (s *script) logf(format string, values ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	fmt.Fprintf(&s.out, "%6s "+format+"\n", append([]any{time.Since(s.started)}, values...)...)
 }
 
 func (s *script) Send(_ context.Context, msg lentilmux.Msg) (err error) {
+	s.node.Lock()
+	defer s.node.Unlock()
 	switch x := msg.(type) {
 	case lentilmux.ForwardStartedMsg:
 		s.logf("node: attempt %d started", x.Epoch)
+		s.inFlight = 1
 	case lentilmux.ForwardDoneMsg:
 		s.logf("node: done %s %s status=%d events=%d first=%s %s", x.Outcome, x.Reason, x.Status, x.Events, x.TimeToFirstByte, formatEnd(x.End))
 	}
@@ -54,6 +68,11 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if _, ok := msg.(lentilmux.ForwardStalledMsg); ok {
+		time.Sleep(s.askTime)
+	}
+	s.node.Lock()
+	defer s.node.Unlock()
 	switch x := msg.(type) {
 	case lentilmux.ForwardStalledMsg:
 		replaced := len(s.replaceStalled) > 0 && s.replaceStalled[0]
@@ -64,12 +83,15 @@
 		if !replaced {
 			return lentilmux.WaitAnswer{Wait: 100 * time.Millisecond}, nil
 		}
-		return s.nextAttempt(x.Epoch), nil
+		return s.nextAttempt(), nil
 	case lentilmux.ForwardFailedMsg:
 		s.logf("node: attempt %d failed %s not_run=%t answered=%t delivered=%d", x.Epoch, x.Kind, x.NotRun, x.Answered, x.Delivered)
-		return s.nextAttempt(x.Epoch), nil
+		if s.inFlight--; s.inFlight > 0 {
+			return lentilmux.WaitAnswer{Wait: 100 * time.Millisecond}, nil
+		}
+		return s.nextAttempt(), nil
 	default:
-		return s.nextAttempt(0), nil
+		return s.nextAttempt(), nil
 	}
 }
 
@@ -84,12 +106,14 @@
 
 // nextAttempt returns the attempt after the last one, or a refusal if there is
 // none.
-func (s *script) nextAttempt(last lentilmux.Epoch) lentilmux.Answer {
-	if int(last) >= s.attempts {
+func (s *script) nextAttempt() lentilmux.Answer {
+	if int(s.last) >= s.attempts {
 		return lentilmux.RefusalAnswer{Refusal: lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonUpstreamFailed}}
 	}
+	s.last++
+	s.inFlight++
 	return lentilmux.AttemptAnswer{Attempt: lentilmux.Attempt{
-		Request: "r", Epoch: last + 1, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
+		Request: "r", Epoch: s.last, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
 		Progress: []*lentilmux.Progress{{}},
 	}}
 }
@@ -97,6 +121,7 @@
 // scriptedResponse is an upstream's response that follows a script.
 type scriptedResponse struct {
 	script  *script
+	epoch   lentilmux.Epoch
 	ctx     context.Context
 	steps   []step
 	verdict lentilmux.Verdict
@@ -105,15 +130,18 @@
 // send starts the scripted response to an attempt. An attempt without steps
 // cannot connect.
 func (s *script) send(ctx context.Context, attempt lentilmux.Attempt, after int64) (response lentilmux.UpstreamResponse, err error) {
+	if attempt.Epoch > 1 {
+		time.Sleep(s.sendTime)
+	}
 	s.logf("upstream: attempt %d after event %d", attempt.Epoch, after)
 	steps := s.steps[attempt.Epoch-1]
 	if len(steps) > 0 && steps[0].event < 0 {
-		return &scriptedResponse{script: s, ctx: ctx, verdict: lentilmux.Verdict(-steps[0].event)}, nil
+		return &scriptedResponse{script: s, epoch: attempt.Epoch, ctx: ctx, verdict: lentilmux.Verdict(-steps[0].event)}, nil
 	}
 	if len(steps) == 0 {
 		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: errors.New("connection refused")}
 	}
-	return &scriptedResponse{script: s, ctx: ctx, steps: steps, verdict: lentilmux.VerdictSuccess}, nil
+	return &scriptedResponse{script: s, epoch: attempt.Epoch, ctx: ctx, steps: steps, verdict: lentilmux.VerdictSuccess}, nil
 }
 
 // sender makes a script a request sender.
@@ -126,8 +154,19 @@
 func (r *scriptedResponse) Verdict() lentilmux.Verdict           { return r.verdict }
 func (r *scriptedResponse) RequestLimit() lentilmux.RequestLimit { return lentilmux.RequestLimit{} }
 func (r *scriptedResponse) BlamedUpstream() netip.AddrPort       { return netip.AddrPort{} }
-func (r *scriptedResponse) Body() ([]byte, error)                { return []byte("body"), nil }
-func (r *scriptedResponse) Close()                               { r.script.logf("upstream: closed") }
+func (r *scriptedResponse) Close()                               { r.script.logf("upstream: attempt %d closed", r.epoch) }
+
+func (r *scriptedResponse) Body() (body []byte, err error) {
+	if r.epoch > 1 || r.script.bodyTime == 0 {
+		return []byte("body"), nil
+	}
+	select {
+	case <-time.After(r.script.bodyTime):
+		return []byte("late body"), nil
+	case <-r.ctx.Done():
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureTimeout, Err: r.ctx.Err()}
+	}
+}
 
 func (r *scriptedResponse) Next() (event []byte, number int64, err error) {
 	if len(r.steps) == 0 {
@@ -158,6 +197,32 @@
 }
 func (s *script) Abort() { s.logf("caller: aborted") }
 
+// closesLast moves the lines of closed responses to the end of their instant, since
+// attempts that race are closed by several goroutines.
+func closesLast(log string) string {
+	const timeWidth = 6 // of the time that a line begins with
+	var out, closes []string
+	instant := ""
+	endInstant := func() {
+		slices.Sort(closes)
+		out = append(out, closes...)
+		closes = closes[:0]
+	}
+	for line := range strings.Lines(log) {
+		if line[:timeWidth] != instant {
+			endInstant()
+			instant = line[:timeWidth]
+		}
+		if strings.HasSuffix(line, " closed\n") {
+			closes = append(closes, line)
+		} else {
+			out = append(out, line)
+		}
+	}
+	endInstant()
+	return strings.Join(out, "")
+}
+
 // events returns steps with a pause before each event.
 func events(pause time.Duration, numbers ...int64) (steps []step) {
 	for _, number := range numbers {
@@ -192,7 +257,20 @@
 		{name: "failure response to a call that is not repeatable", script: script{kind: lentilmux.CallOnce, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed)}}},
 		{name: "failure response to a repeatable call, retried", script: script{kind: lentilmux.CallRepeatable, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed), verdict(lentilmux.VerdictFailed)}}},
 		{name: "deadline exceeded", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(3*time.Second, 0)}}},
-		{name: "stalled, canceled for another attempt and broken off with it", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(time.Second, 1)...), verdict(lentilmux.VerdictNotRun)}}},
+		// A silence of a sound upstream must not end an answer: the attempt that takes
+		// over may be refused or break off.
+		{name: "silent, another attempt is refused, goes on", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(980*time.Millisecond, 1)...), verdict(lentilmux.VerdictNotRun)}}},
+		{name: "silent, another attempt breaks off, goes on", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(980*time.Millisecond, 1)...), {connectionLost}}}},
+		{name: "silent, goes on before another attempt begins", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(380*time.Millisecond, 1, 2)...), events(time.Second, 1)}}},
+		{name: "silent, goes on while the node answers", script: script{kind: lentilmux.CallResumableStream, attempts: 2, askTime: 100 * time.Millisecond, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(250*time.Millisecond, 1)...), events(tick, 1)}}},
+		// The report of a stall and that of a failure cross: the answer must not be
+		// ended as that of an unknown attempt.
+		{name: "breaks off while the node answers its stall", script: script{kind: lentilmux.CallResumableStream, attempts: 2, askTime: 100 * time.Millisecond, sendTime: time.Millisecond, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), step{after: 250 * time.Millisecond, err: connectionLost.err}), events(tick, 1)}}},
+		{name: "breaks off before another attempt begins", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), step{after: 250 * time.Millisecond, err: connectionLost.err}), events(280*time.Millisecond, 1)}}},
+		{name: "breaks off, and another attempt before it begins", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), step{after: 250 * time.Millisecond, err: connectionLost.err}), {{after: 200 * time.Millisecond, err: connectionLost.err}}}}},
+		{name: "two silent attempts and a third", script: script{kind: lentilmux.CallResumableStream, attempts: 3, replaceStalled: []bool{true, false, true}, steps: [][]step{append(events(tick, 0), events(1500*time.Millisecond, 1)...), events(1500*time.Millisecond, 1), events(tick, 1)}}},
+		{name: "silent call, another attempt answers", script: script{kind: lentilmux.CallRepeatable, attempts: 2, replaceStalled: []bool{true}, bodyTime: time.Second, steps: [][]step{events(0, 0), events(0, 0)}}},
+		{name: "silent until the caller disconnects", disconnect: 350 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(time.Second, 1)...), events(time.Second, 1)}}},
 		{name: "refused at once", script: script{kind: lentilmux.CallOnce}},
 		{name: "process ends", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
@@ -213,7 +291,7 @@
 			}
 			relay := forward.NewRelay(s)
 			relay.Run(ctx, lentilmux.InboundRequest{ID: "r", ReceivedAt: s.started, Deadline: s.started.Add(2 * time.Second), ResumeAfter: -1}, sender{s}, s)
-			fmt.Fprintf(&out, "== %s\n%s", c.name, s.out.String())
+			fmt.Fprintf(&out, "== %s\n%s", c.name, closesLast(s.out.String()))
 		})
 	}
 	goldie.New(t).Assert(t, "relay", []byte(out.String()))
--- /dev/null
+++ b/forward/race.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"slices"
+	"sync"
+
+	"lentilmux.example/lentilmux"
+)
+
+// race decides which of the attempts in flight of one request is passed on to the
+// caller: the first one with something to pass on. It is safe for concurrent use.
+type race struct {
+	mu        sync.Mutex
+	inFlight  []*runningAttempt
+	lastEvent int64 // number of the last event that was passed on; negative for none
+	delivered int   // events that were passed on
+
+	failedResponse lentilmux.UpstreamResponse // last failure of an upstream, sent to the caller if no attempt succeeds
+	failedBody     []byte                     // body of failedResponse
+	end            lentilmux.RequestEnd       // the attempts so far
+}
+
+// add adds an attempt.
+func (r *race) add(a *runningAttempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addLocked(a)
+}
+
+func (r *race) addLocked(a *runningAttempt) {
+	r.inFlight = append(r.inFlight, a)
+	r.end.Epoch = a.Epoch
+	a.after = r.lastEvent
+}
+
+// addContender adds an attempt beside one that was reported as stalled after the
+// given number of events. It returns false if that one has gone on since, or is no
+// longer in flight.
+func (r *race) addContender(a, stalled *runningAttempt, delivered int) (added bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.delivered != delivered || !slices.Contains(r.inFlight, stalled) {
+		return false
+	}
+	r.addLocked(a)
+	return true
+}
+
+// claim makes an attempt the only one in flight and cancels the others. It
+// returns false if the attempt was canceled itself. contended reports whether
+// there were others.
+func (r *race) claim(a *runningAttempt) (claimed, contended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.Contains(r.inFlight, a) {
+		return false, false
+	}
+	for _, other := range r.inFlight {
+		if other == a {
+			continue
+		}
+		contended = true
+		if other.Epoch < a.Epoch {
+			r.end.Canceled++
+		}
+		other.cancel(errSuperseded)
+	}
+	r.inFlight = append(r.inFlight[:0], a)
+	return true, contended
+}
+
+// deliver records that an event of the attempt that claimed the race is passed
+// on.
+func (r *race) deliver(number int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastEvent = number
+	r.delivered++
+}
+
+// remove removes an attempt that has ended. It returns false if the attempt was
+// canceled in favor of another one before.
+func (r *race) remove(a *runningAttempt) (removed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.Index(r.inFlight, a)
+	if i < 0 {
+		return false
+	}
+	r.inFlight = slices.Delete(r.inFlight, i, i+1)
+	return true
+}
+
+// recordFailure records the failure of an attempt and keeps its answer, if it has
+// one.
+func (r *race) recordFailure(a *runningAttempt, failure *lentilmux.ForwardFailedMsg) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failure.Delivered = r.delivered
+	r.end.Failures++
+	r.end.LastFailure = failure.Kind
+	if failure.Answered && !failure.NotRun {
+		r.failedResponse, r.failedBody = a.response, a.body
+	}
+}
+
+// failure returns the last answer of an upstream that was a failure, or nil.
+func (r *race) failure() (response lentilmux.UpstreamResponse, body []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedResponse, r.failedBody
+}
+
+// attempts returns what has become of the attempts so far.
+func (r *race) attempts() (end lentilmux.RequestEnd) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.end
+}
+
+// deliveredEvents returns the number of events that were passed on.
+func (r *race) deliveredEvents() (count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delivered
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -14,6 +14,7 @@
 	timer   *time.Timer
 	timeout time.Duration
 	stopped bool
+	calls   sync.WaitGroup // running calls of the function
 }
 
 // newWatchdog returns a watchdog that is not running yet.
@@ -27,12 +28,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.timeout, func() {
+		if !w.beginCall() {
+			return
+		}
+		defer w.calls.Done()
 		if wait := onStall(); wait > 0 {
 			w.reset(wait)
 		}
 	})
 }
 
+// beginCall counts a call of the function, unless the watchdog was stopped.
+func (w *watchdog) beginCall() (begun bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return false
+	}
+	w.calls.Add(1)
+	return true
+}
+
 // reset restarts the watchdog after progress, with the timeout for the next
 // progress. A timeout of zero leaves it as it is.
 func (w *watchdog) reset(timeout time.Duration) {
@@ -46,13 +62,15 @@
 	}
 }
 
-// stop stops the watchdog. Later resets have no effect.
+// stop stops the watchdog and waits for a running call of its function. Later
+// resets have no effect.
 func (w *watchdog) stop() {
 	if w.timeout <= 0 {
 		return
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
+	w.mu.Unlock()
+	w.calls.Wait()
 }
