--- /dev/null
+++ b/forward/end.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+)
+
+// refuse ends a request that gets no further attempt. A response that has begun
+// is aborted. Otherwise the caller gets the last failure response of an
+// upstream, if there is one and the request may have run, or else the refusal.
+func (r *relayedRequest) refuse(refusal *lentilmux.Refusal) {
+	r.result.Outcome, r.result.Reason = refusal.Outcome, refusal.Reason
+	r.result.End.Cause = r.refusalCause(refusal)
+	response, body := r.race.failure()
+	switch {
+	case r.headersSent:
+		r.breakOff()
+	case response != nil && refusal.Outcome != lentilmux.OutcomeNotRun:
+		r.result.Status = r.sink.WriteReply(response, body)
+	default:
+		r.result.Status = r.sink.Refuse(refusal)
+	}
+}
+
+// refusalCause returns what ended a request that gets no further attempt.
+func (r *relayedRequest) refusalCause(refusal *lentilmux.Refusal) lentilmux.EndCause {
+	switch {
+	case refusal.Reason == lentilmux.ReasonDeadline:
+		return lentilmux.EndDeadline
+	case r.race.attempts().Failures == 0:
+		return lentilmux.EndRefused
+	case r.race.attempts().Canceled > 0:
+		return lentilmux.EndAttemptCanceled
+	default:
+		return lentilmux.EndUpstreamFailed
+	}
+}
+
+// abort ends a request whose caller disconnected or whose node stopped. The
+// cause of ctx tells which, unless err does.
+func (r *relayedRequest) abort(ctx context.Context, err error) {
+	r.result.Reason, r.result.End.Cause = lentilmux.ReasonCanceled, lentilmux.EndCallerDisconnected
+	if errors.Is(err, lentilmux.ErrStopped) || errors.Is(context.Cause(ctx), lentilmux.ErrStopped) {
+		r.result.Reason, r.result.End.Cause = lentilmux.ReasonDraining, lentilmux.EndNodeStopped
+	}
+	r.breakOff()
+}
+
+// breakOff ends the connection without a complete answer.
+func (r *relayedRequest) breakOff() {
+	r.result.End.Unanswered = true
+	r.sink.Abort()
+}
+
+// recordAnswer records that the caller got an upstream's answer, with a status.
+func (r *relayedRequest) recordAnswer(status int) {
+	r.result.Outcome, r.result.Status, r.result.End.Cause = lentilmux.OutcomeAnswered, status, lentilmux.EndAnswered
+}
+
+// expire ends a request whose deadline has passed.
+func (r *relayedRequest) expire(notRun bool) {
+	refusal := &lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonDeadline, Detail: "the deadline or the route's timeout has passed"}
+	if response, _ := r.race.failure(); notRun && response == nil && !r.headersSent {
+		refusal.Detail = "no upstream could be reached in time"
+	}
+	r.refuse(refusal)
+}
+
+// reportDone reports the end of the request to the node and to the observer.
+func (r *relayedRequest) reportDone() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	r.result.Duration = r.relay.clock().Sub(r.inbound.ReceivedAt)
+	attempts := r.race.attempts()
+	attempts.Cause, attempts.Unanswered = r.result.End.Cause, r.result.End.Unanswered
+	r.result.End = attempts
+	// Send fails only if the node has stopped or does not respond in time.
+	// There is nothing left to do in either case.
+	_ = r.relay.node.Send(ctx, lentilmux.ForwardDoneMsg{
+		Request: r.inbound.ID, Outcome: r.result.Outcome, Reason: r.result.Reason, Status: r.result.Status,
+		Events: r.result.Events, TimeToFirstByte: r.result.TimeToFirstByte, MaxEventGap: r.result.MaxEventGap, Duration: r.result.Duration,
+		End: r.result.End,
+	})
+	r.relay.observe(r.result)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -3,6 +3,11 @@
 // the caller, and asks for a further attempt if that one fails. A retried
 // stream resumes after the last complete event that the caller has.
 //
+// If an attempt stalls, the node may give another one beside it. Both then race:
+// the one whose answer begins or goes on first is passed on, and the others are
+// canceled. An attempt that may still go on is never given up for one that may
+// not begin.
+//
 // The package decides only what follows from the bytes of a response. The node
 // decides where a request goes and whether it may be retried. The package
 // reaches upstreams through [lentilmux.RequestSender] and callers through
@@ -16,8 +21,7 @@
 
 import (
 	"context"
-	"io"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,10 +33,6 @@
 // has its own context since it is also sent after the caller has disconnected.
 const reportTimeout = 5 * time.Second
 
-// errStalled is the cause with which a stalled attempt is canceled when
-// another one replaces it.
-const errStalled = errors.ConstError("attempt stalled and replaced")
-
 // Result describes how a request ended.
 type Result struct {
 	Kind            lentilmux.CallKind
@@ -43,6 +43,7 @@
 	TimeToFirstByte time.Duration // from arrival to the first byte of the answer; 0 without one
 	MaxEventGap     time.Duration // longest time between two events
 	Duration        time.Duration // from arrival to the end of the request
+	End             lentilmux.RequestEnd
 }
 
 // Relay relays requests to upstreams. It is safe for concurrent use.
@@ -79,293 +80,93 @@
 // Run serves one request until it is answered, refused or aborted. It reports
 // the end to the node and to the observer.
 func (r *Relay) Run(ctx context.Context, inbound lentilmux.InboundRequest, sender lentilmux.RequestSender, sink lentilmux.Sink) {
-	request := &relayedRequest{relay: r, inbound: inbound, sender: sender, sink: sink, lastEvent: inbound.ResumeAfter, result: Result{Outcome: lentilmux.OutcomeUnknown}}
-	defer request.reportDone()
-	answer, err := r.node.Ask(ctx, lentilmux.ForwardMsg{Inbound: inbound})
-	for err == nil {
-		switch x := answer.(type) {
-		case lentilmux.RefusalAnswer:
-			request.refuse(&x.Refusal)
-			return
-		case lentilmux.AttemptAnswer:
-			failure := request.runAttempt(ctx, x.Attempt)
-			if failure == nil {
-				return
-			}
-			if next := request.replacement.Load(); next != nil {
-				answer = lentilmux.AttemptAnswer{Attempt: *next}
-				continue
-			}
-			answer, err = r.node.Ask(ctx, *failure)
-		default:
-			err = errors.Errorf("unexpected answer %T", answer)
-		}
+	request := &relayedRequest{
+		relay: r, inbound: inbound, sender: sender, sink: sink, result: Result{Outcome: lentilmux.OutcomeUnknown},
+		race: race{lastEvent: inbound.ResumeAfter}, results: make(chan contenderResult, 1),
 	}
-	request.abort(err)
+	ctx, cancel := context.WithCancel(ctx)
+	defer request.reportDone()
+	defer request.dropResults()
+	defer request.contenders.Wait()
+	defer cancel()
+	request.serve(ctx)
+}
+
+// Abandon ends a request whose body did not arrive completely. Nothing of it was
+// sent to an upstream.
+func (r *Relay) Abandon(inbound lentilmux.InboundRequest, sink lentilmux.Sink) {
+	request := &relayedRequest{relay: r, inbound: inbound, sink: sink, result: Result{Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled}}
+	request.result.End.Cause = lentilmux.EndBodyUnreadable
+	request.breakOff()
+	request.reportDone()
 }
 
-// relayedRequest is the state of one request while [Relay.Run] serves it.
+// relayedRequest is the state of one request while [Relay.Run] serves it. Only
+// the goroutine of Run uses it, except for the fields of the last group.
 type relayedRequest struct {
 	relay   *Relay
 	inbound lentilmux.InboundRequest
 	sender  lentilmux.RequestSender
 	sink    lentilmux.Sink
 
-	lastEvent      int64                      // number of the last event sent to the caller; negative for none
-	headersSent    bool                       // whether status and headers were sent to the caller
-	failedResponse lentilmux.UpstreamResponse // last failure of an upstream, sent to the caller if no attempt succeeds
-	failedBody     []byte                     // body of failedResponse
-	lastEventAt    time.Time                  // when lastEvent was sent
-	result         Result
-
-	// Both are also used by the goroutine of the watchdog.
-	delivered   atomic.Int64                      // events sent to the caller
-	replacement atomic.Pointer[lentilmux.Attempt] // replaces the current attempt, which has stalled; nil for none
-}
-
-// reportStall reports a stalled attempt to the node. If the node replaces the
-// attempt, reportStall cancels it. Otherwise it returns the time until the
-// stall is to be reported again, or zero if it is not.
-func (r *relayedRequest) reportStall(ctx context.Context, attempt lentilmux.Attempt, cancel context.CancelCauseFunc) (wait time.Duration) {
-	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardStalledMsg{Request: attempt.Request, Epoch: attempt.Epoch, Delivered: int(r.delivered.Load())})
-	if err != nil {
-		return 0 // the attempt has ended
-	}
-	switch x := answer.(type) {
-	case lentilmux.WaitAnswer:
-		return x.Wait
-	case lentilmux.AttemptAnswer:
-		r.replacement.Store(&x.Attempt)
-		cancel(errStalled)
-	}
-	return 0
-}
-
-// reportDone reports the end of the request to the node and to the observer.
-func (r *relayedRequest) reportDone() {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-	defer cancel()
-	r.result.Duration = r.relay.clock().Sub(r.inbound.ReceivedAt)
-	// Send fails only if the node has stopped or does not respond in time.
-	// There is nothing left to do in either case.
-	_ = r.relay.node.Send(ctx, lentilmux.ForwardDoneMsg{
-		Request: r.inbound.ID, Outcome: r.result.Outcome, Reason: r.result.Reason, Status: r.result.Status,
-		Events: r.result.Events, TimeToFirstByte: r.result.TimeToFirstByte, MaxEventGap: r.result.MaxEventGap, Duration: r.result.Duration,
-	})
-	r.relay.observe(r.result)
-}
-
-// refuse ends a request that gets no further attempt. A response that has begun
-// is aborted. Otherwise the caller gets the last failure response of an
-// upstream, if there is one and the request may have run, or else the refusal.
-func (r *relayedRequest) refuse(refusal *lentilmux.Refusal) {
-	r.result.Outcome, r.result.Reason = refusal.Outcome, refusal.Reason
-	switch {
-	case r.headersSent:
-		r.sink.Abort()
-	case r.failedResponse != nil && refusal.Outcome != lentilmux.OutcomeNotRun:
-		r.result.Status = r.sink.WriteReply(r.failedResponse, r.failedBody)
-	default:
-		r.result.Status = r.sink.Refuse(refusal)
-	}
-}
-
-// abort ends a request whose caller disconnected or whose node stopped.
-func (r *relayedRequest) abort(err error) {
-	r.result.Reason = lentilmux.ReasonCanceled
-	if errors.Is(err, lentilmux.ErrStopped) {
-		r.result.Reason = lentilmux.ReasonDraining
-	}
-	r.sink.Abort()
-}
-
-// runAttempt makes one attempt. It returns nil if the request has ended, else a
-// report of what failed.
-func (r *relayedRequest) runAttempt(ctx context.Context, attempt lentilmux.Attempt) (failure *lentilmux.ForwardFailedMsg) {
-	r.result.Kind = attempt.Kind
-	ctx, cancel := context.WithTimeout(ctx, attempt.Deadline.Sub(r.relay.clock()))
-	defer cancel()
-	attemptCtx, cancelAttempt := context.WithCancelCause(ctx)
-	defer cancelAttempt(nil)
-	r.replacement.Store(nil)
-	stallWatchdog := newWatchdog(attempt.FirstEventTimeout)
-	stallWatchdog.start(func() (wait time.Duration) { return r.reportStall(attemptCtx, attempt, cancelAttempt) })
-	defer stallWatchdog.stop()
-	response, err := r.sender.Send(attemptCtx, attempt, r.lastEvent)
-	if err != nil {
-		return r.handleError(ctx, attemptCtx, attempt, err)
-	}
-	defer response.Close()
-	r.reportLimit(attemptCtx, attempt, response)
-	switch {
-	case response.Verdict() == lentilmux.VerdictSuccess && attempt.Kind.Streams():
-		err = r.relayStream(attemptCtx, attempt, response, stallWatchdog)
-	case response.Verdict() == lentilmux.VerdictSuccess:
-		err = r.relayReply(attempt, response)
-	default:
-		return r.handleUnsuccessful(attempt, response)
-	}
-	if err == nil {
-		return nil
-	}
-	return r.handleError(ctx, attemptCtx, attempt, err)
-}
-
-// reportLimit reports the request limit that an answer names, or that it no longer
-// names one.
-func (r *relayedRequest) reportLimit(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) {
-	limit := response.RequestLimit()
-	if response.Verdict() == lentilmux.VerdictInvalid || !limit.Named && !attempt.Limited {
-		return
-	}
-	// Send fails only if the request is ending; a later answer tells the limit too.
-	_ = r.relay.node.Send(ctx, lentilmux.UpstreamLimitMsg{Request: attempt.Request, Upstream: attempt.Upstream, Limit: limit})
-}
-
-// relayReply passes on a response that is not a stream.
-func (r *relayedRequest) relayReply(attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) (err error) {
-	body, err := response.Body()
-	if err != nil {
-		return err
-	}
-	r.recordProgress(attempt)
-	r.result.TimeToFirstByte = r.relay.clock().Sub(r.inbound.ReceivedAt)
-	r.result.Outcome = lentilmux.OutcomeAnswered
-	r.result.Status = r.sink.WriteReply(response, body)
-	return nil
-}
+	headersSent bool      // whether status and headers were sent to the caller
+	lastEventAt time.Time // when the last event was sent to the caller
+	deadline    time.Time // of the attempts; zero before the first
+	result      Result
 
-// relayStream passes on the events of a stream as they arrive. An event number
-// that does not increase is a protocol error, since the caller would get an
-// event twice; so is a stream without events.
-func (r *relayedRequest) relayStream(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse, stallWatchdog *watchdog) (err error) {
-	for started := false; ; started = true {
-		event, number, err := response.Next()
-		if errors.Is(err, io.EOF) && started {
-			r.result.Outcome = lentilmux.OutcomeAnswered
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if r.lastEvent >= 0 && number <= r.lastEvent {
-			return &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: errors.Errorf("event %d after event %d", number, r.lastEvent)}
-		}
-		stallWatchdog.reset(attempt.EventGapTimeout)
-		r.recordProgress(attempt)
-		if !started {
-			r.start(ctx, attempt, response)
-		}
-		if err := r.sink.WriteEvent(event); err != nil {
-			return errCallerDisconnected
-		}
-		r.recordEvent(number)
-	}
+	race       race
+	contenders sync.WaitGroup       // goroutines of attempts beside the current one
+	results    chan contenderResult // of the contenders, at most one at a time
 }
 
-// errCallerDisconnected ends a stream whose events can no longer be written to
-// the caller.
-const errCallerDisconnected = errors.ConstError("caller disconnected")
-
-// start sends status and headers to the caller, once per request, and reports
-// the first event of an attempt to the node, which means that prefill is
-// complete.
-func (r *relayedRequest) start(ctx context.Context, attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) {
-	if !r.headersSent {
-		r.sink.WriteHeader(response)
-		r.headersSent = true
-		r.result.Status = 200
-	}
-	// Send fails only if the request is ending, which is reported in any case.
-	_ = r.relay.node.Send(ctx, lentilmux.ForwardStartedMsg{Request: attempt.Request, Epoch: attempt.Epoch})
-}
-
-// recordEvent records an event that was sent to the caller.
-func (r *relayedRequest) recordEvent(number int64) {
-	now := r.relay.clock()
-	if r.result.Events == 0 {
-		r.result.TimeToFirstByte = now.Sub(r.inbound.ReceivedAt)
-	} else {
-		r.result.MaxEventGap = max(r.result.MaxEventGap, now.Sub(r.lastEventAt))
-	}
-	r.lastEventAt = now
-	r.result.Events++
-	r.lastEvent = number
-	r.delivered.Add(1)
-}
-
-// handleUnsuccessful handles a response that is not a success, and returns as
-// [relayedRequest.runAttempt] does. A failure response is kept for the case
-// that no later attempt succeeds; it is passed on immediately if the call is
-// not repeatable.
-func (r *relayedRequest) handleUnsuccessful(attempt lentilmux.Attempt, response lentilmux.UpstreamResponse) (failure *lentilmux.ForwardFailedMsg) {
-	r.recordProgress(attempt)
-	failure = r.failureReport(attempt, lentilmux.FailureRefused)
-	failure.BlamedUpstream = response.BlamedUpstream()
-	switch response.Verdict() {
-	case lentilmux.VerdictNotRun:
-		failure.NotRun = true
-		failure.Answered = true
-	case lentilmux.VerdictFailed:
-		failure.Answered = true
-		body, err := response.Body()
-		if err != nil {
-			failure.Answered, failure.Kind = false, lentilmux.FailureCrash
-			return failure
+// serve makes attempts until the request has ended.
+func (r *relayedRequest) serve(ctx context.Context) {
+	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
+	for err == nil {
+		var failure *lentilmux.ForwardFailedMsg
+		switch x := answer.(type) {
+		case lentilmux.RefusalAnswer:
+			r.refuse(&x.Refusal)
+			return
+		case lentilmux.AttemptAnswer:
+			attempt := r.startAttempt(ctx, x.Attempt)
+			r.race.add(attempt)
+			failure = r.runAttempt(ctx, attempt, r.begin(attempt))
+		case lentilmux.WaitAnswer:
+			result, ok := r.awaitContender(ctx)
+			if !ok {
+				return
+			}
+			if result.attempt == nil {
+				answer = result.answer
+				continue
+			}
+			failure = r.runAttempt(ctx, result.attempt, nil)
+		default:
+			err = errors.Errorf("unexpected answer %T", answer)
+			continue
 		}
-		r.failedResponse, r.failedBody = response, body
-		if !attempt.Kind.Repeatable() && !r.headersSent {
-			r.result.Outcome = lentilmux.OutcomeAnswered
-			r.result.Status = r.sink.WriteReply(response, body)
-			return nil
+		if failure == nil {
+			return
 		}
-	default:
-		failure.Kind = lentilmux.FailureProtocol
-	}
-	return failure
-}
-
-// handleError handles an attempt that ended with err, and returns as
-// [relayedRequest.runAttempt] does. It ends the request if the caller
-// disconnected or the deadline passed.
-func (r *relayedRequest) handleError(ctx, attemptCtx context.Context, attempt lentilmux.Attempt, err error) (failure *lentilmux.ForwardFailedMsg) {
-	failure = r.failureReport(attempt, lentilmux.FailureProtocol)
-	var upstreamErr *lentilmux.UpstreamError
-	if errors.As(err, &upstreamErr) {
-		failure.Kind = upstreamErr.Kind
-	}
-	failure.NotRun = failure.Kind == lentilmux.FailureDial
-	switch {
-	case errors.Is(err, errCallerDisconnected), errors.Is(ctx.Err(), context.Canceled):
-		r.abort(err)
-		return nil
-	case ctx.Err() != nil:
-		r.expire(failure.NotRun)
-		return nil
-	case errors.Is(context.Cause(attemptCtx), errStalled):
-		failure.Kind = lentilmux.FailureTimeout
-	}
-	return failure
-}
-
-// expire ends a request whose deadline has passed.
-func (r *relayedRequest) expire(notRun bool) {
-	refusal := &lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonDeadline, Detail: "the deadline or the route's timeout has passed"}
-	if notRun && r.failedResponse == nil && !r.headersSent {
-		refusal.Detail = "no upstream could be reached in time"
-	}
-	r.refuse(refusal)
-}
-
-// failureReport returns the report of a failed attempt.
-func (r *relayedRequest) failureReport(attempt lentilmux.Attempt, kind lentilmux.FailureKind) *lentilmux.ForwardFailedMsg {
-	return &lentilmux.ForwardFailedMsg{Request: attempt.Request, Epoch: attempt.Epoch, Kind: kind, Delivered: r.result.Events}
-}
-
-// recordProgress records progress of all upstreams on the path of an attempt.
-func (r *relayedRequest) recordProgress(attempt lentilmux.Attempt) {
-	now := r.relay.clock()
-	for _, progress := range attempt.Progress {
-		progress.Record(now)
-	}
+		answer, err = r.relay.node.Ask(ctx, *failure)
+	}
+	r.abort(ctx, err)
+}
+
+// awaitContender waits for the result of an attempt beside the one that failed. It
+// ends the request and returns false if the caller disconnects or the deadline
+// passes.
+func (r *relayedRequest) awaitContender(ctx context.Context) (result contenderResult, ok bool) {
+	timer := time.NewTimer(r.deadline.Sub(r.relay.clock()))
+	defer timer.Stop()
+	select {
+	case result := <-r.results:
+		return result, true
+	case <-ctx.Done():
+		r.abort(ctx, ctx.Err())
+	case <-timer.C:
+		r.expire(false)
+	}
+	return contenderResult{}, false
 }
