Show the timeline of the store in logs and metrics

The log could not tell whether a VM reads from its old offset after the store was restored from an earlier copy, drops what it reads, or gets outdated copies from peers: it named neither the restore nor the history that an offset belongs to.

It is carried through reads of the store and of peers' copies as a Timeline. Events: store_restored with positions before and after, the position in store_reachable. Metrics: lentilmux_store_timeline by stream and lentilmux_rules_version. Nothing decides by it yet.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -85,6 +85,7 @@
 	node         *lentilmux.Node
 	metrics      *metrics
 	heldParts    heldParts
+	storeState   storeState
 	decisionLog  *decisionLog
 	digests      *peer.LoadDigestConn
 	copies       *platformlog.CopyCache
@@ -111,6 +112,9 @@
 	if err = g.metrics.observeHeldParts(g.heldParts.count); err != nil {
 		return nil, err
 	}
+	if err = g.metrics.observeStore(&g.storeState); err != nil {
+		return nil, err
+	}
 	g.state.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.limits.Store(&config.Limits)
 	g.sharedReads.Store(true)
@@ -243,6 +247,10 @@
 		go g.putRecord(x)
 	case lentilmux.HeldPartsEffect:
 		g.heldParts.publish(x.Parts)
+	case lentilmux.RulesVersionEffect:
+		g.storeState.publishRules(x.Version)
+	case lentilmux.StreamTimelineEffect:
+		g.storeState.publishTimeline(x.Stream, x.Timeline)
 	}
 }
 
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -69,6 +69,28 @@
 	return err
 }
 
+// observeStore adds the version of the configuration in force and the timeline of
+// each stream.
+func (m *metrics) observeStore(state *storeState) (err error) {
+	rules, err := m.meter.Int64ObservableGauge("lentilmux_rules_version", metric.WithDescription("Version of the configuration in force."))
+	if err != nil {
+		return err
+	}
+	timeline, err := m.meter.Int64ObservableGauge("lentilmux_store_timeline", metric.WithDescription("Timeline from which a stream is read. It rises when the store is restored from an earlier copy."))
+	if err != nil {
+		return err
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		version, timelines := state.read()
+		observer.ObserveInt64(rules, int64(version))
+		for stream, value := range timelines {
+			observer.ObserveInt64(timeline, int64(value), metric.WithAttributes(attribute.String("stream", string(stream))))
+		}
+		return nil
+	}, rules, timeline)
+	return err
+}
+
 // countRequest records a finished request of a [VM].
 func (m *metrics) countRequest(observation caller.Observation) {
 	ctx := context.Background()
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -45,7 +45,7 @@
 	t.RecordDecision(lentilmux.Decision{What: "store_unreachable", Subject: string(failed.Stream), Reason: failed.Err.Error()})
 }
 
-// recordRead marks a stream as read at msg.AsOf and logs a recovery.
+// recordRead marks a stream as read at msg.AsOf and logs a recovery and a restore.
 func (a *ApplyStoreUpdates) recordRead(t *Tables, msg lentilmux.StreamUpdatesMsg, now time.Time) {
 	state := t.Streams.Find(msg.Stream)
 	if state == nil {
@@ -53,13 +53,27 @@
 	}
 	if state.Failing {
 		state.Failing, state.RecoveredAt = false, now
-		t.RecordDecision(lentilmux.Decision{What: "store_reachable", Subject: string(msg.Stream), Reason: describeOutage(state, now)})
+		t.RecordDecision(lentilmux.Decision{What: "store_reachable", Subject: string(msg.Stream), Chosen: msg.Position.String(), Reason: describeOutage(state, now)})
 	}
+	a.recordTimeline(t, state, msg)
 	if msg.AsOf.After(state.AsOf) {
 		state.AsOf = msg.AsOf
 	}
 }
 
+// recordTimeline publishes the timeline of a stream when it is first known and when
+// it rises, which shows that the store was restored from an earlier copy.
+func (a *ApplyStoreUpdates) recordTimeline(t *Tables, state *StreamState, msg lentilmux.StreamUpdatesMsg) {
+	known, rose := !state.AsOf.IsZero(), msg.Position.Timeline > state.Position.Timeline
+	if known && rose {
+		t.RecordDecision(lentilmux.Decision{What: "store_restored", Subject: string(msg.Stream), Chosen: msg.Position.String(), Reason: "was read up to " + state.Position.String()})
+	}
+	if !known || rose {
+		t.AddEffect(lentilmux.StreamTimelineEffect{Stream: msg.Stream, Timeline: msg.Position.Timeline})
+	}
+	state.Position = msg.Position
+}
+
 // describeOutage returns for how long a stream could not be read.
 func describeOutage(state *StreamState, now time.Time) string {
 	if state.AsOf.IsZero() {
@@ -100,6 +114,7 @@
 	previous := t.Rules.Version
 	t.Rules.install(rules)
 	t.AddEffect(lentilmux.BodyLimitEffect{MaxBytes: rules.Limits.MaxBodyBytes})
+	t.AddEffect(lentilmux.RulesVersionEffect{Version: rules.Version})
 	t.RecordDecision(lentilmux.Decision{
 		What: "rules_installed", Subject: fmt.Sprint(rules.Version), Chosen: fmt.Sprintf("%d routes, %d workspaces", len(rules.Routes), len(rules.Workspaces)),
 		Reason: fmt.Sprintf("previous version %d", previous),
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -11,23 +11,26 @@
 type StreamStates struct {
 	Rules     StreamState
 	Upstreams StreamState
+	VMs       StreamState
 }
 
 // StreamState is the read state of one stream of the store.
 type StreamState struct {
-	AsOf        time.Time // when the last successful read was sent
-	Failing     bool      // whether the last read failed
-	RecoveredAt time.Time // when a read last succeeded after a failure
+	AsOf        time.Time             // when the last successful read was sent
+	Failing     bool                  // whether the last read failed
+	RecoveredAt time.Time             // when a read last succeeded after a failure
+	Position    lentilmux.LogPosition // where the next read starts
 }
 
-// Find returns the state of a stream, or nil for a stream whose age is not
-// tracked.
+// Find returns the state of a stream, or nil for an unknown stream.
 func (s *StreamStates) Find(stream lentilmux.Stream) (state *StreamState) {
 	switch stream {
 	case lentilmux.StreamRules:
 		return &s.Rules
 	case lentilmux.StreamUpstreams:
 		return &s.Upstreams
+	case lentilmux.StreamVMs:
+		return &s.VMs
 	default:
 		return nil
 	}
--- a/peer/copies.go
+++ b/peer/copies.go
@@ -66,7 +66,7 @@
 func (c *CopyClient) Read(ctx context.Context, addr netip.AddrPort, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
 	defer errors.DeferredAnnotatef(&err, "reading stream %s from peer %s", read.Stream, addr)
 	response, err := c.stub(addr).Read(ctx, connect.NewRequest(&peerpb.CopyReadRequest{
-		Stream: string(read.Stream), Whole: read.AllKeys, From: read.From, WaitMs: read.Wait.Milliseconds(),
+		Stream: string(read.Stream), Whole: read.AllKeys, Timeline: uint64(read.Timeline), From: read.From, WaitMs: read.Wait.Milliseconds(),
 	}))
 	switch connect.CodeOf(err) {
 	case connect.CodeOutOfRange:
@@ -77,7 +77,7 @@
 	if err != nil {
 		return page, err
 	}
-	page = lentilmux.CompactedPage{End: response.Msg.GetEnd(), Lag: time.Duration(response.Msg.GetLagNs())}
+	page = lentilmux.CompactedPage{Timeline: lentilmux.Timeline(response.Msg.GetTimeline()), End: response.Msg.GetEnd(), Lag: time.Duration(response.Msg.GetLagNs())}
 	for _, entry := range response.Msg.GetEntries() {
 		page.Entries = append(page.Entries, lentilmux.CompactedEntry{Key: entry.GetKey(), Value: entry.GetValue(), Offset: entry.GetOffset()})
 	}
@@ -105,7 +105,7 @@
 func (h *copyHandler) Read(ctx context.Context, request *connect.Request[peerpb.CopyReadRequest]) (response *connect.Response[peerpb.CopyReadResponse], err error) {
 	read := request.Msg
 	page, err := h.reader.Read(ctx, lentilmux.CopyRead{
-		Stream: lentilmux.Stream(read.GetStream()), AllKeys: read.GetWhole(), From: read.GetFrom(),
+		Stream: lentilmux.Stream(read.GetStream()), AllKeys: read.GetWhole(), Timeline: lentilmux.Timeline(read.GetTimeline()), From: read.GetFrom(),
 		Wait: min(time.Duration(read.GetWaitMs())*time.Millisecond, maxCopyWait),
 	})
 	switch {
@@ -116,7 +116,7 @@
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	reply := &peerpb.CopyReadResponse{End: page.End, LagNs: page.Lag.Nanoseconds()}
+	reply := &peerpb.CopyReadResponse{Timeline: uint64(page.Timeline), End: page.End, LagNs: page.Lag.Nanoseconds()}
 	for _, entry := range page.Entries {
 		reply.Entries = append(reply.Entries, &peerpb.CopyEntry{Key: entry.Key, Value: entry.Value, Offset: entry.Offset})
 	}
--- a/peer/copies_test.go
+++ b/peer/copies_test.go
@@ -34,13 +34,13 @@
 // with the golden file. It guards against fields and kinds of errors that get
 // lost in transit.
 func TestCopyRoundTrip(t *testing.T) {
-	read := lentilmux.CopyRead{Stream: lentilmux.StreamUpstreams, From: 17, Wait: 800 * time.Millisecond}
+	read := lentilmux.CopyRead{Stream: lentilmux.StreamUpstreams, Timeline: 2, From: 17, Wait: 800 * time.Millisecond}
 	cases := []struct {
 		name   string
 		read   lentilmux.CopyRead
 		reader copyReader
 	}{
-		{"entries", read, copyReader{page: lentilmux.CompactedPage{End: 1 << 40, Lag: 3 * time.Millisecond, Entries: []lentilmux.CompactedEntry{
+		{"entries", read, copyReader{page: lentilmux.CompactedPage{Timeline: 3, End: 1 << 40, Lag: 3 * time.Millisecond, Entries: []lentilmux.CompactedEntry{
 			{Key: "a", Value: []byte("\x00\xff"), Offset: 18}, {Key: "b", Offset: 1<<40 - 1},
 		}}}},
 		{"newer than the request", lentilmux.CopyRead{Stream: lentilmux.StreamRules, AllKeys: true}, copyReader{page: lentilmux.CompactedPage{Lag: -time.Second}}},
@@ -62,7 +62,7 @@
 			text := strings.ReplaceAll(err.Error(), addr.String(), "ADDR")
 			fmt.Fprintf(&out, "error %s; truncated=%t behind=%t\n", text, errors.Is(err, lentilmux.ErrTruncated), errors.Is(err, lentilmux.ErrCopyBehind))
 		} else {
-			fmt.Fprintf(&out, "end %d lag %s entries %+v\n", page.End, page.Lag, page.Entries)
+			fmt.Fprintf(&out, "timeline %d end %d lag %s entries %+v\n", page.Timeline, page.End, page.Lag, page.Entries)
 		}
 		server.Close()
 	}
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -53,20 +53,20 @@
 // Run follows the stream until ctx ends or the node stops. It lists the stream
 // again if the store has dropped entries that were not read yet.
 func (f *Follower) Run(ctx context.Context) {
-	var next uint64
+	var next lentilmux.LogPosition
 	listed := false
 	for ctx.Err() == nil {
 		started := time.Now()
 		var msg lentilmux.StreamUpdatesMsg
 		var err error
 		if !listed {
-			msg, next, err = f.list(ctx)
+			msg, err = f.list(ctx)
 		} else {
-			msg, next, err = f.follow(ctx, next)
+			msg, err = f.follow(ctx, next)
 		}
 		switch {
 		case err == nil:
-			listed, f.retryDelay = true, 0
+			listed, next, f.retryDelay = true, msg.Position, 0
 			err = f.node.Send(ctx, msg)
 		case errors.Is(err, lentilmux.ErrTruncated):
 			listed, err = false, nil
@@ -85,17 +85,17 @@
 // list reads the newest entry of each key, page by page. The pages are not a
 // consistent snapshot. Following therefore starts at the end offset of the
 // first page, so that entries added during the listing are read again.
-func (f *Follower) list(ctx context.Context) (msg lentilmux.StreamUpdatesMsg, next uint64, err error) {
+func (f *Follower) list(ctx context.Context) (msg lentilmux.StreamUpdatesMsg, err error) {
 	defer errors.DeferredAnnotatef(&err, "listing stream %s", f.stream)
 	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock(), AllKeys: true}
 	after := ""
 	for pageNumber := 0; ; pageNumber++ {
 		page, err := f.listPage(ctx, after)
 		if err != nil {
-			return msg, 0, err
+			return msg, err
 		}
 		if pageNumber == 0 {
-			next = page.End
+			msg.Position = lentilmux.LogPosition{Timeline: page.Timeline, Offset: page.End}
 			msg.AsOf = msg.AsOf.Add(-page.Lag)
 		}
 		for _, entry := range page.Entries {
@@ -103,7 +103,7 @@
 			after = entry.Key
 		}
 		if !page.More || len(page.Entries) == 0 {
-			return msg, next, nil
+			return msg, nil
 		}
 	}
 }
@@ -115,9 +115,8 @@
 	return f.log.Newest(ctx, f.stream, after)
 }
 
-// follow reads the entries from the offset next on and returns the offset to
-// read from after them.
-func (f *Follower) follow(ctx context.Context, next uint64) (msg lentilmux.StreamUpdatesMsg, end uint64, err error) {
+// follow reads the entries from a position on.
+func (f *Follower) follow(ctx context.Context, from lentilmux.LogPosition) (msg lentilmux.StreamUpdatesMsg, err error) {
 	defer errors.DeferredAnnotatef(&err, "following stream %s", f.stream)
 	wait := f.timing(f.stream).MaxWait
 	if f.retryDelay > 0 {
@@ -125,15 +124,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followTimeout)
 	defer cancel()
-	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock()}
-	page, err := f.log.Follow(ctx, f.stream, next, wait)
+	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock(), Position: from}
+	page, err := f.log.Follow(ctx, f.stream, from.Offset, wait)
 	if err != nil {
-		return msg, next, err
+		return msg, err
 	}
+	msg.Position.Timeline = page.Timeline
 	msg.AsOf = msg.AsOf.Add(-page.Lag)
 	for _, entry := range page.Entries {
 		msg.Updates = append(msg.Updates, f.decode(entry))
-		next = entry.Offset + 1
+		msg.Position.Offset = entry.Offset + 1
 	}
-	return msg, next, nil
+	return msg, nil
 }
--- a/platformlog/follower_test.go
+++ b/platformlog/follower_test.go
@@ -61,7 +61,7 @@
 func (f *fakeLog) Send(_ context.Context, msg lentilmux.Msg) error {
 	switch x := msg.(type) {
 	case lentilmux.StreamUpdatesMsg:
-		fmt.Fprintf(&f.out, "%6s as of %s, all keys=%t:", time.Since(f.started), x.AsOf.Sub(f.started), x.AllKeys)
+		fmt.Fprintf(&f.out, "%6s as of %s, timeline %d, all keys=%t:", time.Since(f.started), x.AsOf.Sub(f.started), x.Position.Timeline, x.AllKeys)
 		for _, update := range x.Updates {
 			fmt.Fprintf(&f.out, " %s@%d", update.Key, update.Offset)
 		}
--- a/streams.go
+++ b/streams.go
@@ -43,9 +43,10 @@
 
 // CompactedPage is the result of one read of a compacted stream.
 type CompactedPage struct {
-	Entries []CompactedEntry
-	End     uint64 // the offset that the next entry will get
-	More    bool   // whether there are more keys after the last one; only from Newest
+	Entries  []CompactedEntry
+	Timeline Timeline // of the log; all offsets of the page belong to it
+	End      uint64   // the offset that the next entry will get
+	More     bool     // whether there are more keys after the last one; only from Newest
 	// Lag bounds the age of the page: the page was up to date at most this long
 	// before the read was sent. It is zero for a page read from the log itself.
 	Lag time.Duration
@@ -54,10 +55,11 @@
 // CopyRead holds the parameters of a read from a peer's copy of a compacted
 // stream.
 type CopyRead struct {
-	Stream  Stream
-	AllKeys bool          // read the newest entries of all keys instead of those from From on
-	From    uint64        // first offset to read; a copy that does not reach it is behind
-	Wait    time.Duration // maximum wait for the first entry
+	Stream   Stream
+	AllKeys  bool          // read the newest entries of all keys instead of those from From on
+	Timeline Timeline      // of From; a copy of an earlier timeline is behind
+	From     uint64        // first offset to read; a copy that does not reach it is behind
+	Wait     time.Duration // maximum wait for the first entry
 }
 
 // StreamCopies reads the copies of compacted streams that peers keep.
@@ -104,10 +106,22 @@
 
 // StreamUpdatesMsg carries the result of a read of a compacted stream.
 type StreamUpdatesMsg struct {
-	Stream  Stream
-	AsOf    time.Time // time at which the result was up to date: when the read was sent, less the lag
-	AllKeys bool      // whether Updates holds every key of the stream
-	Updates []StreamUpdate
+	Stream   Stream
+	AsOf     time.Time   // time at which the result was up to date: when the read was sent, less the lag
+	Position LogPosition // after the result: where the next read starts
+	AllKeys  bool        // whether Updates holds every key of the stream
+	Updates  []StreamUpdate
+}
+
+// StreamTimelineEffect publishes the timeline from which a stream is read.
+type StreamTimelineEffect struct {
+	Stream   Stream
+	Timeline Timeline
+}
+
+// RulesVersionEffect publishes the version of the configuration in force.
+type RulesVersionEffect struct {
+	Version Revision
 }
 
 // StreamReadFailedMsg reports a failed read of a compacted stream.
