Keep copies of the store's streams to one timeline

After the store was restored from an earlier copy, a relay handed out entries by offset alone: a reader that had read further in the old history found the relay's new copy behind and went back to the store, which it may not reach; a reader from after the restore was answered from a copy from before it; entries of two histories were mixed in one copy, and a listing whose pages were of both was kept as a copy.

A copy is of one timeline now. Offsets are compared within it only: a reader of an earlier timeline is told to list again, one of a later timeline finds the copy behind, and entries or listings of another timeline don't enter a copy.

--- a/platformlog/copycache.go
+++ b/platformlog/copycache.go
@@ -24,11 +24,12 @@
 
 // streamCopy is the copy of one stream.
 type streamCopy struct {
-	entries map[string]lentilmux.CompactedEntry // newest entry by key, including deletions
-	since   uint64                              // the copy has all changes from this offset on
-	next    uint64                              // offset after the last entry
-	asOf    time.Time                           // when the copy was known to be up to date
-	failing bool                                // whether the last read of the stream failed
+	entries  map[string]lentilmux.CompactedEntry // newest entry by key, including deletions
+	timeline lentilmux.Timeline                  // of all entries and offsets
+	since    uint64                              // the copy has all changes from this offset on
+	next     uint64                              // offset after the last entry
+	asOf     time.Time                           // when the copy was known to be up to date
+	failing  bool                                // whether the last read of the stream failed
 }
 
 // NewCopyCache returns a cache without copies. It rejects reads while its copy
@@ -37,38 +38,45 @@
 	return &CopyCache{clock: clock, maxAge: maxAge, streams: make(map[lentilmux.Stream]*streamCopy), changed: make(chan struct{})}
 }
 
-// NextOffset returns the offset after the last entry of a stream's copy, or 0
-// without a copy.
-func (c *CopyCache) NextOffset(stream lentilmux.Stream) (next uint64) {
+// Position returns the position after the last entry of a stream's copy, or the
+// start of the log without a copy.
+func (c *CopyCache) Position(stream lentilmux.Stream) (next lentilmux.LogPosition) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cached := c.streams[stream]; cached != nil {
-		next = cached.next
+		next = lentilmux.LogPosition{Timeline: cached.timeline, Offset: cached.next}
 	}
 	return next
 }
 
 // Replace replaces a stream's copy by a complete listing, which was requested
-// at asOf. Changes from the offset since on are to be added by
-// [CopyCache.AddEntries].
-func (c *CopyCache) Replace(stream lentilmux.Stream, entries []lentilmux.CompactedEntry, since uint64, asOf time.Time) {
-	cached := &streamCopy{entries: make(map[string]lentilmux.CompactedEntry, len(entries)), since: since, next: since, asOf: asOf}
+// at asOf. Changes from the position since on are to be added by
+// [CopyCache.AddEntries]. A listing of an earlier timeline than the copy's is
+// ignored.
+func (c *CopyCache) Replace(stream lentilmux.Stream, entries []lentilmux.CompactedEntry, since lentilmux.LogPosition, asOf time.Time) {
+	cached := &streamCopy{
+		entries: make(map[string]lentilmux.CompactedEntry, len(entries)), timeline: since.Timeline, since: since.Offset, next: since.Offset, asOf: asOf,
+	}
 	for _, entry := range entries {
 		cached.entries[entry.Key] = entry
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if known := c.streams[stream]; known != nil && known.timeline > cached.timeline {
+		return
+	}
 	c.streams[stream] = cached
 	c.notify()
 }
 
 // AddEntries adds the entries of a read that was sent at asOf. It clears a
-// failure of the stream.
-func (c *CopyCache) AddEntries(stream lentilmux.Stream, entries []lentilmux.CompactedEntry, asOf time.Time) {
+// failure of the stream. Entries of another timeline than the copy's are ignored: the
+// copy is to be replaced by a listing of that timeline.
+func (c *CopyCache) AddEntries(stream lentilmux.Stream, timeline lentilmux.Timeline, entries []lentilmux.CompactedEntry, asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cached := c.streams[stream]
-	if cached == nil {
+	if cached == nil || cached.timeline != timeline {
 		return
 	}
 	for _, entry := range entries {
@@ -106,7 +114,8 @@
 // that does not reach the offset yet may do so in the meantime: the reader may
 // have read the store itself before. Read returns [lentilmux.ErrCopyBehind] if the
 // copy is out of date or does not reach the offset after the wait, and
-// [lentilmux.ErrTruncated] if it lacks changes from the given offset on.
+// [lentilmux.ErrTruncated] if it lacks changes from the given offset on. A copy of an
+// earlier timeline than the offset's is behind, one of a later timeline lacks changes.
 func (c *CopyCache) Read(ctx context.Context, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
 	receivedAt := c.clock()
 	timer := time.NewTimer(read.Wait)
@@ -136,13 +145,14 @@
 	if cached == nil || c.isStale() {
 		return page, nil, lentilmux.ErrCopyBehind
 	}
-	if cached.next < read.From {
+	from := lentilmux.LogPosition{Timeline: read.Timeline, Offset: read.From}
+	if cached.timeline < read.Timeline || cached.timeline == read.Timeline && cached.next < read.From {
 		return page, c.changed, lentilmux.ErrCopyBehind
 	}
-	if !read.AllKeys && read.From < cached.since {
+	if !read.AllKeys && from.Compare(lentilmux.LogPosition{Timeline: cached.timeline, Offset: cached.since}) < 0 {
 		return page, nil, lentilmux.ErrTruncated
 	}
-	page = lentilmux.CompactedPage{End: cached.next, Lag: receivedAt.Sub(cached.asOf)}
+	page = lentilmux.CompactedPage{Timeline: cached.timeline, End: cached.next, Lag: receivedAt.Sub(cached.asOf)}
 	for _, entry := range cached.entries {
 		if read.AllKeys && len(entry.Value) > 0 || !read.AllKeys && entry.Offset >= read.From {
 			page.Entries = append(page.Entries, entry)
--- a/platformlog/copycatchup_test.go
+++ b/platformlog/copycatchup_test.go
@@ -24,16 +24,16 @@
 		var out strings.Builder
 		started := time.Now()
 		cache := platformlog.NewCopyCache(time.Now, func() time.Duration { return time.Minute })
-		cache.Replace(lentilmux.StreamUpstreams, nil, 5, started)
+		cache.Replace(lentilmux.StreamUpstreams, nil, offset(5), started)
 		read := func(label string, from uint64, wait time.Duration) {
 			page, err := cache.Read(t.Context(), lentilmux.CopyRead{Stream: lentilmux.StreamUpstreams, From: from, Wait: wait})
 			fmt.Fprintf(&out, "%6s %s from %d: end %d, %d entries, error %v\n", time.Since(started), label, from, page.End, len(page.Entries), errors.Cause(err))
 		}
 		go func() {
 			time.Sleep(300 * time.Millisecond)
-			cache.AddEntries(lentilmux.StreamUpstreams, entriesAt(5, 6, 7), time.Now())
+			cache.AddEntries(lentilmux.StreamUpstreams, 0, entriesAt(5, 6, 7), time.Now())
 			time.Sleep(500 * time.Millisecond)
-			cache.AddEntries(lentilmux.StreamUpstreams, entriesAt(8), time.Now())
+			cache.AddEntries(lentilmux.StreamUpstreams, 0, entriesAt(8), time.Now())
 			time.Sleep(1200 * time.Millisecond)
 			cache.MarkFailed(lentilmux.StreamUpstreams)
 		}()
--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -125,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+followTimeout)
 	defer cancel()
 	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock(), Position: from}
-	page, err := f.log.Follow(ctx, f.stream, from.Offset, wait)
+	page, err := f.log.Follow(ctx, f.stream, from, wait)
 	if err != nil {
 		return msg, err
 	}
--- a/platformlog/follower_test.go
+++ b/platformlog/follower_test.go
@@ -49,8 +49,8 @@
 	return f.next(ctx, 0)
 }
 
-func (f *fakeLog) Follow(ctx context.Context, _ lentilmux.Stream, from uint64, wait time.Duration) (page lentilmux.CompactedPage, err error) {
-	fmt.Fprintf(&f.out, "%6s read from offset %d, wait %s\n", time.Since(f.started), from, wait)
+func (f *fakeLog) Follow(ctx context.Context, _ lentilmux.Stream, from lentilmux.LogPosition, wait time.Duration) (page lentilmux.CompactedPage, err error) {
+	fmt.Fprintf(&f.out, "%6s read from offset %d, wait %s\n", time.Since(f.started), from.Offset, wait)
 	return f.next(ctx, wait)
 }
 
@@ -76,6 +76,12 @@
 	return lentilmux.CompactedPage{End: end, More: more, Entries: entries}
 }
 
+// onTimeline returns a page as read from another timeline of the log.
+func onTimeline(timeline lentilmux.Timeline, page lentilmux.CompactedPage) lentilmux.CompactedPage {
+	page.Timeline = timeline
+	return page
+}
+
 func entry(key string, offset uint64) lentilmux.CompactedEntry {
 	return lentilmux.CompactedEntry{Key: key, Offset: offset, Value: []byte("v")}
 }
--- a/platformlog/peerfirstlog.go
+++ b/platformlog/peerfirstlog.go
@@ -50,8 +50,8 @@
 // listing collects the pages of a listing until it is complete.
 type listing struct {
 	entries []lentilmux.CompactedEntry
-	since   uint64    // end offset of the first page
-	asOf    time.Time // when the first page was requested
+	since   lentilmux.LogPosition // end of the first page
+	asOf    time.Time             // when the first page was requested
 }
 
 // NewPeerFirstLog returns a log that reads the store directly until
@@ -111,6 +111,9 @@
 	readCtx, cancel := context.WithTimeout(ctx, read.Wait+peerReadTimeout)
 	defer cancel()
 	page, err = p.peers.Read(readCtx, addr, read)
+	if err == nil && page.Timeline < read.Timeline {
+		page, err = lentilmux.CompactedPage{}, lentilmux.ErrCopyBehind
+	}
 	switch {
 	case err == nil:
 		return page, true, nil
@@ -127,10 +130,11 @@
 func (p *PeerFirstLog) Newest(ctx context.Context, stream lentilmux.Stream, after string) (page lentilmux.CompactedPage, err error) {
 	sentAt := p.clock()
 	if after == "" {
-		page, ok, err := p.readPeer(ctx, lentilmux.CopyRead{Stream: stream, AllKeys: true, From: p.copies.NextOffset(stream)})
+		known := p.copies.Position(stream)
+		page, ok, err := p.readPeer(ctx, lentilmux.CopyRead{Stream: stream, AllKeys: true, Timeline: known.Timeline, From: known.Offset})
 		if ok {
 			if err == nil {
-				p.copies.Replace(stream, page.Entries, page.End, sentAt.Add(-page.Lag))
+				p.copies.Replace(stream, page.Entries, lentilmux.LogPosition{Timeline: page.Timeline, Offset: page.End}, sentAt.Add(-page.Lag))
 			}
 			return page, err
 		}
@@ -140,29 +144,39 @@
 		p.markStoreFailed(stream)
 		return page, err
 	}
+	p.collect(stream, after, page, sentAt)
+	return page, nil
+}
+
+// collect adds a page of the store to a stream's listing and copies the listing once
+// it is complete. A listing whose pages are of different timelines is dropped.
+func (p *PeerFirstLog) collect(stream lentilmux.Stream, after string, page lentilmux.CompactedPage, sentAt time.Time) {
 	listed := p.listings[stream]
 	if after == "" {
-		*listed = listing{since: page.End, asOf: sentAt}
+		*listed = listing{since: lentilmux.LogPosition{Timeline: page.Timeline, Offset: page.End}, asOf: sentAt}
+	}
+	if page.Timeline != listed.since.Timeline {
+		*listed = listing{}
+		return
 	}
 	listed.entries = append(listed.entries, page.Entries...)
 	if !page.More || len(page.Entries) == 0 {
 		p.copies.Replace(stream, listed.entries, listed.since, listed.asOf)
 		listed.entries = nil
 	}
-	return page, nil
 }
 
 // Follow implements [lentilmux.CompactedLog]. If a peer fails, the store is read
 // with the rest of the wait, unless the store has failed recently as well.
-func (p *PeerFirstLog) Follow(ctx context.Context, stream lentilmux.Stream, from uint64, wait time.Duration) (page lentilmux.CompactedPage, err error) {
+func (p *PeerFirstLog) Follow(ctx context.Context, stream lentilmux.Stream, from lentilmux.LogPosition, wait time.Duration) (page lentilmux.CompactedPage, err error) {
 	sentAt := p.clock()
-	page, ok, err := p.readPeer(ctx, lentilmux.CopyRead{Stream: stream, From: from, Wait: wait})
+	page, ok, err := p.readPeer(ctx, lentilmux.CopyRead{Stream: stream, Timeline: from.Timeline, From: from.Offset, Wait: wait})
 	if !ok {
 		page, err = p.CompactedLog.Follow(ctx, stream, from, max(0, wait-p.clock().Sub(sentAt)))
 	}
 	switch {
 	case err == nil:
-		p.copies.AddEntries(stream, page.Entries, sentAt.Add(-page.Lag))
+		p.copies.AddEntries(stream, page.Timeline, page.Entries, sentAt.Add(-page.Lag))
 	case errors.Is(err, lentilmux.ErrTruncated):
 	case ok:
 		p.copies.MarkFailed(stream)
--- a/streams.go
+++ b/streams.go
@@ -32,10 +32,12 @@
 	// Newest returns a page of the newest entries of the keys that sort after
 	// previousKey. An empty previousKey starts with the first page.
 	Newest(ctx context.Context, stream Stream, previousKey string) (page CompactedPage, err error)
-	// Follow returns the entries from the offset first onward. If there are
-	// none, it waits for one, at most for the duration wait. It returns
-	// [ErrTruncated] if entries from that offset on were dropped.
-	Follow(ctx context.Context, stream Stream, first uint64, wait time.Duration) (page CompactedPage, err error)
+	// Follow returns the entries from a position onward. If there are none, it waits
+	// for one, at most for the duration wait. It returns [ErrTruncated] if entries
+	// from that position on were dropped. If the log was restored from an earlier
+	// copy since, the page is of another timeline and continues nothing that was read
+	// before.
+	Follow(ctx context.Context, stream Stream, first LogPosition, wait time.Duration) (page CompactedPage, err error)
 	// Put appends an entry. After an error it is unknown whether it was
 	// appended.
 	Put(ctx context.Context, stream Stream, key string, value []byte) (err error)
