List a stream again when the store was restored from an earlier copy

A VM went on reading from its old offset. The restored log is shorter and gives the offsets out again, so entries below the old offset were never read; a listing followed only a 410. With the timeline in the log, six VMs read 'offset 5 of timeline 2' after 'offset 5 of timeline 1', and the missed version lay below 5.

A read position is a timeline and an offset now. An answer of a later timeline makes the follower list the stream again at once and is not applied; a listing whose pages are of two timelines starts over; an answer of an earlier timeline is a failed read.

Evidence: five new cases of TestFollower, which on the code before read on from the old offset, apply entries of both timelines and go back to timeline 1.

--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -19,6 +19,14 @@
 	maxRetryDelay = 900 * time.Millisecond
 )
 
+const (
+	// errRestored reports that the log was restored from an earlier copy since the
+	// stream was listed.
+	errRestored = errors.ConstError("log was restored from an earlier copy")
+	// errOutdatedTimeline reports an answer from before the last known restore.
+	errOutdatedTimeline = errors.ConstError("answer is of an earlier timeline")
+)
+
 // DecodeFunc decodes an entry of a compacted stream. If the entry cannot be
 // decoded, the update's DecodeError says why.
 type DecodeFunc func(entry lentilmux.CompactedEntry) (update lentilmux.StreamUpdate)
@@ -39,7 +47,9 @@
 	stream     lentilmux.Stream
 	decode     DecodeFunc
 	timing     func(stream lentilmux.Stream) PollTiming
-	retryDelay time.Duration // backoff after the last read; zero if it succeeded
+	position   lentilmux.LogPosition // where the next read starts
+	listed     bool                  // whether the stream was listed and can be followed from there
+	retryDelay time.Duration         // backoff after the last read; zero if it succeeded
 }
 
 // NewFollower returns a follower of one stream. The clock has to continue while
@@ -51,25 +61,21 @@
 }
 
 // Run follows the stream until ctx ends or the node stops. It lists the stream
-// again if the store has dropped entries that were not read yet.
+// again if the store has dropped entries that were not read yet, and at once if the
+// store was restored from an earlier copy: its offsets mean other entries then.
 func (f *Follower) Run(ctx context.Context) {
-	var next lentilmux.LogPosition
-	listed := false
 	for ctx.Err() == nil {
 		started := time.Now()
-		var msg lentilmux.StreamUpdatesMsg
-		var err error
-		if !listed {
-			msg, err = f.list(ctx)
-		} else {
-			msg, err = f.follow(ctx, next)
-		}
+		msg, err := f.read(ctx)
 		switch {
 		case err == nil:
-			listed, next, f.retryDelay = true, msg.Position, 0
+			f.listed, f.position, f.retryDelay = true, msg.Position, 0
 			err = f.node.Send(ctx, msg)
+		case errors.Is(err, errRestored):
+			f.listed = false
+			continue
 		case errors.Is(err, lentilmux.ErrTruncated):
-			listed, err = false, nil
+			f.listed, err = false, nil
 		default:
 			f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
 			err = f.node.Send(ctx, lentilmux.StreamReadFailedMsg{Stream: f.stream, Err: err})
@@ -82,9 +88,31 @@
 	}
 }
 
+// read lists the stream, or follows it once it was listed.
+func (f *Follower) read(ctx context.Context) (msg lentilmux.StreamUpdatesMsg, err error) {
+	if f.listed {
+		return f.follow(ctx)
+	}
+	return f.list(ctx)
+}
+
+// checkTimeline returns an error unless an answer is of the timeline that is
+// expected: [errRestored] for a later one, [errOutdatedTimeline] for an earlier one.
+func checkTimeline(got, expected lentilmux.Timeline) (err error) {
+	defer errors.DeferredAnnotatef(&err, "timeline %d, expected %d", got, expected)
+	switch {
+	case got > expected:
+		return errRestored
+	case got < expected:
+		return errOutdatedTimeline
+	}
+	return nil
+}
+
 // list reads the newest entry of each key, page by page. The pages are not a
 // consistent snapshot. Following therefore starts at the end offset of the
-// first page, so that entries added during the listing are read again.
+// first page, so that entries added during the listing are read again. All pages
+// have to be of one timeline.
 func (f *Follower) list(ctx context.Context) (msg lentilmux.StreamUpdatesMsg, err error) {
 	defer errors.DeferredAnnotatef(&err, "listing stream %s", f.stream)
 	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock(), AllKeys: true}
@@ -95,9 +123,15 @@
 			return msg, err
 		}
 		if pageNumber == 0 {
+			if page.Timeline < f.position.Timeline {
+				return msg, checkTimeline(page.Timeline, f.position.Timeline)
+			}
 			msg.Position = lentilmux.LogPosition{Timeline: page.Timeline, Offset: page.End}
 			msg.AsOf = msg.AsOf.Add(-page.Lag)
 		}
+		if err := checkTimeline(page.Timeline, msg.Position.Timeline); err != nil {
+			return msg, err
+		}
 		for _, entry := range page.Entries {
 			msg.Updates = append(msg.Updates, f.decode(entry))
 			after = entry.Key
@@ -115,8 +149,8 @@
 	return f.log.Newest(ctx, f.stream, after)
 }
 
-// follow reads the entries from a position on.
-func (f *Follower) follow(ctx context.Context, from lentilmux.LogPosition) (msg lentilmux.StreamUpdatesMsg, err error) {
+// follow reads the entries after the last read.
+func (f *Follower) follow(ctx context.Context) (msg lentilmux.StreamUpdatesMsg, err error) {
 	defer errors.DeferredAnnotatef(&err, "following stream %s", f.stream)
 	wait := f.timing(f.stream).MaxWait
 	if f.retryDelay > 0 {
@@ -124,12 +158,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+followTimeout)
 	defer cancel()
-	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock(), Position: from}
-	page, err := f.log.Follow(ctx, f.stream, from, wait)
+	msg = lentilmux.StreamUpdatesMsg{Stream: f.stream, AsOf: f.clock(), Position: f.position}
+	page, err := f.log.Follow(ctx, f.stream, f.position, wait)
 	if err != nil {
 		return msg, err
 	}
-	msg.Position.Timeline = page.Timeline
+	if err := checkTimeline(page.Timeline, f.position.Timeline); err != nil {
+		return msg, err
+	}
 	msg.AsOf = msg.AsOf.Add(-page.Lag)
 	for _, entry := range page.Entries {
 		msg.Updates = append(msg.Updates, f.decode(entry))
--- a/platformlog/follower_test.go
+++ b/platformlog/follower_test.go
@@ -21,6 +21,8 @@
 	out     strings.Builder
 	started time.Time
 	reads   []fakeRead // results of the reads, in order; later reads return nothing new
+
+	timeline lentilmux.Timeline // of the last page
 }
 
 // fakeRead is the result of one read.
@@ -32,10 +34,13 @@
 
 // next returns the next scripted result, or an empty page after the wait.
 func (f *fakeLog) next(ctx context.Context, wait time.Duration) (page lentilmux.CompactedPage, err error) {
-	read := fakeRead{after: wait}
+	read := fakeRead{after: wait, page: lentilmux.CompactedPage{Timeline: f.timeline}}
 	if len(f.reads) > 0 {
 		read, f.reads = f.reads[0], f.reads[1:]
 	}
+	if read.err == nil {
+		f.timeline = read.page.Timeline
+	}
 	select {
 	case <-time.After(read.after):
 		return read.page, read.err
@@ -88,8 +93,8 @@
 
 // TestFollower compares the reads of a follower, and the messages that it sends
 // to the node, with the golden file. It guards against changes that are missed
-// between listing and following, against stale data after a failed read, and
-// against busy polling.
+// between listing and following or when the log is restored from an earlier copy,
+// against stale data after a failed read, and against busy polling.
 func TestFollower(t *testing.T) {
 	const wait = time.Second
 	cases := []struct {
@@ -109,6 +114,26 @@
 		{"retries without wait after a read that timed out", []fakeRead{
 			{page: page(3, false)}, {after: time.Hour}, {err: errors.New("refused")}, {page: page(3, false)},
 		}},
+		{"listed again at once after the log was restored, since offsets below the position were given out again", []fakeRead{
+			{page: page(5, false, entry("a", 4))}, {after: 50 * time.Millisecond, err: errors.New("reset")},
+			{page: onTimeline(1, page(5, false))}, {page: onTimeline(1, page(6, false, entry("a", 3), entry("b", 5)))},
+			{after: 300 * time.Millisecond, page: onTimeline(1, page(7, false, entry("a", 6)))},
+		}},
+		{"entries of another timeline are not applied to the old listing", []fakeRead{
+			{page: page(5, false, entry("a", 4))},
+			{after: 100 * time.Millisecond, page: onTimeline(1, page(6, false, entry("b", 5)))}, {page: onTimeline(1, page(6, false, entry("a", 4), entry("b", 5)))},
+		}},
+		{"listed again after an offset that the restored log does not have", []fakeRead{
+			{page: page(9, false, entry("a", 8))}, {page: onTimeline(1, page(0, false)), err: lentilmux.ErrTruncated}, {page: onTimeline(1, page(5, false, entry("a", 4)))},
+		}},
+		{"a listing whose pages are of two timelines starts over", []fakeRead{
+			{page: page(5, true, entry("a", 1), entry("b", 4))}, {page: onTimeline(1, page(3, false, entry("c", 2)))},
+			{page: onTimeline(1, page(4, true, entry("a", 1), entry("b", 3)))}, {page: onTimeline(1, page(4, false, entry("c", 2)))},
+		}},
+		{"never back to an earlier timeline", []fakeRead{
+			{page: onTimeline(2, page(5, false, entry("a", 4)))}, {page: onTimeline(1, page(6, false, entry("b", 5)))}, {err: lentilmux.ErrTruncated}, {page: onTimeline(1, page(9, false, entry("b", 8)))},
+			{page: onTimeline(2, page(6, false, entry("a", 5)))},
+		}},
 	}
 	var out strings.Builder
 	for _, c := range cases {
