Compare entries of upstreams by timeline and offset

After the store was restored from an earlier copy, what it said of upstreams was dropped until its offsets had passed the old ones: an upstream whose drain was listed or announced after the restore still got requests. The fleet compared the offset of an entry with that of the newest one that it had applied; offsets of different histories cannot be compared.

The row of an upstream keeps the position of its newest entry, timeline and offset, and compares in this order, so that each entry of a later timeline is newer than all before it.

Evidence: scenario restored_offsets. Before, the listing after the restore leaves upstream a in use and r2 is sent there; now a is leaving and r2 waits for room.

--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -46,7 +46,8 @@
 	nextTick    time.Time
 	labels      map[lentilmux.CorrelationID]string
 	lastID      lentilmux.CorrelationID
-	offset      uint64
+	position    lentilmux.LogPosition                // of the last entry of any stream
+	entries     map[string]*lentilmux.UpstreamRecord // newest entry of each upstream
 	epochs      map[string]lentilmux.Epoch
 	tables      *fleet.Tables
 	lastDigests []string // digests of the last tick that sent any
@@ -61,7 +62,7 @@
 	model := fleet.New(fleet.Self{
 		Name: "entry-2", Zone: "kochi", Addr: netip.MustParseAddrPort("10.0.0.2:7000"), Incarnation: 1, Started: start,
 	}, fleet.DefaultLimits(), fleet.WithPathSelector(dispatch.NewCheapestPath(1)), fleet.WithDispatch(dispatch.NewTwoChoices(1)))
-	s := &scenario{model: model, start: start, nextTick: start, labels: make(map[lentilmux.CorrelationID]string), epochs: make(map[string]lentilmux.Epoch), tables: model.Tables()}
+	s := &scenario{model: model, start: start, nextTick: start, labels: make(map[lentilmux.CorrelationID]string), epochs: make(map[string]lentilmux.Epoch), entries: make(map[string]*lentilmux.UpstreamRecord), tables: model.Tables()}
 	s.playFile(t, file)
 	return s.out.String()
 }
@@ -132,14 +133,20 @@
 		return nil, nil
 	case "rules":
 		return s.streamUpdates(lentilmux.StreamRules, now, lentilmux.StreamUpdate{Key: "config", Rules: testRuleset(fields)}), nil
+	case "restore":
+		s.position = lentilmux.LogPosition{Timeline: s.position.Timeline + 1, Offset: uint64(parseInt(fields["offset"]))}
+		return nil, nil
+	case "upstreams":
+		return s.listUpstreams(now, words[2:]), nil
 	case "upstream":
-		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name, Upstream: upstreamRecord(name, fields)}), nil
+		s.entries[name] = upstreamRecord(name, fields)
+		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name, Upstream: s.entries[name]}), nil
 	case "entry_removed":
 		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name}), nil
 	case "undecodable":
 		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name, DecodeError: "unreadable"}), nil
 	case "read":
-		return lentilmux.StreamUpdatesMsg{Stream: lentilmux.Stream(name), AsOf: now.Add(-parseDuration(fields["age"]))}, nil
+		return lentilmux.StreamUpdatesMsg{Stream: lentilmux.Stream(name), AsOf: now.Add(-parseDuration(fields["age"])), Position: s.position}, nil
 	case "read_failed":
 		return lentilmux.StreamReadFailedMsg{Stream: lentilmux.Stream(name), Err: errors.New("no answer")}, nil
 	case "digest":
@@ -237,9 +244,24 @@
 
 // streamUpdates returns the message for a read of one entry of a stream.
 func (s *scenario) streamUpdates(stream lentilmux.Stream, now time.Time, update lentilmux.StreamUpdate) lentilmux.Msg {
-	s.offset++
-	update.Offset = s.offset
-	return lentilmux.StreamUpdatesMsg{Stream: stream, AsOf: now, Updates: []lentilmux.StreamUpdate{update}}
+	s.position.Offset++
+	update.Offset = s.position.Offset
+	return lentilmux.StreamUpdatesMsg{Stream: stream, AsOf: now, Position: s.position, Updates: []lentilmux.StreamUpdate{update}}
+}
+
+// listUpstreams returns the message for a listing of the given upstreams, each with
+// its newest entry or, if a state such as a:draining is given, with that state.
+func (s *scenario) listUpstreams(now time.Time, names []string) lentilmux.Msg {
+	msg := lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamUpstreams, AsOf: now, Position: s.position, AllKeys: true}
+	for _, name := range names {
+		id, state, _ := strings.Cut(name, ":")
+		record := *s.entries[id]
+		if state != "" {
+			record.Draining = state == "draining"
+		}
+		msg.Updates = append(msg.Updates, lentilmux.StreamUpdate{Key: id, Offset: s.position.Offset, Upstream: &record})
+	}
+	return msg
 }
 
 // failedAttempt returns the message for a failed attempt.
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -23,17 +23,23 @@
 		a.recordReadFailure(t, failed)
 	}
 	for _, msg := range t.Events.StreamUpdates {
-		a.recordRead(t, msg, now)
-		for _, update := range msg.Updates {
-			a.applyUpdate(t, msg.Stream, update, now)
-		}
-		if msg.AllKeys && msg.Stream == lentilmux.StreamUpstreams {
-			a.expireUnlisted(t, msg.Updates, now)
-		}
+		a.applyRead(t, msg, now)
 	}
 	a.removeExpired(t, now)
 }
 
+// applyRead applies the result of one read.
+func (a *ApplyStoreUpdates) applyRead(t *Tables, msg lentilmux.StreamUpdatesMsg, now time.Time) {
+	a.recordRead(t, msg, now)
+	for _, update := range msg.Updates {
+		position := lentilmux.LogPosition{Timeline: msg.Position.Timeline, Offset: update.Offset}
+		a.applyUpdate(t, msg.Stream, update, position, now)
+	}
+	if msg.AllKeys && msg.Stream == lentilmux.StreamUpstreams {
+		a.expireUnlisted(t, msg.Updates, now)
+	}
+}
+
 // recordReadFailure marks a stream as failing. It logs only the first of several
 // consecutive failures.
 func (a *ApplyStoreUpdates) recordReadFailure(t *Tables, failed lentilmux.StreamReadFailedMsg) {
@@ -82,16 +88,16 @@
 	return fmt.Sprintf("no answer for %s", now.Sub(state.AsOf).Round(time.Millisecond))
 }
 
-// applyUpdate applies one entry of a stream. Entries that could not be decoded
+// applyUpdate applies one entry of a stream, which has the given position. Entries that could not be decoded
 // are logged and skipped.
-func (a *ApplyStoreUpdates) applyUpdate(t *Tables, stream lentilmux.Stream, update lentilmux.StreamUpdate, now time.Time) {
+func (a *ApplyStoreUpdates) applyUpdate(t *Tables, stream lentilmux.Stream, update lentilmux.StreamUpdate, position lentilmux.LogPosition, now time.Time) {
 	switch {
 	case update.DecodeError != "":
 		t.RecordDecision(lentilmux.Decision{What: "entry_ignored", Subject: string(stream) + "/" + update.Key, Reason: update.DecodeError})
 	case update.Rules != nil:
 		a.installRules(t, update.Rules)
 	case update.Upstream != nil:
-		a.applyUpstream(t, *update.Upstream, update.Offset, now)
+		a.applyUpstream(t, *update.Upstream, position, now)
 	case update.HeldPart != nil:
 		t.applyHeldPart(*update.HeldPart, now)
 	case update.VM != nil:
@@ -101,7 +107,7 @@
 			t.Zones.Index(update.VM.Zone)
 		}
 	case stream == lentilmux.StreamUpstreams:
-		a.expireUpstream(t, update.Key, update.Offset, now)
+		a.applyDeletion(t, update.Key, position, now)
 	}
 }
 
@@ -124,9 +130,9 @@
 // applyUpstream applies an upstream's entry. If the start time shows a new
 // process, the orders, suspicion, ejection and slowdown of the previous process
 // are discarded.
-func (a *ApplyStoreUpdates) applyUpstream(t *Tables, record lentilmux.UpstreamRecord, offset uint64, now time.Time) {
+func (a *ApplyStoreUpdates) applyUpstream(t *Tables, record lentilmux.UpstreamRecord, position lentilmux.LogPosition, now time.Time) {
 	row := t.Upstreams.Find(record.ID)
-	if row != nil && offset < row.Offset {
+	if row != nil && position.Compare(row.Position) < 0 {
 		return
 	}
 	known := row != nil
@@ -137,7 +143,7 @@
 		previousLayers = row.Layers
 	}
 	row = t.Upstreams.Upsert(record)
-	row.Offset, row.ExpiresAt, row.EntryReadAt = offset, time.Time{}, now
+	row.Position, row.ExpiresAt, row.EntryReadAt = position, time.Time{}, now
 	if !known {
 		row.FirstSeenAt = now
 	}
@@ -158,13 +164,19 @@
 	}
 }
 
-// expireUpstream handles a missing entry of an upstream. The offset is that of the
-// deletion, or 0 if a listing lacks the entry. The expiry usually takes effect
-// immediately. After the store became reachable again it is delayed until the end
+// applyDeletion expires an upstream whose entry was deleted, unless a newer entry is
+// known.
+func (a *ApplyStoreUpdates) applyDeletion(t *Tables, id string, position lentilmux.LogPosition, now time.Time) {
+	if row := t.Upstreams.Find(id); row != nil && position.Compare(row.Position) >= 0 {
+		a.expireUpstream(t, row, now)
+	}
+}
+
+// expireUpstream handles a missing entry of an upstream. The expiry usually takes
+// effect immediately. After the store became reachable again it is delayed until the end
 // of StoreRecoveryGrace, since upstreams may still be writing their entries again.
-func (a *ApplyStoreUpdates) expireUpstream(t *Tables, id string, offset uint64, now time.Time) {
-	row := t.Upstreams.Find(id)
-	if row == nil || !row.ExpiresAt.IsZero() || offset != 0 && offset < row.Offset {
+func (a *ApplyStoreUpdates) expireUpstream(t *Tables, row *UpstreamRow, now time.Time) {
+	if !row.ExpiresAt.IsZero() {
 		return
 	}
 	row.ExpiresAt = now
@@ -173,7 +185,7 @@
 		row.ExpiresAt = t.Streams.Upstreams.RecoveredAt.Add(t.Limits.StoreRecoveryGrace)
 		reason = "store entry missing after a store outage"
 	}
-	t.RecordDecision(lentilmux.Decision{What: "upstream_expired", Subject: id, Reason: reason})
+	t.RecordDecision(lentilmux.Decision{What: "upstream_expired", Subject: row.ID, Reason: reason})
 }
 
 // expireUnlisted expires the upstreams that a complete listing of the stream
@@ -185,7 +197,7 @@
 	}
 	for _, row := range t.Upstreams.Rows {
 		if !listed[row.ID] {
-			a.expireUpstream(t, row.ID, 0, now)
+			a.expireUpstream(t, row, now)
 		}
 	}
 }
