Give upstreams the grace of an outage after a restore of the store

An upstream that registered after the copy from which the store was restored is missing in the listing until it writes its entry again. If no read had failed, which a restore of 0.3 s between two reads does not show, such upstreams lost their new requests at once: their expiry was delayed after failed reads only.

A restore counts as a recovery of the store from the moment it is noticed.

--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -61,7 +61,7 @@
 		state.Failing, state.RecoveredAt = false, now
 		t.RecordDecision(lentilmux.Decision{What: "store_reachable", Subject: string(msg.Stream), Chosen: msg.Position.String(), Reason: describeOutage(state, now)})
 	}
-	a.recordTimeline(t, state, msg)
+	a.recordTimeline(t, state, msg, now)
 	if msg.AsOf.After(state.AsOf) {
 		state.AsOf = msg.AsOf
 	}
@@ -69,9 +69,10 @@
 
 // recordTimeline publishes the timeline of a stream when it is first known and when
 // it rises, which shows that the store was restored from an earlier copy.
-func (a *ApplyStoreUpdates) recordTimeline(t *Tables, state *StreamState, msg lentilmux.StreamUpdatesMsg) {
+func (a *ApplyStoreUpdates) recordTimeline(t *Tables, state *StreamState, msg lentilmux.StreamUpdatesMsg, now time.Time) {
 	known, rose := !state.AsOf.IsZero(), msg.Position.Timeline > state.Position.Timeline
 	if known && rose {
+		state.RecoveredAt = now
 		t.RecordDecision(lentilmux.Decision{What: "store_restored", Subject: string(msg.Stream), Chosen: msg.Position.String(), Reason: "was read up to " + state.Position.String()})
 	}
 	if !known || rose {
@@ -173,8 +174,9 @@
 }
 
 // expireUpstream handles a missing entry of an upstream. The expiry usually takes
-// effect immediately. After the store became reachable again it is delayed until the end
-// of StoreRecoveryGrace, since upstreams may still be writing their entries again.
+// effect immediately. After the store became reachable again or was restored it is delayed
+// until the end of StoreRecoveryGrace, since upstreams may still be writing their
+// entries again.
 func (a *ApplyStoreUpdates) expireUpstream(t *Tables, row *UpstreamRow, now time.Time) {
 	if !row.ExpiresAt.IsZero() {
 		return
@@ -183,7 +185,7 @@
 	reason := "store entry removed"
 	if t.storeRecovering(now, t.Limits.StoreRecoveryGrace) {
 		row.ExpiresAt = t.Streams.Upstreams.RecoveredAt.Add(t.Limits.StoreRecoveryGrace)
-		reason = "store entry missing after a store outage"
+		reason = "store entry missing after an outage or restore of the store"
 	}
 	t.RecordDecision(lentilmux.Decision{What: "upstream_expired", Subject: row.ID, Reason: reason})
 }
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -18,7 +18,7 @@
 type StreamState struct {
 	AsOf        time.Time             // when the last successful read was sent
 	Failing     bool                  // whether the last read failed
-	RecoveredAt time.Time             // when a read last succeeded after a failure
+	RecoveredAt time.Time             // when a read last succeeded after a failure, or showed that the store was restored
 	Position    lentilmux.LogPosition // where the next read starts
 }
 
@@ -44,7 +44,7 @@
 
 // storeRecovering reports whether entries of upstreams may be missing although
 // the upstreams live: the store does not respond, or did so again for the first
-// time less than grace ago.
+// time or was restored from an earlier copy less than grace ago.
 func (t *Tables) storeRecovering(now time.Time, grace time.Duration) bool {
 	state := &t.Streams.Upstreams
 	return state.Failing || !state.RecoveredAt.IsZero() && now.Before(state.RecoveredAt.Add(grace))
