Don't use upstreams again that left before the store was restored

A store that is restored from an earlier copy lists upstreams as ready that had announced a drain or whose entry had been removed since. VMs took the listing for a return and sent them new requests; some of them end within seconds. An entry of an earlier process also replaced that of the present one.

A drain is not taken back within one process. Departures, processes whose entry was removed, are remembered for five minutes, 4096 at most. An entry in the first listing after a restore counts as draining if its process had left, until a later entry says that it is ready; since an upstream may have written that entry just before the listing, an entry that is still there after ten seconds counts as well: that of an upstream that is gone expires sooner. An entry of an earlier process than the known one is taken for a missing entry.

Evidence: scenario restored_departures. Before, a, c and app-1 are used again at once (r2 goes to app-1, which is gone) and the process of app-2 is replaced by its predecessor; now r2 goes to app-2. The code for entries of upstreams has a file of its own.

--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -250,15 +250,20 @@
 }
 
 // listUpstreams returns the message for a listing of the given upstreams, each with
-// its newest entry or, if a state such as a:draining is given, with that state.
+// its newest entry or, if a state such as a:draining or a start time such as a@7 is
+// given, with that.
 func (s *scenario) listUpstreams(now time.Time, names []string) lentilmux.Msg {
 	msg := lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamUpstreams, AsOf: now, Position: s.position, AllKeys: true}
 	for _, name := range names {
-		id, state, _ := strings.Cut(name, ":")
+		id, startedAt, hasStart := strings.Cut(name, "@")
+		id, state, _ := strings.Cut(id, ":")
 		record := *s.entries[id]
 		if state != "" {
 			record.Draining = state == "draining"
 		}
+		if hasStart {
+			record.StartedAt = time.Unix(int64(parseInt(startedAt)), 0)
+		}
 		msg.Updates = append(msg.Updates, lentilmux.StreamUpdate{Key: id, Offset: s.position.Offset, Upstream: &record})
 	}
 	return msg
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -26,14 +26,15 @@
 		a.applyRead(t, msg, now)
 	}
 	a.removeExpired(t, now)
+	t.endDepartures(now)
 }
 
 // applyRead applies the result of one read.
 func (a *ApplyStoreUpdates) applyRead(t *Tables, msg lentilmux.StreamUpdatesMsg, now time.Time) {
-	a.recordRead(t, msg, now)
+	restored := a.recordRead(t, msg, now) && msg.AllKeys
 	for _, update := range msg.Updates {
 		position := lentilmux.LogPosition{Timeline: msg.Position.Timeline, Offset: update.Offset}
-		a.applyUpdate(t, msg.Stream, update, position, now)
+		a.applyUpdate(t, msg.Stream, update, position, restored, now)
 	}
 	if msg.AllKeys && msg.Stream == lentilmux.StreamUpstreams {
 		a.expireUnlisted(t, msg.Updates, now)
@@ -51,25 +52,28 @@
 	t.RecordDecision(lentilmux.Decision{What: "store_unreachable", Subject: string(failed.Stream), Reason: failed.Err.Error()})
 }
 
-// recordRead marks a stream as read at msg.AsOf and logs a recovery and a restore.
-func (a *ApplyStoreUpdates) recordRead(t *Tables, msg lentilmux.StreamUpdatesMsg, now time.Time) {
+// recordRead marks a stream as read at msg.AsOf and logs a recovery and a restore. It
+// reports whether the store was restored since the last read.
+func (a *ApplyStoreUpdates) recordRead(t *Tables, msg lentilmux.StreamUpdatesMsg, now time.Time) (restored bool) {
 	state := t.Streams.Find(msg.Stream)
 	if state == nil {
-		return
+		return false
 	}
 	if state.Failing {
 		state.Failing, state.RecoveredAt = false, now
 		t.RecordDecision(lentilmux.Decision{What: "store_reachable", Subject: string(msg.Stream), Chosen: msg.Position.String(), Reason: describeOutage(state, now)})
 	}
-	a.recordTimeline(t, state, msg, now)
+	restored = a.recordTimeline(t, state, msg, now)
 	if msg.AsOf.After(state.AsOf) {
 		state.AsOf = msg.AsOf
 	}
+	return restored
 }
 
 // recordTimeline publishes the timeline of a stream when it is first known and when
-// it rises, which shows that the store was restored from an earlier copy.
-func (a *ApplyStoreUpdates) recordTimeline(t *Tables, state *StreamState, msg lentilmux.StreamUpdatesMsg, now time.Time) {
+// it rises, which shows that the store was restored from an earlier copy. It reports
+// whether it was.
+func (a *ApplyStoreUpdates) recordTimeline(t *Tables, state *StreamState, msg lentilmux.StreamUpdatesMsg, now time.Time) (restored bool) {
 	known, rose := !state.AsOf.IsZero(), msg.Position.Timeline > state.Position.Timeline
 	if known && rose {
 		state.RecoveredAt = now
@@ -79,6 +83,7 @@
 		t.AddEffect(lentilmux.StreamTimelineEffect{Stream: msg.Stream, Timeline: msg.Position.Timeline})
 	}
 	state.Position = msg.Position
+	return known && rose
 }
 
 // describeOutage returns for how long a stream could not be read.
@@ -89,16 +94,17 @@
 	return fmt.Sprintf("no answer for %s", now.Sub(state.AsOf).Round(time.Millisecond))
 }
 
-// applyUpdate applies one entry of a stream, which has the given position. Entries that could not be decoded
+// applyUpdate applies one entry of a stream, which has the given position. Restored
+// tells whether it is in the first listing after a restore of the store. Entries that could not be decoded
 // are logged and skipped.
-func (a *ApplyStoreUpdates) applyUpdate(t *Tables, stream lentilmux.Stream, update lentilmux.StreamUpdate, position lentilmux.LogPosition, now time.Time) {
+func (a *ApplyStoreUpdates) applyUpdate(t *Tables, stream lentilmux.Stream, update lentilmux.StreamUpdate, position lentilmux.LogPosition, restored bool, now time.Time) {
 	switch {
 	case update.DecodeError != "":
 		t.RecordDecision(lentilmux.Decision{What: "entry_ignored", Subject: string(stream) + "/" + update.Key, Reason: update.DecodeError})
 	case update.Rules != nil:
 		a.installRules(t, update.Rules)
 	case update.Upstream != nil:
-		a.applyUpstream(t, *update.Upstream, position, now)
+		a.applyUpstream(t, upstreamRead{record: *update.Upstream, position: position, restored: restored}, now)
 	case update.HeldPart != nil:
 		t.applyHeldPart(*update.HeldPart, now)
 	case update.VM != nil:
@@ -128,97 +134,6 @@
 	})
 }
 
-// applyUpstream applies an upstream's entry. If the start time shows a new
-// process, the orders, suspicion, ejection and slowdown of the previous process
-// are discarded.
-func (a *ApplyStoreUpdates) applyUpstream(t *Tables, record lentilmux.UpstreamRecord, position lentilmux.LogPosition, now time.Time) {
-	row := t.Upstreams.Find(record.ID)
-	if row != nil && position.Compare(row.Position) < 0 {
-		return
-	}
-	known := row != nil
-	restarted := known && !row.StartedAt.Equal(record.StartedAt)
-	startsDraining := record.Draining && (!known || !row.Draining)
-	hadLayers, previousLayers := known && row.HasLayers, lentilmux.LayerRange{}
-	if known {
-		previousLayers = row.Layers
-	}
-	row = t.Upstreams.Upsert(record)
-	row.Position, row.ExpiresAt, row.EntryReadAt = position, time.Time{}, now
-	if !known {
-		row.FirstSeenAt = now
-	}
-	if restarted {
-		row.HasTarget, row.StateUnknown, row.AcceptedOrders, row.OrderedAt = false, false, 0, time.Time{}
-		row.SuspectUntil, row.SuspectDuration, row.MissedProbes, row.Dead, row.Slowdown = time.Time{}, 0, 0, false, 1
-		row.ConsecutiveFailures, row.EjectedUntil = 0, time.Time{}
-		row.RequestLimit = RequestLimitState{SeenAt: now}
-	}
-	t.Zones.Index(row.Zone)
-	switch {
-	case !known || restarted:
-		t.RecordDecision(lentilmux.Decision{What: "upstream_registered", Subject: row.ID, Chosen: row.Addr.String(), Reason: fmt.Sprintf("service %s zone %s accelerator %s", row.Service, row.Zone, row.Accelerator)})
-	case startsDraining:
-		t.RecordDecision(lentilmux.Decision{What: "upstream_leaving", Subject: row.ID, Reason: "drain announced"})
-	case row.HasLayers != hadLayers || previousLayers != row.Layers:
-		t.RecordDecision(lentilmux.Decision{What: "layers_registered", Subject: row.ID, Chosen: formatLayers(row.Layers, row.HasLayers), Reason: "store entry, previously " + formatLayers(previousLayers, hadLayers)})
-	}
-}
-
-// applyDeletion expires an upstream whose entry was deleted, unless a newer entry is
-// known.
-func (a *ApplyStoreUpdates) applyDeletion(t *Tables, id string, position lentilmux.LogPosition, now time.Time) {
-	if row := t.Upstreams.Find(id); row != nil && position.Compare(row.Position) >= 0 {
-		a.expireUpstream(t, row, now)
-	}
-}
-
-// expireUpstream handles a missing entry of an upstream. The expiry usually takes
-// effect immediately. After the store became reachable again or was restored it is delayed
-// until the end of StoreRecoveryGrace, since upstreams may still be writing their
-// entries again.
-func (a *ApplyStoreUpdates) expireUpstream(t *Tables, row *UpstreamRow, now time.Time) {
-	if !row.ExpiresAt.IsZero() {
-		return
-	}
-	row.ExpiresAt = now
-	reason := "store entry removed"
-	if t.storeRecovering(now, t.Limits.StoreRecoveryGrace) {
-		row.ExpiresAt = t.Streams.Upstreams.RecoveredAt.Add(t.Limits.StoreRecoveryGrace)
-		reason = "store entry missing after an outage or restore of the store"
-	}
-	t.RecordDecision(lentilmux.Decision{What: "upstream_expired", Subject: row.ID, Reason: reason})
-}
-
-// expireUnlisted expires the upstreams that a complete listing of the stream
-// does not contain.
-func (a *ApplyStoreUpdates) expireUnlisted(t *Tables, updates []lentilmux.StreamUpdate, now time.Time) {
-	listed := make(map[string]bool, len(updates))
-	for _, update := range updates {
-		listed[update.Key] = true
-	}
-	for _, row := range t.Upstreams.Rows {
-		if !listed[row.ID] {
-			a.expireUpstream(t, row, now)
-		}
-	}
-}
-
-// removeExpired removes the rows of upstreams whose expiry has taken effect.
-func (a *ApplyStoreUpdates) removeExpired(t *Tables, now time.Time) {
-	for i := len(t.Upstreams.Rows) - 1; i >= 0; i-- {
-		row := t.Upstreams.Rows[i]
-		if row.ExpiresAt.IsZero() {
-			continue
-		}
-		if now.Before(row.ExpiresAt) {
-			t.WakeAt(row.ExpiresAt)
-			continue
-		}
-		t.Upstreams.Remove(row.ID)
-	}
-}
-
 // ModelAndAccelerator returns the model that an upstream runs and its
 // accelerator. The model is nil if the service has none or does not list the
 // accelerator.
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -28,6 +28,7 @@
 	Streams         StreamStates
 	Rules           Rules
 	Upstreams       Upstreams
+	Departures      Departures
 	VMs             VMs
 	FleetLoads      FleetLoads
 	Requests        Requests
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -10,11 +10,12 @@
 // UpstreamRow is the state of one upstream.
 type UpstreamRow struct {
 	lentilmux.UpstreamRecord
-	Position    lentilmux.LogPosition // of its newest entry
-	FirstSeenAt time.Time             // when its first entry was read
-	EntryReadAt time.Time             // when its newest entry was read
-	ExpiresAt   time.Time             // when its missing entry takes effect; zero while the entry exists
-	Progress    *lentilmux.Progress   // when one of its response streams last made progress
+	Position      lentilmux.LogPosition // of its newest entry
+	DepartedUntil time.Time             // until then Draining is set since its process had left before the store was restored; zero otherwise
+	FirstSeenAt   time.Time             // when its first entry was read
+	EntryReadAt   time.Time             // when its newest entry was read
+	ExpiresAt     time.Time             // when its missing entry takes effect; zero while the entry exists
+	Progress      *lentilmux.Progress   // when one of its response streams last made progress
 
 	OwnLoad   Load // in flight from this VM
 	PeerLoad  Load // in flight from peers, by their last digests
