Keep held prompt parts as they are when the store is restored

After a restore of the store from an earlier copy, a hold that was written since was not in the store any more: it was written only until it was read back once, so a VM that started later did not know of it. A hold that had been released since came back on all VMs that had forgotten the part meanwhile, and stayed in the store.

In the first listing after a restore, holds that are missing are written again, by the VM that decided on them and by the leader, until they are read back. A hold that a part's clearing or other held parts have ended is not applied; the leader deletes it until its deletion is read. A cleared part is remembered for as long after its clearing as others are after their last crash, so that the VM can tell.

Evidence: scenario restored_records. Before, beef is held again and its requests are refused, and dead is not written; now r1 gets an attempt, dead is written and beef deleted. The decider's own write before it is read back is as before (held_part).

--- a/fleet/heldparts.go
+++ b/fleet/heldparts.go
@@ -12,8 +12,8 @@
 	// trialInterval is the time between two trials of one VM with a part whose
 	// hold has ended.
 	trialInterval = 2 * time.Second
-	// storeHoldInterval is the time after which a hold that was not read back from
-	// the store is written again.
+	// storeHoldInterval is the time after which a hold, or the deletion of one, that
+	// was not read back from the store is written again.
 	storeHoldInterval = 5 * time.Second
 	// mistakenHold is the time after the beginning of a hold in which that of
 	// another part can show that it was a mistake.
@@ -43,7 +43,7 @@
 
 // endHold ends the hold of a part.
 func (t *Tables) endHold(row *PartSuspectRow, reason string) {
-	row.Held, row.MustStore = false, false
+	row.Held, row.MustStore, row.Decided = false, false, false
 	t.NewSuspects, t.PartSuspects.heldChanged = true, true
 	t.RecordDecision(lentilmux.Decision{What: "part_released", Subject: row.Part.String(), Reason: reason})
 }
@@ -147,19 +147,63 @@
 		t.deleteHeldPart(record.Part, now)
 		return
 	}
+	if t.isOutdatedHold(record) {
+		row := t.PartSuspects.Find(record.Part)
+		row.MustDelete, row.ChangedAt = true, now // VMs that start must learn that the hold has ended
+		return
+	}
 	t.mergeSuspicion(lentilmux.PartSuspicion{Part: record.Part, Clears: record.Clears, Round: record.Round, Held: true, Age: age}, "the store", now)
 	if row := t.PartSuspects.Find(record.Part); row != nil && row.Clears == record.Clears {
 		row.MustStore = false
 	}
 }
 
-// storeHolds writes the holds that this VM started until it reads them back.
+// isOutdatedHold reports whether a hold in the store ended since it was written: its
+// part was cleared, or other held parts explain all of its crashes. A store that is
+// restored from an earlier copy has such holds again.
+func (t *Tables) isOutdatedHold(record lentilmux.HeldPartRecord) bool {
+	row := t.PartSuspects.Find(record.Part)
+	if row == nil {
+		return false
+	}
+	explained := !row.Held && len(row.Crashes) > 0 && t.PartSuspects.unexplained(row) == 0
+	return record.Clears < row.Clears || explained
+}
+
+// applyHeldPartDeletion notes that a hold is no longer in the store.
+func (t *Tables) applyHeldPartDeletion(key string) {
+	for _, row := range t.PartSuspects.Rows {
+		if lentilmux.HeldPartKey(row.Part) == key {
+			row.MustDelete = false
+		}
+	}
+}
+
+// restoreHolds has the holds written again that a restored store lacks.
+func (t *Tables) restoreHolds(listed map[string]bool) {
+	for _, row := range t.PartSuspects.Rows {
+		row.StoredAt = time.Time{}
+		if row.Held && !listed[lentilmux.HeldPartKey(row.Part)] {
+			row.MustStore = true
+		}
+	}
+}
+
+// storeHolds writes holds and deletes outdated ones until they are read back. The VM
+// that decided on a hold writes it, and the leader, since that VM may be gone.
 func (t *Tables) storeHolds(now time.Time) {
 	for _, row := range t.PartSuspects.Rows {
-		if row.MustStore && row.Held && now.Sub(row.StoredBy) >= storeHoldInterval {
-			row.StoredBy = now
+		if now.Sub(row.StoredAt) < storeHoldInterval {
+			continue
+		}
+		switch {
+		case row.MustStore && row.Held && (row.Decided || t.IsLeader(now)):
+			row.StoredAt = now
 			record := row.record()
 			t.AddEffect(lentilmux.PutEffect{Stream: lentilmux.StreamVMs, Key: lentilmux.HeldPartKey(row.Part), HeldPart: &record})
+		case row.MustDelete && !row.Held && t.IsLeader(now):
+			row.StoredAt = now
+			t.deleteHeldPart(row.Part, now)
 		}
 	}
 }
@@ -181,10 +225,14 @@
 	}
 }
 
-// expireParts forgets parts whose last crash is long ago.
+// expireParts forgets parts whose last crash is long ago, and cleared ones whose
+// clearing is: until then a restored store may have the hold again.
 func (t *Tables) expireParts(now time.Time) {
 	for _, row := range slices.Backward(t.PartSuspects.Rows) {
 		age := now.Sub(row.LastCrashAt)
+		if row.Round == 0 {
+			age = min(age, now.Sub(row.ChangedAt))
+		}
 		if age <= t.partRetention(row.Round, row.Held) {
 			continue
 		}
--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -173,7 +173,7 @@
 		return t.PartSuspects.unexplained(rival) >= t.PartSuspects.unexplained(cause)
 	})
 	if !tied || t.PartSuspects.unexplained(cause) >= t.Limits.MaxCrashes+tiedCrashes {
-		cause.MustStore = true
+		cause.MustStore, cause.Decided = true, true
 		t.holdPart(cause, "", now)
 	}
 }
--- a/fleet/partsuspects.go
+++ b/fleet/partsuspects.go
@@ -33,8 +33,10 @@
 	LastCrashAt time.Time // by the clock of this VM
 	ChangedAt   time.Time // when this VM learned of the last change
 	TrialAt     time.Time // when this VM last let a request with the part pass after the hold had ended
-	StoredBy    time.Time // when this VM last wrote the hold to the store
-	MustStore   bool      // whether this VM has to write the hold until it reads it back
+	Decided     bool      // whether this VM decided on the hold
+	StoredAt    time.Time // when this VM last wrote the hold to the store, or deleted it there
+	MustStore   bool      // whether the hold has to be written until it is read back
+	MustDelete  bool      // whether an outdated hold has to be deleted until its deletion is read
 }
 
 // addCrash adds the ID of a crash, unless it is known. The oldest ID makes room.
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -185,6 +185,10 @@
 	case "held_part":
 		record := &lentilmux.HeldPartRecord{Part: parseParts(name)[0], Round: parseInt(fields["round"]), LastCrashAt: now.Add(-parseDuration(fields["age"]))}
 		return s.streamUpdates(lentilmux.StreamVMs, now, lentilmux.StreamUpdate{Key: lentilmux.HeldPartKey(record.Part), HeldPart: record}), nil
+	case "record_removed":
+		return s.streamUpdates(lentilmux.StreamVMs, now, lentilmux.StreamUpdate{Key: lentilmux.HeldPartKey(parseParts(name)[0])}), nil
+	case "records":
+		return s.listRecords(now, words[2:]), nil
 	case "drain":
 		return lentilmux.BeginDrainMsg{}, nil
 	}
@@ -269,6 +273,23 @@
 	return msg
 }
 
+// listRecords returns the message for a listing of the records of VMs and held parts.
+// Parts were held since 20 seconds ago, after three rounds.
+func (s *scenario) listRecords(now time.Time, names []string) lentilmux.Msg {
+	msg := lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamVMs, AsOf: now, Position: s.position, AllKeys: true}
+	for _, name := range names {
+		update := lentilmux.StreamUpdate{Key: name, Offset: s.position.Offset}
+		if strings.HasPrefix(name, "entry-") {
+			update.VM = &lentilmux.VMRecord{Name: name, Zone: "kochi", Addr: vmAddr(name)}
+		} else {
+			part := parseParts(name)[0]
+			update.Key, update.HeldPart = lentilmux.HeldPartKey(part), &lentilmux.HeldPartRecord{Part: part, Round: 3, LastCrashAt: now.Add(-20 * time.Second)}
+		}
+		msg.Updates = append(msg.Updates, update)
+	}
+	return msg
+}
+
 // failedAttempt returns the message for a failed attempt.
 func (s *scenario) failedAttempt(name string, fields map[string]string) lentilmux.Msg {
 	kinds := map[string]lentilmux.FailureKind{
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -36,9 +36,21 @@
 		position := lentilmux.LogPosition{Timeline: msg.Position.Timeline, Offset: update.Offset}
 		a.applyUpdate(t, msg.Stream, update, position, restored, now)
 	}
-	if msg.AllKeys && msg.Stream == lentilmux.StreamUpstreams {
-		a.expireUnlisted(t, msg.Updates, now)
+	switch {
+	case msg.AllKeys && msg.Stream == lentilmux.StreamUpstreams:
+		a.expireUnlisted(t, listedKeys(msg.Updates), now)
+	case restored && msg.Stream == lentilmux.StreamVMs:
+		t.restoreHolds(listedKeys(msg.Updates))
+	}
+}
+
+// listedKeys returns the keys of a listing.
+func listedKeys(updates []lentilmux.StreamUpdate) (keys map[string]bool) {
+	keys = make(map[string]bool, len(updates))
+	for _, update := range updates {
+		keys[update.Key] = true
 	}
+	return keys
 }
 
 // recordReadFailure marks a stream as failing. It logs only the first of several
@@ -115,6 +127,8 @@
 		}
 	case stream == lentilmux.StreamUpstreams:
 		a.applyDeletion(t, update.Key, position, now)
+	case stream == lentilmux.StreamVMs:
+		t.applyHeldPartDeletion(update.Key)
 	}
 }
 
--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -93,11 +93,7 @@
 
 // expireUnlisted expires the upstreams that a complete listing of the stream
 // does not contain.
-func (a *ApplyStoreUpdates) expireUnlisted(t *Tables, updates []lentilmux.StreamUpdate, now time.Time) {
-	listed := make(map[string]bool, len(updates))
-	for _, update := range updates {
-		listed[update.Key] = true
-	}
+func (a *ApplyStoreUpdates) expireUnlisted(t *Tables, listed map[string]bool, now time.Time) {
 	for _, row := range t.Upstreams.Rows {
 		if !listed[row.ID] {
 			a.expireUpstream(t, row, now)
