Write a VM's record again when a restored store lacks it

A VM writes its address to the store every ten minutes. If the store is restored from a copy that is older than the record of a VM, VMs that start meanwhile don't know it.

A VM writes its record again at once if it is missing in the first listing after a restore.

--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -10,7 +10,8 @@
 
 // SendDigests sends this VM's load to its peers at each DigestInterval, or
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
-// dead. It writes its address to the store at each AnnounceInterval. A relay also sends
+// dead. It writes its address to the store at each AnnounceInterval, and again if a
+// restored store lacks it. A relay also sends
 // sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
 // reads and writes VMs.
 type SendDigests struct {
@@ -22,8 +23,9 @@
 
 // Run implements [System].
 func (s *SendDigests) Run(t *Tables, now time.Time) {
-	if t.Self.Addr.IsValid() && (s.lastAnnouncedAt.IsZero() || now.Sub(s.lastAnnouncedAt) >= t.Limits.AnnounceInterval) {
-		s.lastAnnouncedAt = now
+	mustAnnounce := s.lastAnnouncedAt.IsZero() || t.Self.Unlisted || now.Sub(s.lastAnnouncedAt) >= t.Limits.AnnounceInterval
+	if t.Self.Addr.IsValid() && mustAnnounce {
+		s.lastAnnouncedAt, t.Self.Unlisted = now, false
 		t.AddEffect(lentilmux.PutEffect{
 			Stream: lentilmux.StreamVMs, Key: t.Self.Name,
 			VM: &lentilmux.VMRecord{Name: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr},
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -10,7 +10,7 @@
 // ApplyStoreUpdates applies new limits and the results of reads from the store:
 // configuration, upstreams and entry VMs. It reads Events.Limits,
 // Events.StreamUpdates and Events.StreamFailures and writes Limits, Streams,
-// Rules, Upstreams, VMs and Zones.
+// Rules, Upstreams, Departures, PartSuspects, VMs, Zones and Self.
 type ApplyStoreUpdates struct{}
 
 // Run implements [System].
@@ -40,7 +40,9 @@
 	case msg.AllKeys && msg.Stream == lentilmux.StreamUpstreams:
 		a.expireUnlisted(t, listedKeys(msg.Updates), now)
 	case restored && msg.Stream == lentilmux.StreamVMs:
-		t.restoreHolds(listedKeys(msg.Updates))
+		listed := listedKeys(msg.Updates)
+		t.Self.Unlisted = !listed[t.Self.Name]
+		t.restoreHolds(listed)
 	}
 }
 
