--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -46,7 +46,8 @@
 	nextTick    time.Time
 	labels      map[lentilmux.CorrelationID]string
 	lastID      lentilmux.CorrelationID
-	offset      uint64
+	position    lentilmux.LogPosition                // of the last entry of any stream
+	entries     map[string]*lentilmux.UpstreamRecord // newest entry of each upstream
 	epochs      map[string]lentilmux.Epoch
 	tables      *fleet.Tables
 	lastDigests []string // digests of the last tick that sent any
@@ -61,7 +62,7 @@
 	model := fleet.New(fleet.Self{
 		Name: "entry-2", Zone: "kochi", Addr: netip.MustParseAddrPort("10.0.0.2:7000"), Incarnation: 1, Started: start,
 	}, fleet.DefaultLimits(), fleet.WithPathSelector(dispatch.NewCheapestPath(1)), fleet.WithDispatch(dispatch.NewTwoChoices(1)))
-	s := &scenario{model: model, start: start, nextTick: start, labels: make(map[lentilmux.CorrelationID]string), epochs: make(map[string]lentilmux.Epoch), tables: model.Tables()}
+	s := &scenario{model: model, start: start, nextTick: start, labels: make(map[lentilmux.CorrelationID]string), epochs: make(map[string]lentilmux.Epoch), entries: make(map[string]*lentilmux.UpstreamRecord), tables: model.Tables()}
 	s.playFile(t, file)
 	return s.out.String()
 }
@@ -132,14 +133,20 @@
 		return nil, nil
 	case "rules":
 		return s.streamUpdates(lentilmux.StreamRules, now, lentilmux.StreamUpdate{Key: "config", Rules: testRuleset(fields)}), nil
+	case "restore":
+		s.position = lentilmux.LogPosition{Timeline: s.position.Timeline + 1, Offset: uint64(parseInt(fields["offset"]))}
+		return nil, nil
+	case "upstreams":
+		return s.listUpstreams(now, words[2:]), nil
 	case "upstream":
-		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name, Upstream: upstreamRecord(name, fields)}), nil
+		s.entries[name] = upstreamRecord(name, fields)
+		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name, Upstream: s.entries[name]}), nil
 	case "entry_removed":
 		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name}), nil
 	case "undecodable":
 		return s.streamUpdates(lentilmux.StreamUpstreams, now, lentilmux.StreamUpdate{Key: name, DecodeError: "unreadable"}), nil
 	case "read":
-		return lentilmux.StreamUpdatesMsg{Stream: lentilmux.Stream(name), AsOf: now.Add(-parseDuration(fields["age"]))}, nil
+		return lentilmux.StreamUpdatesMsg{Stream: lentilmux.Stream(name), AsOf: now.Add(-parseDuration(fields["age"])), Position: s.position}, nil
 	case "read_failed":
 		return lentilmux.StreamReadFailedMsg{Stream: lentilmux.Stream(name), Err: errors.New("no answer")}, nil
 	case "digest":
@@ -178,6 +185,10 @@
 	case "held_part":
 		record := &lentilmux.HeldPartRecord{Part: parseParts(name)[0], Round: parseInt(fields["round"]), LastCrashAt: now.Add(-parseDuration(fields["age"]))}
 		return s.streamUpdates(lentilmux.StreamVMs, now, lentilmux.StreamUpdate{Key: lentilmux.HeldPartKey(record.Part), HeldPart: record}), nil
+	case "record_removed":
+		return s.streamUpdates(lentilmux.StreamVMs, now, lentilmux.StreamUpdate{Key: lentilmux.HeldPartKey(parseParts(name)[0])}), nil
+	case "records":
+		return s.listRecords(now, words[2:]), nil
 	case "drain":
 		return lentilmux.BeginDrainMsg{}, nil
 	}
@@ -248,9 +259,46 @@
 
 // streamUpdates returns the message for a read of one entry of a stream.
 func (s *scenario) streamUpdates(stream lentilmux.Stream, now time.Time, update lentilmux.StreamUpdate) lentilmux.Msg {
-	s.offset++
-	update.Offset = s.offset
-	return lentilmux.StreamUpdatesMsg{Stream: stream, AsOf: now, Updates: []lentilmux.StreamUpdate{update}}
+	s.position.Offset++
+	update.Offset = s.position.Offset
+	return lentilmux.StreamUpdatesMsg{Stream: stream, AsOf: now, Position: s.position, Updates: []lentilmux.StreamUpdate{update}}
+}
+
+// listUpstreams returns the message for a listing of the given upstreams, each with
+// its newest entry or, if a state such as a:draining or a start time such as a@7 is
+// given, with that.
+func (s *scenario) listUpstreams(now time.Time, names []string) lentilmux.Msg {
+	msg := lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamUpstreams, AsOf: now, Position: s.position, AllKeys: true}
+	for _, name := range names {
+		id, startedAt, hasStart := strings.Cut(name, "@")
+		id, state, _ := strings.Cut(id, ":")
+		record := *s.entries[id]
+		if state != "" {
+			record.Draining = state == "draining"
+		}
+		if hasStart {
+			record.StartedAt = time.Unix(int64(parseInt(startedAt)), 0)
+		}
+		msg.Updates = append(msg.Updates, lentilmux.StreamUpdate{Key: id, Offset: s.position.Offset, Upstream: &record})
+	}
+	return msg
+}
+
+// listRecords returns the message for a listing of the records of VMs and held parts.
+// Parts were held since 20 seconds ago, after three rounds.
+func (s *scenario) listRecords(now time.Time, names []string) lentilmux.Msg {
+	msg := lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamVMs, AsOf: now, Position: s.position, AllKeys: true}
+	for _, name := range names {
+		update := lentilmux.StreamUpdate{Key: name, Offset: s.position.Offset}
+		if strings.HasPrefix(name, "entry-") {
+			update.VM = &lentilmux.VMRecord{Name: name, Zone: "kochi", Addr: vmAddr(name)}
+		} else {
+			part := parseParts(name)[0]
+			update.Key, update.HeldPart = lentilmux.HeldPartKey(part), &lentilmux.HeldPartRecord{Part: part, Round: 3, LastCrashAt: now.Add(-20 * time.Second)}
+		}
+		msg.Updates = append(msg.Updates, update)
+	}
+	return msg
 }
 
 // epoch returns the epoch that a line names, or that of the request's newest
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -11,23 +11,26 @@
 type StreamStates struct {
 	Rules     StreamState
 	Upstreams StreamState
+	VMs       StreamState
 }
 
 // StreamState is the read state of one stream of the store.
 type StreamState struct {
-	AsOf        time.Time // when the last successful read was sent
-	Failing     bool      // whether the last read failed
-	RecoveredAt time.Time // when a read last succeeded after a failure
+	AsOf        time.Time             // when the last successful read was sent
+	Failing     bool                  // whether the last read failed
+	RecoveredAt time.Time             // when a read last succeeded after a failure, or showed that the store was restored
+	Position    lentilmux.LogPosition // where the next read starts
 }
 
-// Find returns the state of a stream, or nil for a stream whose age is not
-// tracked.
+// Find returns the state of a stream, or nil for an unknown stream.
 func (s *StreamStates) Find(stream lentilmux.Stream) (state *StreamState) {
 	switch stream {
 	case lentilmux.StreamRules:
 		return &s.Rules
 	case lentilmux.StreamUpstreams:
 		return &s.Upstreams
+	case lentilmux.StreamVMs:
+		return &s.VMs
 	default:
 		return nil
 	}
@@ -41,7 +44,7 @@
 
 // storeRecovering reports whether entries of upstreams may be missing although
 // the upstreams live: the store does not respond, or did so again for the first
-// time less than grace ago.
+// time or was restored from an earlier copy less than grace ago.
 func (t *Tables) storeRecovering(now time.Time, grace time.Duration) bool {
 	state := &t.Streams.Upstreams
 	return state.Failing || !state.RecoveredAt.IsZero() && now.Before(state.RecoveredAt.Add(grace))
