Run the engine's tests on a network in memory

TestRefusedAndBrokenStages failed once beside load with "ordering 127.0.0.1:19405: deadline_exceeded". The order that prepares the test has a deadline of 500 ms on the machine's clock, and the test used fixed TCP ports, so its verdict depended on how soon the process got the processor.

The tests now run in a testing/synctest bubble over net.Pipe: the clock advances only while all goroutines wait, so that a deadline passes only if nothing is left to do. The checks and bounds are the same. The client takes its dial function as an option. A blackholed connection of a host discards what arrives instead of leaving it unread, since a pipe has no buffer. The dial failure stays on TCP, at an address that a client's connection keeps from others.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -51,24 +51,40 @@
 // Client implements [lentilmux.Engine] over HTTP/2 without TLS. It keeps one
 // transport for each upstream and is safe for concurrent use.
 type Client struct {
+	dial       DialFunc
 	mu         sync.Mutex
 	transports map[netip.AddrPort]*http.Transport
 }
 
+// DialFunc opens a connection, as [net.Dialer.DialContext] does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a [Client].
+type Option func(*Client)
+
+// WithDial sets how connections are opened. The default is over TCP.
+func WithDial(dial DialFunc) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // NewClient returns a client without open connections.
-func NewClient() *Client {
-	return &Client{transports: make(map[netip.AddrPort]*http.Transport)}
+func NewClient(options ...Option) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	c := &Client{dial: dialer.DialContext, transports: make(map[netip.AddrPort]*http.Transport)}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // newTransport returns a transport for HTTP/2 without TLS that detects dead
 // connections by pings.
-func newTransport() *http.Transport {
+func (c *Client) newTransport() *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		Protocols:       protocols,
-		DialContext:     dialer.DialContext,
+		DialContext:     c.dial,
 		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13},
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingIdleTime,
@@ -83,7 +99,7 @@
 	defer c.mu.Unlock()
 	transport, ok := c.transports[upstream]
 	if !ok {
-		transport = newTransport()
+		transport = c.newTransport()
 		c.transports[upstream] = transport
 	}
 	return newStub(upstream, transport)
@@ -177,7 +193,7 @@
 	defer errors.DeferredAnnotatef(&err, "probing %s", upstream)
 	ctx, cancel := context.WithTimeout(ctx, unaryTimeout)
 	defer cancel()
-	transport := newTransport()
+	transport := c.newTransport()
 	if _, err := newStub(upstream, transport).Load(ctx, connect.NewRequest(&enginepb.LoadRequest{})); err != nil {
 		transport.CloseIdleConnections()
 		return err
--- a/standin/host.go
+++ b/standin/host.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +17,7 @@
 type Host struct {
 	addr    netip.AddrPort
 	handler http.Handler
+	listen  func(addr netip.AddrPort) (net.Listener, error)
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -24,7 +26,17 @@
 
 // NewHost returns a host for an address. It does not listen until [Host.Open].
 func NewHost(addr netip.AddrPort, handler http.Handler) *Host {
-	return &Host{addr: addr, handler: handler}
+	return &Host{addr: addr, handler: handler, listen: listenTCP}
+}
+
+// NewPipeHost returns a host for an address of a network in memory. It does not
+// listen until [Host.Open].
+func NewPipeHost(network *PipeNetwork, addr netip.AddrPort, handler http.Handler) *Host {
+	return &Host{addr: addr, handler: handler, listen: network.Listen}
+}
+
+func listenTCP(addr netip.AddrPort) (listener net.Listener, err error) {
+	return net.Listen("tcp", addr.String())
 }
 
 // Open listens on the host's address and serves in the background. It does nothing
@@ -36,7 +48,7 @@
 	if h.server != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", h.addr.String())
+	listener, err := h.listen(h.addr)
 	if err != nil {
 		return err
 	}
@@ -120,13 +132,20 @@
 	n, err = c.Conn.Read(data)
 	select {
 	case <-c.blackholed:
-		<-c.closed
-		return 0, net.ErrClosed
+		return 0, c.discard()
 	default:
 		return n, err
 	}
 }
 
+// discard drops all that arrives, so that the sender never blocks, and returns
+// once the connection is closed on this side.
+func (c *blackholeConn) discard() (err error) {
+	_, _ = io.Copy(io.Discard, c.Conn) // ends when either side closes
+	<-c.closed
+	return net.ErrClosed
+}
+
 // Write implements [net.Conn].
 func (c *blackholeConn) Write(data []byte) (n int, err error) {
 	select {
