Number the timelines of the node's own log

A log that is restored from an earlier copy gives out offsets again. A reader can tell this only by a number that the log itself keeps: its end may have passed the reader's offset again before the next read. LogPage and the read response carry the timeline of their offsets, and the stand-in log can be restored from a copy of a given age, in tests and through its fault interface (restore_copy).

--- a/log.go
+++ b/log.go
@@ -29,9 +29,10 @@
 
 // LogPage is the result of one read of a stream.
 type LogPage struct {
-	Start   uint64 // the oldest offset still kept
-	End     uint64 // the offset that the next entry will get
-	Entries []LogEntry
+	Timeline Timeline // of the offsets
+	Start    uint64   // the oldest offset still kept
+	End      uint64   // the offset that the next entry will get
+	Entries  []LogEntry
 }
 
 // LogEntry is one entry of a stream.
--- a/platformlog/platformlog.go
+++ b/platformlog/platformlog.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return lentilmux.LogPage{}, err
 	}
-	page = lentilmux.LogPage{Start: response.Msg.GetStart(), End: response.Msg.GetEnd()}
+	page = lentilmux.LogPage{Timeline: lentilmux.Timeline(response.Msg.GetTimeline()), Start: response.Msg.GetStart(), End: response.Msg.GetEnd()}
 	for _, entry := range response.Msg.GetEntries() {
 		page.Entries = append(page.Entries, lentilmux.LogEntry{
 			Offset: entry.GetOffset(), At: time.UnixMilli(entry.GetAtUnixMs()), Data: entry.GetData(),
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -29,8 +29,9 @@
 //   - engine: leave (stay), and link, which sets the one-way delay to value
 //   - listed VM: list_leaving (list_live)
 //   - log: outage (restore), delay, which sets the time of an append to value,
-//     and lose_replies, which drops the reply of every n-th append; value is n,
-//     or 0 to drop none
+//     lose_replies, which drops the reply of every n-th append; value is n,
+//     or 0 to drop none, and restore_copy, which replaces the log by a copy
+//     whose age is value
 type FaultInjector struct {
 	Engines  map[string]*Engine
 	Services map[string]*Service
@@ -103,6 +104,12 @@
 			return err
 		}
 		f.Log.DropEveryNthReply(n)
+	case "restore_copy":
+		age, err := time.ParseDuration(value)
+		if err != nil {
+			return err
+		}
+		f.Log.RestoreCopy(age)
 	case "delay":
 		delay, err := time.ParseDuration(value)
 		if err != nil {
--- a/standin/log.go
+++ b/standin/log.go
@@ -22,6 +22,7 @@
 // Log simulates the platform's append-only log. It keeps its streams in memory.
 type Log struct {
 	mu             sync.Mutex
+	timeline       lentilmux.Timeline
 	streams        map[lentilmux.Stream]*logStream
 	outage         bool
 	dropReplyEvery int // fail every n-th append after it took effect; 0 for none
@@ -101,6 +102,24 @@
 	s.wakeReaders()
 }
 
+// RestoreCopy replaces all streams by a copy of the given age, as after the loss
+// of the log's storage: newer entries are gone, their offsets are given out again,
+// and the timeline rises by one.
+func (l *Log) RestoreCopy(age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timeline++
+	copiedAt := time.Now().Add(-age)
+	for _, s := range l.streams {
+		kept := len(s.entries)
+		for kept > 0 && s.entries[kept-1].At.After(copiedAt) {
+			kept--
+		}
+		s.entries = s.entries[:kept:kept]
+		s.wakeReaders()
+	}
+}
+
 // Appends returns the number of appends that took effect and the total size of
 // their entries in bytes.
 func (l *Log) Appends() (count, bytes int) {
@@ -195,7 +214,7 @@
 		return lentilmux.LogPage{}, nil, ErrOutage
 	}
 	s := l.ensureStream(name)
-	page = lentilmux.LogPage{Start: s.start, End: s.start + uint64(len(s.entries))}
+	page = lentilmux.LogPage{Timeline: l.timeline, Start: s.start, End: s.start + uint64(len(s.entries))}
 	from = max(from, s.start)
 	if from < page.End {
 		entries := s.entries[from-s.start:]
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	reply := &platformlogpb.ReadResponse{Start: page.Start, End: page.End}
+	reply := &platformlogpb.ReadResponse{Timeline: uint64(page.Timeline), Start: page.Start, End: page.End}
 	for _, entry := range page.Entries {
 		reply.Entries = append(reply.Entries, &platformlogpb.Entry{Offset: entry.Offset, AtUnixMs: entry.At.UnixMilli(), Data: entry.Data})
 	}
