Keep accepted configuration when the node's log is restored

What callers would see: after the node's own log came back from a copy some seconds old, a VM that starts later (or that had not read the lost commands) had an older configuration in force than the others, for good. All of them reported the same revision, so nothing showed it.

Cause: the tailer and Configure took only a shorter end of the log for a loss. A log that had grown past its old end before the next read went on being read from the old offset: two histories under the same offsets and revisions.

Evidence: TestRestoredLogRevertsNoConfiguration restores the stand-in log from a copy, lets it grow, and restarts a VM.

Why this works: a read position is a timeline and an offset.

--- a/call.go
+++ b/call.go
@@ -42,9 +42,11 @@
 
 // CallPageMsg carries a page of entries read from [StreamCalls].
 type CallPageMsg struct {
-	Start   uint64 // the oldest offset still kept
-	End     uint64 // the offset that the next entry will get
-	Entries []CallEntry
+	Timeline   Timeline // of the offsets
+	RestoredAt uint64   // if Timeline has risen: first offset whose entry differs from the one read before
+	Start      uint64   // the oldest offset still kept
+	End        uint64   // the offset that the next entry will get
+	Entries    []CallEntry
 }
 
 // CallEntry is an entry of [StreamCalls]. If DecodeError is set, the entry
--- a/config.go
+++ b/config.go
@@ -116,6 +116,8 @@
 type Snapshot struct {
 	Revision       Revision        `json:"revision"`
 	RevisionOffset uint64          `json:"shift"` // Revision minus the log offset to read next
+	Timeline       Timeline        `json:"timeline,omitempty"`
+	StartsTimeline bool            `json:"starts_timeline,omitempty"` // whether Timeline's commands begin after it
 	Upstreams      []UpstreamSpec  `json:"upstreams"`
 	Pipelines      []PipelineSpec  `json:"pipelines"`
 	Services       []ServiceSpec   `json:"services"`
@@ -149,9 +151,11 @@
 
 // ConfigPageMsg carries a page of entries read from [StreamConfig].
 type ConfigPageMsg struct {
-	Start   uint64 // the oldest offset still kept
-	End     uint64 // the offset that the next entry will get
-	Entries []ConfigEntry
+	Timeline   Timeline // of the offsets
+	RestoredAt uint64   // if Timeline has risen: first offset whose entry differs from the one read before
+	Start      uint64   // the oldest offset still kept
+	End        uint64   // the offset that the next entry will get
+	Entries    []ConfigEntry
 }
 
 // ConfigEntry is an entry of [StreamConfig]. If DecodeError is set, the entry
--- /dev/null
+++ b/entryvm/logrestore_test.go
@@ -0,0 +1,96 @@
+package entryvm_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/platformlog"
+)
+
+// fillerRecords is the number of records with which restoreLogAndGrow makes the
+// log longer than it was before.
+const fillerRecords = 40
+
+// restoreLogAndGrow restores the log from a copy of the given age and makes it
+// longer than it was, before any VM can read it. The new records change nothing.
+func (c *cluster) restoreLogAndGrow(age time.Duration) {
+	c.log.RestoreCopy(age)
+	for i := range fillerRecords {
+		config, err := platformlog.EncodeConfig(lentilmux.ConfigRecord{ID: fmt.Sprint("filler-", i), Who: "test"})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		call, err := platformlog.EncodeCall(lentilmux.CallRecord{Kind: lentilmux.CallRecordRelease, ID: fmt.Sprint("filler-", i), Fingerprint: 1})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if err := c.log.Append(c.t.Context(), lentilmux.StreamConfig, [][]byte{config}); err != nil {
+			c.t.Fatal(err)
+		}
+		if err := c.log.Append(c.t.Context(), lentilmux.StreamCalls, [][]byte{call}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+// cutAllFromLog cuts or restores the connections of all members to the log.
+func (c *cluster) cutAllFromLog(cut bool) {
+	for _, m := range c.vms {
+		c.network.cutLog(m.addr, cut)
+	}
+}
+
+// restart kills a member and starts it again.
+func (c *cluster) restart(m *member) {
+	c.kill(m)
+	<-m.incarnation().done
+	c.start(m)
+}
+
+// TestRestoredLogRevertsNoConfiguration guards against a log that is restored from
+// a copy and grows past its old end before it is read again: an accepted command
+// must stay in force on all VMs, on one that had not read it and on one that
+// starts later, and later commands must apply alike on all.
+func TestRestoredLogRevertsNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stopAll()
+		c.network.cutLog(c.vms[2].addr, true)
+		if answer := c.execute(c.vms[0], "change workspace counter priority 5", "change"); !answer.Accepted {
+			t.Fatalf("the change returned %+v", answer)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.cutAllFromLog(true)
+		time.Sleep(2 * time.Second) // reads in flight end
+		c.restoreLogAndGrow(3 * time.Second)
+		c.cutAllFromLog(false)
+		time.Sleep(10 * time.Second)
+		c.restart(c.vms[1])
+		time.Sleep(10 * time.Second)
+		c.checkPriority(5)
+		answer := c.execute(c.vms[2], "change workspace counter priority 6", "late")
+		if !answer.Accepted {
+			t.Errorf("a command after the restore returned %+v", answer)
+		}
+		time.Sleep(time.Second)
+		c.checkPriority(6)
+		for _, m := range c.vms {
+			if got := c.snapshot(m).Revision; got != answer.Revision {
+				t.Errorf("%s is at revision %d, the command was accepted at %d", m.name, got, answer.Revision)
+			}
+		}
+	})
+}
+
+// checkPriority checks the priority of the workspace on all members.
+func (c *cluster) checkPriority(want int) {
+	c.t.Helper()
+	for _, m := range c.vms {
+		if got := c.snapshot(m).Workspaces; len(got) != 1 || got[0].Priority != want {
+			c.t.Errorf("%s has applied %+v, want priority %d", m.name, got, want)
+		}
+	}
+}
--- a/platformlog/tailer.go
+++ b/platformlog/tailer.go
@@ -42,11 +42,16 @@
 
 // tail reads one stream. A page that ends before the requested offset is also
 // sent to the node, since it shows that the log has become shorter. Reading
-// continues at the end of that page.
-func (t *Tailer) tail(ctx context.Context, stream lentilmux.Stream, decode func(lentilmux.LogPage) lentilmux.Msg) {
-	var next uint64
+// continues at the end of that page. On a new timeline it continues at the first
+// entry that differs from those that it has read.
+func (t *Tailer) tail(ctx context.Context, stream lentilmux.Stream, decode func(lentilmux.LogPage, uint64) lentilmux.Msg) {
+	var position readPosition
 	for ctx.Err() == nil {
-		page, err := t.log.Read(ctx, stream, next, readWait)
+		wait := readWait
+		if position.comparing {
+			wait = 0
+		}
+		page, err := t.log.Read(ctx, stream, position.next(), wait)
 		if err != nil {
 			if t.node.Send(ctx, lentilmux.LogFailedMsg{Stream: stream, Err: err}) != nil {
 				return
@@ -54,20 +59,28 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		if t.node.Send(ctx, decode(page)) != nil {
-			return
+		if page.Timeline < position.timeline { // a late answer
+			sleep(ctx, retryDelay)
+			continue
 		}
-		if count := len(page.Entries); count > 0 {
-			next = page.Entries[count-1].Offset + 1
+		if page.Timeline > position.timeline {
+			position.restored(page.Timeline)
+			continue
+		}
+		if position.comparing && !position.compare(&page) {
+			continue
+		}
+		if t.node.Send(ctx, decode(page, position.end())) != nil {
+			return
 		}
-		next = min(next, page.End)
+		position.advance(page)
 	}
 }
 
 // decodeConfigPage decodes a page of [lentilmux.StreamConfig]. Entries that
 // cannot be decoded carry the error.
-func decodeConfigPage(page lentilmux.LogPage) lentilmux.Msg {
-	msg := lentilmux.ConfigPageMsg{Start: page.Start, End: page.End}
+func decodeConfigPage(page lentilmux.LogPage, restoredAt uint64) lentilmux.Msg {
+	msg := lentilmux.ConfigPageMsg{Timeline: page.Timeline, RestoredAt: restoredAt, Start: page.Start, End: page.End}
 	for _, entry := range page.Entries {
 		record, err := DecodeConfig(entry.Data)
 		decoded := lentilmux.ConfigEntry{Offset: entry.Offset, At: entry.At, Record: record}
@@ -82,8 +95,8 @@
 
 // decodeCallPage decodes a page of [lentilmux.StreamCalls]. Entries that cannot
 // be decoded carry the error.
-func decodeCallPage(page lentilmux.LogPage) lentilmux.Msg {
-	msg := lentilmux.CallPageMsg{Start: page.Start, End: page.End}
+func decodeCallPage(page lentilmux.LogPage, restoredAt uint64) lentilmux.Msg {
+	msg := lentilmux.CallPageMsg{Timeline: page.Timeline, RestoredAt: restoredAt, Start: page.Start, End: page.End}
 	for _, entry := range page.Entries {
 		record, err := DecodeCall(entry.Data)
 		decoded := lentilmux.CallEntry{Offset: entry.Offset, At: entry.At, Record: record}
--- a/system/configure.go
+++ b/system/configure.go
@@ -19,6 +19,9 @@
 	// logRepairDelay is how long the log must have been shorter than the
 	// configuration in force before a snapshot is published to repair it.
 	logRepairDelay = 5 * time.Second
+	// timelineStartDelay is how long a VM waits after a restore of the log for
+	// peers with a higher revision before it starts the new timeline.
+	timelineStartDelay = 2 * time.Second
 )
 
 // Configure keeps the configuration in force in step with the configuration
@@ -61,7 +64,13 @@
 // kept.
 func (s *Configure) readPage(t *table.Tables, now time.Time, page lentilmux.ConfigPageMsg) {
 	row := &t.Streams.Config
-	regressed := page.End < row.NextOffset
+	if page.Timeline < row.Timeline {
+		return // a late answer
+	}
+	if page.Timeline > row.Timeline {
+		s.noteRestore(t, now, page)
+	}
+	regressed := page.End < row.NextOffset || !timelineStarted(t)
 	if regressed && row.RegressedSince.IsZero() {
 		row.RegressedSince = now
 		t.RecordDecision(now, lentilmux.Decision{
@@ -88,6 +97,9 @@
 // a peer and keeps the rest.
 func (s *Configure) applyBacklog(t *table.Tables, now time.Time) {
 	row := &t.Streams.Config
+	if t.Self.Synced && !timelineStarted(t) && !s.startTimeline(t, now) {
+		return
+	}
 	entries := t.Backlog.Entries
 	for len(entries) > 0 {
 		entry := entries[0]
@@ -101,11 +113,13 @@
 			s.applyEntry(t, now, entry)
 			entries = entries[1:]
 		default:
-			if !s.bridgeGap(t, now, entries) {
+			rest, bridged := s.bridgeGap(t, now, entries)
+			if !bridged {
 				s.fetchSnapshot(t, now)
 				t.Backlog.Entries = entries
 				return
 			}
+			entries = rest
 		}
 	}
 	t.Backlog.Entries = nil
@@ -114,20 +128,33 @@
 	}
 }
 
-// isRebase reports whether the entry is a snapshot with a higher revision than
-// its log offset accounts for, which only happens after the log lost records.
+// isRebase reports whether the entry is a snapshot that starts a later timeline, or
+// one with a higher revision than its log offset accounts for, which only happens
+// after the log lost records.
 func (s *Configure) isRebase(t *table.Tables, entry lentilmux.ConfigEntry) bool {
-	snapshot := entry.Record.Snapshot
-	return snapshot != nil &&
-		uint64(snapshot.Revision) > entry.Offset+t.Streams.Config.RevisionOffset &&
-		snapshot.Revision >= t.Self.Revision
+	snapshot, row := entry.Record.Snapshot, &t.Streams.Config
+	switch {
+	case snapshot == nil:
+		return false
+	case snapshot.StartsTimeline:
+		return snapshot.Timeline > row.AppliedTimeline && snapshot.Timeline <= row.Timeline
+	default:
+		return snapshot.Timeline >= row.AppliedTimeline &&
+			uint64(snapshot.Revision) > entry.Offset+snapshot.RevisionOffset &&
+			snapshot.Revision >= t.Self.Revision
+	}
 }
 
 // rebase continues from a snapshot that was published after the log lost
 // records. Revisions continue from that of the snapshot.
 func (s *Configure) rebase(t *table.Tables, now time.Time, entry lentilmux.ConfigEntry) {
-	s.installIfNewer(t, now, *entry.Record.Snapshot)
 	row := &t.Streams.Config
+	if entry.Record.Snapshot.StartsTimeline {
+		t.History.DropAfter(entry.Record.Snapshot.AppliedIDs)
+		installSnapshot(t, *entry.Record.Snapshot)
+	} else {
+		s.installIfNewer(t, now, *entry.Record.Snapshot)
+	}
 	row.RevisionOffset = uint64(entry.Record.Snapshot.Revision) - entry.Offset
 	row.NextOffset = entry.Offset
 	row.RegressedSince = time.Time{}
@@ -139,16 +166,21 @@
 }
 
 // bridgeGap installs the first snapshot of entries that covers the gap before
-// them and reports whether there is one.
-func (s *Configure) bridgeGap(t *table.Tables, now time.Time, entries []lentilmux.ConfigEntry) bool {
-	for _, entry := range entries {
+// them. It returns the entries that are still to be applied, and whether there is
+// such a snapshot.
+func (s *Configure) bridgeGap(t *table.Tables, now time.Time, entries []lentilmux.ConfigEntry) (rest []lentilmux.ConfigEntry, bridged bool) {
+	for i, entry := range entries {
 		snapshot := entry.Record.Snapshot
+		if s.isRebase(t, entry) {
+			s.rebase(t, now, entry)
+			return entries[i+1:], true
+		}
 		if snapshot != nil && uint64(snapshot.Revision) >= entries[0].Offset+snapshot.RevisionOffset {
 			s.installIfNewer(t, now, *snapshot)
-			return true
+			return entries, true
 		}
 	}
-	return false
+	return nil, false
 }
 
 // fetchSnapshot requests a snapshot from the peer with the highest revision, if
@@ -176,7 +208,7 @@
 // installIfNewer installs a snapshot if it is newer than the configuration in
 // force.
 func (s *Configure) installIfNewer(t *table.Tables, now time.Time, snapshot lentilmux.Snapshot) {
-	if snapshot.Revision <= t.Self.Revision {
+	if snapshot.Revision <= t.Self.Revision || snapshot.Timeline < t.Streams.Config.AppliedTimeline {
 		return
 	}
 	t.RecordDecision(now, lentilmux.Decision{
@@ -275,7 +307,7 @@
 			Accepted: true, OutcomeKnown: true, Revision: t.Self.Revision, Detail: "would be accepted; nothing was changed",
 		})
 	case !row.RegressedSince.IsZero():
-		refuse("the log is shorter than the configuration in force; nothing was changed")
+		refuse("the log has lost records of the configuration in force; nothing was changed")
 	case !row.Healthy() || !t.Self.Synced:
 		refuse("the log is not available; nothing was changed")
 	default:
@@ -313,10 +345,14 @@
 // lowest name does it.
 func (s *Configure) repairLog(t *table.Tables, now time.Time) {
 	row := &t.Streams.Config
-	if row.RegressedSince.IsZero() || !row.FailedAt.IsZero() || !t.Self.Synced {
+	if row.RegressedSince.IsZero() || !row.FailedAt.IsZero() || !canRepair(t, now) {
 		return
 	}
-	if due := row.RegressedSince.Add(logRepairDelay); now.Before(due) {
+	delay := logRepairDelay
+	if !timelineStarted(t) {
+		delay = timelineStartDelay
+	}
+	if due := row.RegressedSince.Add(delay); now.Before(due) {
 		t.WakeAt(due)
 		return
 	}
@@ -328,6 +364,10 @@
 		}
 	}
 	row.RegressedSince = now
+	if !timelineStarted(t) {
+		s.appendSnapshot(t, takeTimelineStart(t))
+		return
+	}
 	s.appendSnapshot(t, takeSnapshot(t))
 }
 
--- a/system/scenario_test.go
+++ b/system/scenario_test.go
@@ -46,9 +46,11 @@
 	due               time.Time                          // time of the next tick
 	messageTexts      map[lentilmux.CorrelationID]string // event and subject of the message, by correlation ID
 	lastCorrelationID lentilmux.CorrelationID
-	configOffset      uint64                // end of the configuration stream
-	callOffset        uint64                // end of the calls stream
-	lastDrain         lentilmux.ConfigEntry // last drain command, for the event "repeat"
+	configOffset      uint64                 // end of the configuration stream
+	callOffset        uint64                 // end of the calls stream
+	lastDrain         lentilmux.ConfigEntry  // last drain command, for the event "repeat"
+	timeline          lentilmux.Timeline     // of the log
+	timelineStart     lentilmux.ConfigRecord // last snapshot that the node appended to start a timeline, for the event "start_timeline"
 	out               strings.Builder
 }
 
@@ -157,6 +159,12 @@
 		s.configOffset++
 		s.lastDrain.Offset = s.configOffset - 1
 		return lentilmux.ConfigPageMsg{End: s.configOffset, Entries: []lentilmux.ConfigEntry{s.lastDrain}}, nil
+	case "restore":
+		return s.restore(words[2], fields)
+	case "start_timeline":
+		s.configOffset++
+		entry := lentilmux.ConfigEntry{Offset: s.configOffset - 1, Record: s.timelineStart}
+		return lentilmux.ConfigPageMsg{Timeline: s.timeline, End: s.configOffset, Entries: []lentilmux.ConfigEntry{entry}}, nil
 	case "call":
 		return s.callPage(fields, now)
 	case "arrive":
@@ -215,7 +223,32 @@
 	if strings.HasPrefix(text, "drain") {
 		s.lastDrain = entry
 	}
-	return lentilmux.ConfigPageMsg{End: s.configOffset, Entries: []lentilmux.ConfigEntry{entry}}, nil
+	return lentilmux.ConfigPageMsg{Timeline: s.timeline, End: s.configOffset, Entries: []lentilmux.ConfigEntry{entry}}, nil
+}
+
+// restore returns the first page of a stream after the log was restored from an
+// earlier copy. The field restored_at is the end of what the stream has kept, end
+// the offset that the next entry gets.
+func (s *scenario) restore(stream string, fields map[string]string) (msg lentilmux.Msg, err error) {
+	timeline, err := strconv.ParseUint(fields["timeline"], 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	restoredAt, err := strconv.ParseUint(fields["restored_at"], 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	end, err := strconv.ParseUint(fields["end"], 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	s.timeline = lentilmux.Timeline(timeline)
+	if stream == "config" {
+		s.configOffset = end
+		return lentilmux.ConfigPageMsg{Timeline: s.timeline, RestoredAt: restoredAt, End: end}, nil
+	}
+	s.callOffset = end
+	return lentilmux.CallPageMsg{Timeline: s.timeline, RestoredAt: restoredAt, End: end}, nil
 }
 
 // logEvent returns an empty page of a stream or a failed read.
@@ -251,7 +284,7 @@
 		record.Fingerprint = lentilmux.Fingerprint(number)
 	}
 	s.callOffset++
-	return lentilmux.CallPageMsg{End: s.callOffset, Entries: []lentilmux.CallEntry{{Offset: s.callOffset - 1, At: now, Record: record}}}, nil
+	return lentilmux.CallPageMsg{Timeline: s.timeline, End: s.callOffset, Entries: []lentilmux.CallEntry{{Offset: s.callOffset - 1, At: now, Record: record}}}, nil
 }
 
 func (s *scenario) arrive(id string, fields map[string]string, now time.Time) (msg lentilmux.Msg, err error) {
@@ -366,6 +399,13 @@
 		return s.describeAnswer(s.messageTexts[effect.CorrelationID], effect.Answer)
 	case lentilmux.CallAppendEffect:
 		return fmt.Sprintf("append %s %s key=%s outcome=%s", effect.Record.Kind, effect.Record.ID, effect.Record.Key, effect.Record.Outcome)
+	case lentilmux.ConfigAppendEffect:
+		snapshot := effect.Record.Snapshot
+		if snapshot == nil || !snapshot.StartsTimeline {
+			return ""
+		}
+		s.timelineStart = effect.Record
+		return fmt.Sprintf("append snapshot of revision %d, starts timeline %d", snapshot.Revision, snapshot.Timeline)
 	case lentilmux.OrderEffect:
 		return fmt.Sprintf("send order %s %d-%d fence %d", effect.Upstream, effect.Order.Layers.First, effect.Order.Layers.Last, effect.Order.Fence)
 	case lentilmux.ProbeEffect:
--- a/system/snapshot.go
+++ b/system/snapshot.go
@@ -10,7 +10,7 @@
 
 // takeSnapshot returns a snapshot of the configuration in force.
 func takeSnapshot(t *table.Tables) lentilmux.Snapshot {
-	s := lentilmux.Snapshot{Revision: t.Self.Revision, RevisionOffset: t.Streams.Config.RevisionOffset}
+	s := lentilmux.Snapshot{Revision: t.Self.Revision, RevisionOffset: t.Streams.Config.RevisionOffset, Timeline: t.Streams.Config.AppliedTimeline}
 	for i := range t.Upstreams.Rows {
 		s.Upstreams = append(s.Upstreams, t.Upstreams.Rows[i].Spec)
 	}
@@ -59,6 +59,8 @@
 	t.Self.Revision = s.Revision
 	t.Streams.Config.RevisionOffset = s.RevisionOffset
 	t.Streams.Config.NextOffset = uint64(s.Revision) - s.RevisionOffset
+	t.Streams.Config.AppliedTimeline = s.Timeline
+	t.Streams.Config.Timeline = max(t.Streams.Config.Timeline, s.Timeline)
 	t.Stages.Stale = true
 }
 
--- a/table/config.go
+++ b/table/config.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"slices"
 	"time"
 
 	"lentilmux.example/lentilmux"
@@ -103,6 +104,16 @@
 	return ok
 }
 
+// DropAfter drops the rows that follow the newest one whose ID is among ids.
+func (h *History) DropAfter(ids []string) {
+	kept := len(h.Rows)
+	for kept > 0 && !slices.Contains(ids, h.Rows[kept-1].ID) {
+		kept--
+		delete(h.appliedIDs.rows, h.Rows[kept].ID)
+	}
+	h.Rows = h.Rows[:kept]
+}
+
 // Find returns the row with the ID, or nil.
 func (h *History) Find(id string) *HistoryRow {
 	for i := range h.Rows {
