Keep calls decided when the node's log is restored

What callers would see: after the node's own log came back from a copy some seconds old and had grown past its old end, a booking with an idempotency key ran a second time when it was sent again through a VM that had not read the lost records.

Cause: the calls stream was read on from the old offset. Intents and outcomes that were gone, and those written below that offset, were unknown to some VMs and known to others, so a key could be claimed again, and VMs decided it differently.

Why this works: a VM notices the timeline before it reads any entry of it, and so before it can be granted a key there. From then on it refuses keys of which it knows nothing and which are older than the restore, as unknown unless the caller says that it is the first attempt; requests that wait for the intent of such a key are refused too. What it knows stays decided: it answers from it, and appends the lost intents, outcomes, crashes and releases again, so that VMs that start later know them. The VMs take turns by name, and skip what they read back meanwhile. The first record of a timeline tells a VM that starts later from when on it knows all calls (TestVMStartedAfterRestoreServesBookings).

Keys that a VM knows, and first attempts, are now served after a truncation as well, where every old key was refused before.

The property test draws restores of the log from copies of up to 10 s, and the histories for porcupine have a restore among their faults. A restore is drawn only if a VM that stays up knows every accepted command.

--- a/call.go
+++ b/call.go
@@ -15,6 +15,9 @@
 	CallRecordCrash CallRecordKind = "crash"
 	// CallRecordRelease ends the quarantine of a fingerprint.
 	CallRecordRelease CallRecordKind = "release"
+	// CallRecordTimeline is the first record of a timeline. Calls with keys from
+	// before it may be missing.
+	CallRecordTimeline CallRecordKind = "timeline"
 )
 
 // CallRecord is an entry of [StreamCalls]. The set fields depend on its kind.
@@ -33,6 +36,7 @@
 	ContentType string         `json:"content_type,omitempty"`
 	Body        []byte         `json:"body,omitempty"`
 	Truncated   bool           `json:"truncated,omitempty"` // Body was too large to keep
+	Timeline    Timeline       `json:"timeline,omitempty"`
 }
 
 // CallAppendEffect appends a record to [StreamCalls].
--- a/entryvm/linearizability_test.go
+++ b/entryvm/linearizability_test.go
@@ -64,7 +64,7 @@
 // its revision is current. Operators change one workspace concurrently through
 // all VMs while the log drops replies or fails, or a VM is paused or killed.
 func TestCommandsAreLinearizable(t *testing.T) {
-	for _, fault := range []string{"none", "lost_replies", "outage", "pause", "kill"} {
+	for _, fault := range []string{"none", "lost_replies", "outage", "restore", "pause", "kill"} {
 		t.Run(fault, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, testVMs)
@@ -112,6 +112,8 @@
 	switch fault {
 	case "lost_replies":
 		c.log.DropEveryNthReply(2)
+	case "restore":
+		c.restoreLogAndGrow(10 * time.Millisecond)
 	case "outage":
 		c.log.SetOutage(true)
 		time.Sleep(3 * time.Second)
@@ -203,7 +205,7 @@
 // idempotency keys through all VMs while the log or a VM fails.
 func TestBookingsAreLinearizable(t *testing.T) {
 	model := bookingModel.ToModel()
-	for _, fault := range []string{"none", "lost_replies", "outage", "pause", "kill"} {
+	for _, fault := range []string{"none", "lost_replies", "outage", "restore", "pause", "kill"} {
 		t.Run(fault, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, testVMs)
--- a/entryvm/logrestore_test.go
+++ b/entryvm/logrestore_test.go
@@ -94,3 +94,96 @@
 		}
 	}
 }
+
+// TestRestoredLogRunsNoBookingTwice guards against a booking that runs again, or
+// is reported as not run, because its records are gone from a log that was
+// restored from a copy and has grown past its old end. It is sent again through a
+// VM that read the records, one that did not, and one that starts later.
+func TestRestoredLogRunsNoBookingTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stopAll()
+		c.network.cutLog(c.vms[2].addr, true)
+		key := newIdempotencyKey()
+		if r := c.sendBooking(c.vms[0], key, "slot", true, 5*time.Second); r.Outcome != "answered" {
+			t.Fatalf("the booking returned %+v", r)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.cutAllFromLog(true)
+		time.Sleep(2 * time.Second) // reads in flight end
+		c.restoreLogAndGrow(3 * time.Second)
+		c.cutAllFromLog(false)
+		time.Sleep(10 * time.Second)
+		c.restart(c.vms[1])
+		time.Sleep(10 * time.Second)
+		for _, m := range c.vms {
+			if r := c.sendBooking(m, key, "slot", false, 3*time.Second); r.Outcome == "not_run" {
+				t.Errorf("%s returned %+v for the resend", m.name, r)
+			}
+		}
+		if n := c.bookingRuns(key); n != 1 {
+			t.Errorf("the booking ran %d times", n)
+		}
+	})
+}
+
+// TestVMStartedAfterRestoreServesBookings guards against a VM that takes its own
+// start for the time of an earlier restore of the log, and so refuses all keys that
+// were created before it.
+func TestVMStartedAfterRestoreServesBookings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll()
+		c.log.RestoreCopy(time.Second)
+		time.Sleep(c.limits.ClockSkew + 10*time.Second)
+		key := newIdempotencyKey()
+		for _, m := range c.vms {
+			c.kill(m)
+			<-m.incarnation().done
+		}
+		c.start(c.vms[0])
+		time.Sleep(15 * time.Second)
+		if r := c.sendBooking(c.vms[0], key, "slot", false, 5*time.Second); r.Outcome != "answered" {
+			t.Errorf("a key from before the start of the VM returned %+v", r)
+		}
+	})
+}
+
+// copyAges are the ages of the copies from which steps restore the log.
+var copyAges = []time.Duration{0, 10 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 10 * time.Second}
+
+// restoreLog restores the log from a copy, provided that a VM that reads the log
+// knows all accepted commands. That VM becomes the keeper, since what no VM knows
+// is lost with the log.
+func restoreLog(c *cluster, h *history, age time.Duration) {
+	if h.keeper != nil && !startedTimeline(c, h.keeper) {
+		return
+	}
+	for _, m := range c.vms {
+		if m.running() && !m.incarnation().gate.paused() && !c.network.isLogCut(m.addr) && missingWorkspace(c, h, m) == "" {
+			h.keeper = m
+			c.log.RestoreCopy(age)
+			return
+		}
+	}
+}
+
+// strikesKeeper reports whether a step would stop or isolate the keeper before the
+// log has what the keeper knows.
+func strikesKeeper(c *cluster, h *history, s step) bool {
+	m, other := c.vms[s.VM], c.vms[s.Other]
+	switch s.Kind {
+	case "kill", "pause", "cut_log":
+		return m == h.keeper && !startedTimeline(c, m)
+	case "cut":
+		return (m == h.keeper || other == h.keeper) && !startedTimeline(c, h.keeper)
+	default:
+		return false
+	}
+}
+
+// startedTimeline reports whether the configuration of a member belongs to the
+// log's timeline.
+func startedTimeline(c *cluster, m *member) bool {
+	return c.snapshot(m).Timeline == c.log.Timeline()
+}
--- a/entryvm/property_test.go
+++ b/entryvm/property_test.go
@@ -35,7 +35,7 @@
 // step is one action on a cluster, which follows a wait.
 type step struct {
 	Kind  string
-	VM    int // member that the step acts on
+	VM    int // member that the step acts on; of a restore of the log: the age of the copy
 	Other int // second member of a cut, or the upstream of an upstream fault
 	Key   int // index of the idempotency keys
 	Wait  time.Duration
@@ -46,7 +46,7 @@
 var stepKinds = []string{
 	"booking", "booking", "booking", "booking", "lookup", "chat_with_key", "chat_with_key", "chat", "chat", "chat", "command", "command",
 	"kill", "restart", "pause", "resume", "cut", "cut_log", "heal",
-	"log_outage", "log_recovery", "drop_log_replies", "deliver_log_replies",
+	"log_outage", "log_recovery", "drop_log_replies", "deliver_log_replies", "restore_log",
 	"engine_kill", "engine_revive", "engine_freeze", "engine_thaw", "engine_blackhole",
 	"service_kill", "service_revive", "service_freeze", "service_thaw",
 }
@@ -85,6 +85,7 @@
 	answers    []response
 	accepted   map[string]lentilmux.Revision // by name of the created workspace
 	revisions  map[string]lentilmux.Revision // highest revision seen at each VM
+	keeper     *member                       // knows all accepted commands while the log lacks some
 	clients    sync.WaitGroup
 }
 
@@ -125,6 +126,9 @@
 // runStep runs one step. Requests run in the background.
 func runStep(c *cluster, h *history, s step, number int, keys [2]string) {
 	m, other := c.vms[s.VM], c.vms[s.Other]
+	if strikesKeeper(c, h, s) {
+		return
+	}
 	switch s.Kind {
 	case "booking":
 		h.clients.Go(func() { runBooking(c, h, m, keys[0]) })
@@ -170,6 +174,8 @@
 		c.network.heal()
 	case "log_outage", "log_recovery":
 		c.log.SetOutage(s.Kind == "log_outage")
+	case "restore_log":
+		restoreLog(c, h, copyAges[s.VM])
 	case "drop_log_replies":
 		c.log.DropEveryNthReply(2)
 	case "deliver_log_replies":
@@ -342,14 +348,25 @@
 		h.fail("%s", difference)
 	}
 	for _, m := range c.vms {
-		workspaces := c.snapshot(m).Workspaces
-		for name := range h.accepted {
-			exists := slices.ContainsFunc(workspaces, func(w lentilmux.WorkspaceSpec) bool { return w.Name == name })
-			if !exists {
-				h.fail("%s has no workspace %s, which was accepted", m.name, name)
-			}
+		if name := missingWorkspace(c, h, m); name != "" {
+			h.fail("%s has no workspace %s, which was accepted", m.name, name)
+		}
+	}
+}
+
+// missingWorkspace returns the name of an accepted workspace that a member has not
+// applied, or an empty text.
+func missingWorkspace(c *cluster, h *history, m *member) string {
+	workspaces := c.snapshot(m).Workspaces
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name := range h.accepted {
+		exists := slices.ContainsFunc(workspaces, func(w lentilmux.WorkspaceSpec) bool { return w.Name == name })
+		if !exists {
+			return name
 		}
 	}
+	return ""
 }
 
 // configurationDifference describes a VM whose configuration differs from that of
--- a/standin/log.go
+++ b/standin/log.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// Timeline returns the number of restores from a copy.
+func (l *Log) Timeline() lentilmux.Timeline {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.timeline
+}
+
 // Appends returns the number of appends that took effect and the total size of
 // their entries in bytes.
 func (l *Log) Appends() (count, bytes int) {
--- a/system/accept.go
+++ b/system/accept.go
@@ -123,18 +123,20 @@
 // checkKeyAge refuses an idempotency key that was created in the future, has
 // expired, or is older than the time from which this node knows all entries of
 // the calls stream: an earlier call with such a key might be missing from
-// Calls.
+// Calls. Keys whose calls are known are accepted, and so are those of which the
+// caller says that no earlier request may have run.
 func (s *AcceptRequests) checkKeyAge(t *table.Tables, now time.Time, request lentilmux.Request) *lentilmux.Refusal {
 	skew := t.Limits.ClockSkew
-	knownSince := t.Streams.Calls.KnownSince
+	key := callKey(request)
+	call := t.Calls.Find(key)
 	var refusal lentilmux.Refusal
 	switch {
 	case request.KeyCreatedAt.After(now.Add(skew)):
 		refusal = notRunRefusal(lentilmux.ReasonKeyInvalid, 0, "the key's time is more than %s ahead", skew)
 	case now.Sub(request.KeyCreatedAt) > t.Limits.KeyWindow:
 		refusal = notRunRefusal(lentilmux.ReasonKeyExpired, 0, "the key is older than %s and is no longer remembered", t.Limits.KeyWindow)
-	case !knownSince.IsZero() && request.KeyCreatedAt.Before(knownSince.Add(skew)):
-		refusal = notRunRefusal(lentilmux.ReasonKeyExpired, 0, "the key is older than what the log still tells")
+	case mayHaveLostCall(t, request, key) && (call == nil || !holdsKey(call)):
+		refusal = lostCallRefusal()
 	default:
 		return nil
 	}
--- a/system/call.go
+++ b/system/call.go
@@ -114,6 +114,11 @@
 		resumeWaiting(t, now, key)
 		return
 	}
+	if mayHaveLostCall(t, r.Request, key) {
+		refuse(t, now, r, lostCallRefusal())
+		resumeWaiting(t, now, key)
+		return
+	}
 	if !t.Streams.Calls.Healthy() || !t.Streams.Calls.CaughtUp {
 		refuse(t, now, r, notRunRefusal(lentilmux.ReasonLogUnavailable, 2*time.Second, "the log is not available, so the call could not be shown to run once"))
 		return
--- a/system/claim.go
+++ b/system/claim.go
@@ -50,6 +50,12 @@
 // readPage applies a page of the calls stream and updates the stream's row.
 func (s *ClaimKeys) readPage(t *table.Tables, now time.Time, page lentilmux.CallPageMsg) {
 	row := &t.Streams.Calls
+	if page.Timeline < row.Timeline {
+		return // a late answer
+	}
+	if page.Timeline > row.Timeline {
+		s.noteRestore(t, now, page)
+	}
 	s.noteLogGap(t, now, page)
 	row.EverRead = true
 	row.EndOffset = page.End
@@ -62,7 +68,7 @@
 		}
 		row.NextOffset = entry.Offset + 1
 		if entry.DecodeError == "" {
-			s.applyRecord(t, now, entry.Record)
+			s.applyRecord(t, now, entry)
 		}
 	}
 	if row.NextOffset >= row.EndOffset {
@@ -113,16 +119,23 @@
 
 // applyRecord applies one record of the log. Every VM applies the records in
 // the same order with the same result.
-func (s *ClaimKeys) applyRecord(t *table.Tables, now time.Time, record lentilmux.CallRecord) {
+func (s *ClaimKeys) applyRecord(t *table.Tables, now time.Time, entry lentilmux.CallEntry) {
+	record := entry.Record
 	t.PendingAppends.Remove(appendID(record))
 	switch record.Kind {
 	case lentilmux.CallRecordIntent:
 		s.applyIntent(t, now, record)
+		noteOffset(t, entry)
 	case lentilmux.CallRecordOutcome:
+		noteOffset(t, entry)
 		s.applyOutcome(t, now, record)
+	case lentilmux.CallRecordTimeline:
+		s.noteTimelineRecord(t, entry)
 	case lentilmux.CallRecordRelease:
+		t.RecentCrashes.Add(table.CrashEntry{Offset: entry.Offset, Record: record})
 		t.CrashSuspects.Remove(fingerprintText(record.Fingerprint))
 	case lentilmux.CallRecordCrash:
+		t.RecentCrashes.Add(table.CrashEntry{Offset: entry.Offset, Record: record})
 		if u := t.Upstreams.Find(record.Upstream); u != nil {
 			u.CrashedAt = now
 		}
--- a/system/scenario_test.go
+++ b/system/scenario_test.go
@@ -274,7 +274,7 @@
 	record := lentilmux.CallRecord{
 		Kind: lentilmux.CallRecordKind(fields["kind"]), ID: fields["id"], VM: fields["vm"], Incarnation: fields["incarnation"],
 		Key: fields["key"], CreatedAt: now, Outcome: outcomes[fields["outcome"]], Upstream: fields["upstream"], Status: 200,
-		Parts: parseParts(fields["parts"]),
+		Parts: parseParts(fields["parts"]), Timeline: s.timeline,
 	}
 	if text := fields["fingerprint"]; text != "" {
 		number, err := strconv.ParseUint(text, 10, 64)
--- a/table/call.go
+++ b/table/call.go
@@ -33,16 +33,18 @@
 
 // Call is the state of one idempotency key.
 type Call struct {
-	Key         string // includes the workspace
-	State       CallState
-	CreatedAt   time.Time
-	Fingerprint lentilmux.Fingerprint  // of the request that claimed the key
-	IntentID    string                 // ID of the winning intent
-	VM          string                 // entry VM that appended the winning intent
-	Incarnation string                 // start of that VM's process
-	Request     lentilmux.RequestID    // request of this node that holds or claims the key
-	Reply       lentilmux.ServiceReply // valid in state CallAnswered
-	Truncated   bool                   // whether the reply's body was too large to keep
+	Key           string // includes the workspace
+	State         CallState
+	CreatedAt     time.Time
+	Fingerprint   lentilmux.Fingerprint  // of the request that claimed the key
+	IntentID      string                 // ID of the winning intent
+	IntentOffset  uint64                 // of the winning intent in the calls stream
+	OutcomeOffset uint64                 // of the outcome in the calls stream; 0 before it was read
+	VM            string                 // entry VM that appended the winning intent
+	Incarnation   string                 // start of that VM's process
+	Request       lentilmux.RequestID    // request of this node that holds or claims the key
+	Reply         lentilmux.ServiceReply // valid in state CallAnswered
+	Truncated     bool                   // whether the reply's body was too large to keep
 }
 
 // PendingAppend is a record that this node appended and has not read back from
@@ -63,6 +65,29 @@
 	CrashedAt   time.Time // of the last crash
 }
 
+// CrashEntry is a record of a crash, or of a release from quarantine, and its offset
+// in the calls stream.
+type CrashEntry struct {
+	Offset uint64
+	Record lentilmux.CallRecord
+}
+
+// maxCrashEntries is the number of records that [RecentCrashes] keeps.
+const maxCrashEntries = 256
+
+// RecentCrashes is the table of the last [CrashEntry] rows, the oldest first.
+type RecentCrashes struct {
+	Rows []CrashEntry
+}
+
+// Add appends a row. If the table is full, it drops the oldest row.
+func (t *RecentCrashes) Add(row CrashEntry) {
+	if len(t.Rows) == maxCrashEntries {
+		t.Rows = append(t.Rows[:0], t.Rows[1:]...)
+	}
+	t.Rows = append(t.Rows, row)
+}
+
 // Calls is the table of [Call] rows.
 type Calls struct {
 	Rows     []Call
--- a/table/stream.go
+++ b/table/stream.go
@@ -16,10 +16,13 @@
 	ReadAt          time.Time          // of the last successful read
 	FailedAt        time.Time          // of the first failure since ReadAt; zero without one
 	KnownSince      time.Time          // all entries after this time are known; zero if all are
-	CaughtUp        bool               // whether NextOffset has reached EndOffset since the start
-	RegressedSince  time.Time          // since when the stream lacks entries that the log lost and that are not made up for; zero if it does not
-	EverRead        bool               // whether a read has succeeded since the start
-	NewerRecordSeen bool               // whether a record was written by a newer version of the program
+	// AssumedSince is the time of the first read if that was after a restore, until
+	// the record that begins the timeline shows when that was.
+	AssumedSince    time.Time
+	CaughtUp        bool      // whether NextOffset has reached EndOffset since the start
+	RegressedSince  time.Time // since when the stream lacks entries that the log lost and that are not made up for; zero if it does not
+	EverRead        bool      // whether a read has succeeded since the start
+	NewerRecordSeen bool      // whether a record was written by a newer version of the program
 }
 
 // Healthy reports whether the last read of the stream succeeded and the stream
