--- a/config.go
+++ b/config.go
@@ -114,15 +114,22 @@
 
 // Snapshot is the complete configuration at a revision.
 type Snapshot struct {
-	Revision       Revision        `json:"revision"`
-	RevisionOffset uint64          `json:"shift"` // Revision minus the log offset to read next
-	Timeline       Timeline        `json:"timeline,omitempty"`
-	StartsTimeline bool            `json:"starts_timeline,omitempty"` // whether Timeline's commands begin after it
-	Upstreams      []UpstreamSpec  `json:"upstreams"`
-	Pipelines      []PipelineSpec  `json:"pipelines"`
-	Services       []ServiceSpec   `json:"services"`
-	Workspaces     []WorkspaceSpec `json:"workspaces"`
-	AppliedIDs     []string        `json:"applied"` // IDs of the last records, to ignore duplicates
+	Revision       Revision         `json:"revision"`
+	RevisionOffset uint64           `json:"shift"` // Revision minus the log offset to read next
+	Timeline       Timeline         `json:"timeline,omitempty"`
+	StartsTimeline bool             `json:"starts_timeline,omitempty"` // whether Timeline's commands begin after it
+	Upstreams      []UpstreamSpec   `json:"upstreams"`
+	Pipelines      []PipelineSpec   `json:"pipelines"`
+	Services       []ServiceSpec    `json:"services"`
+	Workspaces     []WorkspaceSpec  `json:"workspaces"`
+	AppliedIDs     []string         `json:"applied"`            // IDs of the last records, to ignore duplicates
+	Verdicts       []CommandVerdict `json:"verdicts,omitempty"` // of the records in AppliedIDs, in the same order; snapshots of earlier versions have none
+}
+
+// CommandVerdict is the result of a configuration record.
+type CommandVerdict struct {
+	Revision Revision `json:"revision"`
+	Accepted bool     `json:"accepted,omitempty"`
 }
 
 // CommandMsg submits a command. The answer is a [CommandAnswer]. A dry run only
--- a/entryvm/linearizability_test.go
+++ b/entryvm/linearizability_test.go
@@ -113,7 +113,12 @@
 	case "lost_replies":
 		c.log.DropEveryNthReply(2)
 	case "restore":
-		c.restoreLogAndGrow(10 * time.Millisecond)
+		// The last VM misses the lost records.
+		last := c.vms[len(c.vms)-1].addr
+		c.network.cutLog(last, true)
+		time.Sleep(100 * time.Millisecond)
+		c.restoreLogAndGrow(110 * time.Millisecond)
+		c.network.cutLog(last, false)
 	case "outage":
 		c.log.SetOutage(true)
 		time.Sleep(3 * time.Second)
--- a/system/configure.go
+++ b/system/configure.go
@@ -283,7 +283,7 @@
 
 func commandAnswer(row table.HistoryRow) lentilmux.CommandAnswer {
 	return lentilmux.CommandAnswer{
-		Accepted: row.Accepted, OutcomeKnown: true, Revision: row.Revision, Detail: row.Detail,
+		Accepted: row.Accepted, OutcomeKnown: !row.VerdictUnknown, Revision: row.Revision, Detail: row.Detail,
 	}
 }
 
--- a/system/snapshot.go
+++ b/system/snapshot.go
@@ -26,6 +26,7 @@
 	rows := t.History.Rows
 	for _, row := range rows[max(0, len(rows)-maxAppliedIDs):] {
 		s.AppliedIDs = append(s.AppliedIDs, row.ID)
+		s.Verdicts = append(s.Verdicts, lentilmux.CommandVerdict{Revision: row.Revision, Accepted: row.Accepted})
 	}
 	return s
 }
@@ -51,9 +52,9 @@
 		inSnapshot["workspace "+spec.Name] = true
 	}
 	removeMissing(t, inSnapshot)
-	for _, id := range s.AppliedIDs {
+	for i, id := range s.AppliedIDs {
 		if !t.History.Applied(id) {
-			t.History.Add(table.HistoryRow{ID: id, Revision: s.Revision, Accepted: true, Detail: "from a snapshot"})
+			t.History.Add(historyRow(s, i))
 		}
 	}
 	t.Self.Revision = s.Revision
@@ -64,6 +65,17 @@
 	t.Stages.Stale = true
 }
 
+// historyRow returns the row of one of the snapshot's last records.
+func historyRow(s lentilmux.Snapshot, index int) table.HistoryRow {
+	row := table.HistoryRow{ID: s.AppliedIDs[index], Revision: s.Revision, Detail: "from a snapshot"}
+	if index >= len(s.Verdicts) {
+		row.VerdictUnknown = true
+		return row
+	}
+	row.Revision, row.Accepted = s.Verdicts[index].Revision, s.Verdicts[index].Accepted
+	return row
+}
+
 // removeMissing removes the entities that are not in the snapshot. Names are
 // prefixed with the kind of entity.
 func removeMissing(t *table.Tables, inSnapshot map[string]bool) {
--- a/system/views.go
+++ b/system/views.go
@@ -213,7 +213,10 @@
 	for i := range t.History.Rows {
 		h := &t.History.Rows[i]
 		verdict := "refused"
-		if h.Accepted {
+		switch {
+		case h.VerdictUnknown:
+			verdict = "unknown"
+		case h.Accepted:
 			verdict = "accepted"
 		}
 		rows = append(rows, []string{fmt.Sprint(h.Revision), h.At.UTC().Format(time.RFC3339Nano), h.Who, verdict, h.Text, h.Detail, h.ID})
--- a/table/config.go
+++ b/table/config.go
@@ -75,6 +75,9 @@
 	Text     string
 	Accepted bool
 	Detail   string // why it was refused, or that it came with a snapshot
+	// VerdictUnknown is set if the record came with a snapshot that does not say
+	// whether it was accepted.
+	VerdictUnknown bool
 }
 
 // History is the table of the last configuration records, the oldest first.
