--- a/system/snapshot.go
+++ b/system/snapshot.go
@@ -10,7 +10,7 @@
 
 // takeSnapshot returns a snapshot of the configuration in force.
 func takeSnapshot(t *table.Tables) lentilmux.Snapshot {
-	s := lentilmux.Snapshot{Revision: t.Self.Revision, RevisionOffset: t.Streams.Config.RevisionOffset}
+	s := lentilmux.Snapshot{Revision: t.Self.Revision, RevisionOffset: t.Streams.Config.RevisionOffset, Timeline: t.Streams.Config.AppliedTimeline}
 	for i := range t.Upstreams.Rows {
 		s.Upstreams = append(s.Upstreams, t.Upstreams.Rows[i].Spec)
 	}
@@ -26,6 +26,7 @@
 	rows := t.History.Rows
 	for _, row := range rows[max(0, len(rows)-maxAppliedIDs):] {
 		s.AppliedIDs = append(s.AppliedIDs, row.ID)
+		s.Verdicts = append(s.Verdicts, lentilmux.CommandVerdict{Revision: row.Revision, Accepted: row.Accepted})
 	}
 	return s
 }
@@ -51,17 +52,30 @@
 		inSnapshot["workspace "+spec.Name] = true
 	}
 	removeMissing(t, inSnapshot)
-	for _, id := range s.AppliedIDs {
+	for i, id := range s.AppliedIDs {
 		if !t.History.Applied(id) {
-			t.History.Add(table.HistoryRow{ID: id, Revision: s.Revision, Accepted: true, Detail: "from a snapshot"})
+			t.History.Add(historyRow(s, i))
 		}
 	}
 	t.Self.Revision = s.Revision
 	t.Streams.Config.RevisionOffset = s.RevisionOffset
 	t.Streams.Config.NextOffset = uint64(s.Revision) - s.RevisionOffset
+	t.Streams.Config.AppliedTimeline = s.Timeline
+	t.Streams.Config.Timeline = max(t.Streams.Config.Timeline, s.Timeline)
 	t.Stages.Stale = true
 }
 
+// historyRow returns the row of one of the snapshot's last records.
+func historyRow(s lentilmux.Snapshot, index int) table.HistoryRow {
+	row := table.HistoryRow{ID: s.AppliedIDs[index], Revision: s.Revision, Detail: "from a snapshot"}
+	if index >= len(s.Verdicts) {
+		row.VerdictUnknown = true
+		return row
+	}
+	row.Revision, row.Accepted = s.Verdicts[index].Revision, s.Verdicts[index].Accepted
+	return row
+}
+
 // removeMissing removes the entities that are not in the snapshot. Names are
 // prefixed with the kind of entity.
 func removeMissing(t *table.Tables, inSnapshot map[string]bool) {
