Write accepted commands again that a restored log lost

What operators would see: a command that was accepted through one VM was undone on all VMs, if that VM was paused while the log was restored and the others, which had not read the command, started the timeline without it.

Evidence: TestCommandKnownToPausedVMSurvivesRestore/unchanged had priority 0 on all three VMs before, where 5 was accepted, and passes now. Its second case, a later command for the same workspace that must not be undone, passed before and still does.

Why this works: History keeps the commands.

--- a/entryvm/logrestore_test.go
+++ b/entryvm/logrestore_test.go
@@ -187,3 +187,51 @@
 func startedTimeline(c *cluster, m *member) bool {
 	return c.snapshot(m).Timeline == c.log.Timeline()
 }
+
+// TestCommandKnownToPausedVMSurvivesRestore guards against an accepted command that
+// is lost because the only VM that had read it was paused while the log was restored
+// and the other VMs started the timeline. A command for the same workspace that was
+// accepted since must not be undone.
+func TestCommandKnownToPausedVMSurvivesRestore(t *testing.T) {
+	cases := []struct {
+		name  string
+		later string // command that the other VMs accept meanwhile
+		want  int
+	}{
+		{"unchanged", "create workspace other share 0.1 priority 1 uses desk-llm", 5},
+		{"changed since", "change workspace counter priority 6", 6},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				defer c.stopAll()
+				for _, m := range c.vms[1:] {
+					c.network.cut(c.vms[0].addr, m.addr)
+					c.network.cutLog(m.addr, true)
+				}
+				time.Sleep(2 * time.Second)
+				if answer := c.execute(c.vms[0], "change workspace counter priority 5", "change"); !answer.Accepted {
+					t.Fatalf("the change returned %+v", answer)
+				}
+				c.vms[0].incarnation().gate.pause()
+				c.log.RestoreCopy(time.Second)
+				c.network.heal()
+				time.Sleep(20 * time.Second)
+				if answer := c.execute(c.vms[1], tc.later, "later"); !answer.Accepted {
+					t.Errorf("a command while the VM is paused returned %+v", answer)
+				}
+				c.vms[0].incarnation().gate.resume()
+				time.Sleep(10 * time.Second)
+				for _, m := range c.vms {
+					if got := c.snapshot(m).Workspaces[0].Priority; got != tc.want {
+						t.Errorf("%s has priority %d, want %d", m.name, got, tc.want)
+					}
+				}
+				if difference := configurationDifference(c); difference != "" {
+					t.Error(difference)
+				}
+			})
+		})
+	}
+}
--- a/system/configure.go
+++ b/system/configure.go
@@ -51,6 +51,7 @@
 	for _, event := range t.Events.Commands {
 		s.submitCommand(t, now, event)
 	}
+	s.rewriteLostCommands(t, now)
 	s.retryPendingCommands(t, now)
 	s.publishSnapshot(t, now)
 	s.repairLog(t, now)
@@ -150,8 +151,7 @@
 func (s *Configure) rebase(t *table.Tables, now time.Time, entry lentilmux.ConfigEntry) {
 	row := &t.Streams.Config
 	if entry.Record.Snapshot.StartsTimeline {
-		t.History.DropAfter(entry.Record.Snapshot.AppliedIDs)
-		installSnapshot(t, *entry.Record.Snapshot)
+		adoptTimeline(t, *entry.Record.Snapshot)
 	} else {
 		s.installIfNewer(t, now, *entry.Record.Snapshot)
 	}
@@ -175,7 +175,7 @@
 			s.rebase(t, now, entry)
 			return entries[i+1:], true
 		}
-		if snapshot != nil && uint64(snapshot.Revision) >= entries[0].Offset+snapshot.RevisionOffset {
+		if snapshot != nil && s.isNewer(t, *snapshot) && uint64(snapshot.Revision) >= entries[0].Offset+snapshot.RevisionOffset {
 			s.installIfNewer(t, now, *snapshot)
 			return entries, true
 		}
@@ -208,14 +208,19 @@
 // installIfNewer installs a snapshot if it is newer than the configuration in
 // force.
 func (s *Configure) installIfNewer(t *table.Tables, now time.Time, snapshot lentilmux.Snapshot) {
-	if snapshot.Revision <= t.Self.Revision || snapshot.Timeline < t.Streams.Config.AppliedTimeline {
+	if !s.isNewer(t, snapshot) {
 		return
 	}
 	t.RecordDecision(now, lentilmux.Decision{
 		What: "config_snapshot", Subject: "config", Chosen: fmt.Sprint(snapshot.Revision),
 		Reason: fmt.Sprintf("newer than revision %d", t.Self.Revision),
 	})
-	installSnapshot(t, snapshot)
+	adoptTimeline(t, snapshot)
+}
+
+// isNewer reports whether a snapshot is newer than the configuration in force.
+func (s *Configure) isNewer(t *table.Tables, snapshot lentilmux.Snapshot) bool {
+	return snapshot.Revision > t.Self.Revision && snapshot.Timeline >= t.Streams.Config.AppliedTimeline
 }
 
 // applyEntry applies one entry. The entry takes a revision even if its command
@@ -239,7 +244,7 @@
 	}
 	t.History.SinceSnapshot++
 	row := table.HistoryRow{
-		Revision: t.Self.Revision, At: entry.At, ID: record.ID, Who: record.Who, Text: record.Text,
+		Revision: t.Self.Revision, At: entry.At, ID: record.ID, Who: record.Who, Text: record.Text, Command: record.Command,
 	}
 	row.Accepted, row.Detail = s.executeRecord(t, entry)
 	t.History.Add(row)
@@ -340,65 +345,6 @@
 	}
 }
 
-// repairLog publishes a snapshot after the log lost records, so that commands
-// are accepted again. Of the VMs with the highest revision the one with the
-// lowest name does it.
-func (s *Configure) repairLog(t *table.Tables, now time.Time) {
-	row := &t.Streams.Config
-	if row.RegressedSince.IsZero() || !row.FailedAt.IsZero() || !canRepair(t, now) {
-		return
-	}
-	delay := logRepairDelay
-	if !timelineStarted(t) {
-		delay = timelineStartDelay
-	}
-	if due := row.RegressedSince.Add(delay); now.Before(due) {
-		t.WakeAt(due)
-		return
-	}
-	for i := range t.Peers.Rows {
-		p := &t.Peers.Rows[i]
-		ahead := p.Digest.Revision > t.Self.Revision || (p.Digest.Revision == t.Self.Revision && p.Name < t.Self.Name)
-		if ahead && now.Sub(p.LastDigestAt) < t.Limits.OwnerTimeout {
-			return
-		}
-	}
-	row.RegressedSince = now
-	if !timelineStarted(t) {
-		s.appendSnapshot(t, takeTimelineStart(t))
-		return
-	}
-	s.appendSnapshot(t, takeSnapshot(t))
-}
-
-// appendSnapshot appends a snapshot to the configuration stream.
-func (s *Configure) appendSnapshot(t *table.Tables, taken lentilmux.Snapshot) {
-	t.AddEffect(lentilmux.ConfigAppendEffect{Record: lentilmux.ConfigRecord{
-		ID: fmt.Sprintf("snapshot-%s-%d", t.Self.Name, taken.Revision), Who: t.Self.Name, Snapshot: &taken,
-	}})
-}
-
-// publishSnapshot appends a snapshot before the log's retention removes the
-// records that the snapshot replaces. The VM with the lowest name does it.
-func (s *Configure) publishSnapshot(t *table.Tables, now time.Time) {
-	if !t.Self.Synced || !t.Streams.Config.Healthy() || t.History.SinceSnapshot == 0 {
-		return
-	}
-	if t.History.SnapshotAt.IsZero() {
-		t.History.SnapshotAt = now
-	}
-	aged := now.Sub(t.History.SnapshotAt) >= t.Limits.SnapshotInterval
-	if !aged && t.History.SinceSnapshot < t.Limits.SnapshotRecords {
-		return
-	}
-	if !hasLowestName(t, now, t.Limits.OwnerTimeout) {
-		return
-	}
-	t.History.SinceSnapshot = 0
-	t.History.SnapshotAt = now
-	s.appendSnapshot(t, takeSnapshot(t))
-}
-
 // hasLowestName reports whether the node has the lowest name of the entry VMs
 // whose digests arrived within the timeout.
 func hasLowestName(t *table.Tables, now time.Time, timeout time.Duration) bool {
--- a/system/timeline.go
+++ b/system/timeline.go
@@ -64,6 +64,21 @@
 	return false
 }
 
+// adoptTimeline installs a snapshot of the timeline in force or a later one. A synced
+// node notes the accepted commands that a later timeline lacks.
+func adoptTimeline(t *table.Tables, snapshot lentilmux.Snapshot) {
+	if snapshot.Timeline == t.Streams.Config.AppliedTimeline {
+		installSnapshot(t, snapshot)
+		return
+	}
+	revision := t.Self.Revision
+	dropped := t.History.DropAfter(snapshot.AppliedIDs)
+	installSnapshot(t, snapshot)
+	if t.Self.Synced {
+		noteLostCommands(t, dropped, revision)
+	}
+}
+
 // canRepair reports whether this node may publish a snapshot after the log lost
 // records. A node that is not synced may do so only if it has read the whole log and
 // no VM that knew more has done it for a long time.
--- a/table/config.go
+++ b/table/config.go
@@ -74,7 +74,8 @@
 	Who      string
 	Text     string
 	Accepted bool
-	Detail   string // why it was refused, or that it came with a snapshot
+	Detail   string             // why it was refused, or that it came with a snapshot
+	Command  *lentilmux.Command // nil if the record has none or came with a snapshot
 	// VerdictUnknown is set if the record came with a snapshot that does not say
 	// whether it was accepted.
 	VerdictUnknown bool
@@ -107,14 +108,17 @@
 	return ok
 }
 
-// DropAfter drops the rows that follow the newest one whose ID is among ids.
-func (h *History) DropAfter(ids []string) {
+// DropAfter drops and returns the rows that follow the newest one whose ID is among
+// ids.
+func (h *History) DropAfter(ids []string) (dropped []HistoryRow) {
 	kept := len(h.Rows)
 	for kept > 0 && !slices.Contains(ids, h.Rows[kept-1].ID) {
 		kept--
 		delete(h.appliedIDs.rows, h.Rows[kept].ID)
 	}
+	dropped = slices.Clone(h.Rows[kept:])
 	h.Rows = h.Rows[:kept]
+	return dropped
 }
 
 // Find returns the row with the ID, or nil.
--- a/table/table.go
+++ b/table/table.go
@@ -44,6 +44,7 @@
 	Workspaces      Workspaces
 	History         History
 	Backlog         Backlog
+	LostCommands    LostCommands
 	RecentCrashes   RecentCrashes
 	PendingCommands PendingCommands
 	Requests        Requests
