Use no fixed ports in tests over TCP

The tests of the whole system over loopback listened on ports 19600 to 19632, the benchmarks on 19510 and above. The tests now look for a block of unused ports below the ephemeral range, as those of package platform do for single ports.

TestRefusedConnectionIsDialFailure (service) closed a listener and called its port, which another process may have got meanwhile; it now calls the port of a client's connection, which nobody can listen on. That failure was not seen.

--- a/entryvm/bench_test.go
+++ b/entryvm/bench_test.go
@@ -41,7 +41,7 @@
 	var names []string
 	var statements []string
 	for i := range stages {
-		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(19500+10*stages+i))
+		addr := loopbackAddr(enginePort + i)
 		host := standin.NewHost(addr, standin.EngineHandler(standin.NewEngine(standin.EngineSpec{Name: fmt.Sprint("worker-", i), MaxLayers: 1, Slots: 64})))
 		if err := host.Open(); err != nil {
 			b.Fatal(err)
--- a/entryvm/loopback_test.go
+++ b/entryvm/loopback_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,14 +28,43 @@
 	"lentilmux.example/lentilmux/vmlist"
 )
 
-// First port of each kind of listener on loopback.
+// First port of each kind of listener on loopback, relative to the first port that
+// the test uses.
 const (
-	platformPort = 19600
-	enginePort   = 19610
-	callerPort   = 19620
-	controlPort  = 19630
+	platformPort = 0
+	enginePort   = 10
+	callerPort   = 20
+	controlPort  = 30
+	portCount    = 40
 )
 
+// firstPort returns the first of portCount unused ports, the same one on each call.
+// They are below the ephemeral range, so that the kernel assigns them to no other
+// connection or listener.
+var firstPort = sync.OnceValue(func() int {
+	for {
+		first := 12000 + portCount*rand.IntN(450)
+		if arePortsFree(first) {
+			return first
+		}
+	}
+})
+
+// arePortsFree reports whether portCount ports from first on are unused.
+func arePortsFree(first int) bool {
+	for port := first; port < first+portCount; port++ {
+		listener, err := net.Listen("tcp", address(port).String())
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
+// loopbackAddr returns the address of a listener from its relative port.
+func loopbackAddr(port int) netip.AddrPort { return address(firstPort() + port) }
+
 // loopback is a system whose parts communicate over TCP, as separate processes
 // do: three entry VMs, two engines and the platform.
 type loopback struct {
@@ -47,7 +78,7 @@
 	list := standin.NewVMList(0)
 	var vms []lentilmux.ListedVM
 	for i := range 3 {
-		vms = append(vms, lentilmux.ListedVM{Name: fmt.Sprint("entry-", i+1), Role: lentilmux.RoleEntry, Addr: address(controlPort + i)})
+		vms = append(vms, lentilmux.ListedVM{Name: fmt.Sprint("entry-", i+1), Role: lentilmux.RoleEntry, Addr: loopbackAddr(controlPort + i)})
 	}
 	list.Set(vms)
 	serveHost(t, platformPort, standin.PlatformHandler(standin.NewLog(time.Millisecond), list))
@@ -65,7 +96,7 @@
 // serveHost serves a stand-in on a port until the test ends.
 func serveHost(t *testing.T, port int, handler http.Handler) {
 	t.Helper()
-	host := standin.NewHost(address(port), handler)
+	host := standin.NewHost(loopbackAddr(port), handler)
 	if err := host.Open(); err != nil {
 		t.Fatal(err)
 	}
@@ -81,12 +112,12 @@
 	limits := table.DefaultLimits()
 	limits.DrainGrace = 500 * time.Millisecond
 	vm, err := entryvm.New(entryvm.Config{
-		Name: fmt.Sprint("entry-", i+1), Zone: "kochi", CallerAddr: address(callerPort + i), ControlAddr: address(controlPort + i),
+		Name: fmt.Sprint("entry-", i+1), Zone: "kochi", CallerAddr: loopbackAddr(callerPort + i), ControlAddr: loopbackAddr(controlPort + i),
 		PeerKey: "shared", Operators: operator.Keys{Admin: "admin", ReadOnly: "read"},
 		Seed: 1, Limits: limits, StopTimeout: time.Minute, Logger: logger,
 	}, entryvm.Dependencies{
-		Engine: engine.NewClient(), Service: service.NewClient(), Log: platformlog.NewClient(address(platformPort)),
-		VMList: vmlist.NewClient(address(platformPort)), Peer: peer.NewClient("shared", nil),
+		Engine: engine.NewClient(), Service: service.NewClient(), Log: platformlog.NewClient(loopbackAddr(platformPort)),
+		VMList: vmlist.NewClient(loopbackAddr(platformPort)), Peer: peer.NewClient("shared", nil),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -111,7 +142,7 @@
 func waitForPort(t *testing.T, port int) {
 	t.Helper()
 	for range 100 {
-		connection, err := net.Dial("tcp", address(port).String())
+		connection, err := net.Dial("tcp", loopbackAddr(port).String())
 		if err == nil {
 			_ = connection.Close()
 			return
@@ -124,7 +155,7 @@
 // execute sends a statement to entry VM i until it is accepted.
 func execute(t *testing.T, i int, statement string) {
 	t.Helper()
-	client := operator.NewClient([]netip.AddrPort{address(controlPort + i)}, "admin", "test", nil)
+	client := operator.NewClient([]netip.AddrPort{loopbackAddr(controlPort + i)}, "admin", "test", nil)
 	var last string
 	for range 100 {
 		result, err := client.Execute(t.Context(), statement)
@@ -142,7 +173,7 @@
 func streamAnswer(t *testing.T, i, tokens int) (status int, body string) {
 	t.Helper()
 	text := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, testModel, tokens)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address(callerPort+i).String()+"/v1/chat/completions", strings.NewReader(text))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+loopbackAddr(callerPort+i).String()+"/v1/chat/completions", strings.NewReader(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -166,7 +197,7 @@
 func TestSystemOnLoopback(t *testing.T) {
 	l := startLoopback(t)
 	for i := range 2 {
-		execute(t, 0, fmt.Sprintf("create upstream worker-%d kind engine addr %s zone kochi layers %d rate 4000 slots 8", i+1, address(enginePort+i), testLayers/2))
+		execute(t, 0, fmt.Sprintf("create upstream worker-%d kind engine addr %s zone kochi layers %d rate 4000 slots 8", i+1, loopbackAddr(enginePort+i), testLayers/2))
 	}
 	execute(t, 0, fmt.Sprintf("create pipeline desk-llm model %s layers %d on worker-1, worker-2", testModel, testLayers))
 	execute(t, 0, "create workspace counter share 1 priority 0 uses desk-llm")
@@ -200,7 +231,7 @@
 // changes with a read-only key.
 func TestCredentials(t *testing.T) {
 	startLoopback(t)
-	addrs := []netip.AddrPort{address(controlPort)}
+	addrs := []netip.AddrPort{loopbackAddr(controlPort)}
 	cases := []struct {
 		key, statement, want string
 	}{
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -68,14 +68,16 @@
 }
 
 // TestRefusedConnectionIsDialFailure guards against treating a call to a port
-// without a listener as one that may have run, which would forbid its retry.
+// without a listener as one that may have run, which would forbid its retry. The
+// port is that of a client's connection, so that no other process listens on it.
 func TestRefusedConnectionIsDialFailure(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", server.String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := listener.Addr().(*net.TCPAddr).AddrPort()
-	_ = listener.Close()
+	defer func() { _ = conn.Close() }()
+	addr := conn.LocalAddr().(*net.TCPAddr).AddrPort()
 	_, err = service.NewClient().Call(t.Context(), addr, lentilmux.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte("x")})
 	if failureKindOf(err) != lentilmux.FailureDial {
 		t.Errorf("call without a listener: got error %v, want kind dial", err)
