Keep the configuration of a starting VM to itself until the timeline starts

What operators would see: an accepted command was undone on all VMs when a VM started between the restore of the log and the start of its timeline.

Cause: a VM that starts reads the copy and what was appended since, and cannot tell one from the other. Its revision, which counts entries that no other VM applies, could be above that of the others: they took over its configuration, and left it to that VM to start the timeline. It could also count as synced while the log counted as unhealthy.

Why this works: until the timeline starts such a VM is not synced, tells its peers revision 0 and gives them no configuration.

The property test no longer spares the VM that knows all accepted commands from pauses and cuts after a restore, only from being killed before the log has them.

--- a/entryvm/logrestore_test.go
+++ b/entryvm/logrestore_test.go
@@ -152,15 +152,14 @@
 // copyAges are the ages of the copies from which steps restore the log.
 var copyAges = []time.Duration{0, 10 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 10 * time.Second}
 
-// restoreLog restores the log from a copy, provided that a VM that reads the log
-// knows all accepted commands. That VM becomes the keeper, since what no VM knows
-// is lost with the log.
+// restoreLog restores the log from a copy, provided that a VM knows all accepted
+// commands. That VM becomes the keeper, since what no VM knows is lost with the log.
 func restoreLog(c *cluster, h *history, age time.Duration) {
-	if h.keeper != nil && !startedTimeline(c, h.keeper) {
+	if k := h.keeper; k != nil && k.running() && (k.incarnation().gate.paused() || !startedTimeline(c, k)) {
 		return
 	}
 	for _, m := range c.vms {
-		if m.running() && !m.incarnation().gate.paused() && !c.network.isLogCut(m.addr) && missingWorkspace(c, h, m) == "" {
+		if m.running() && !m.incarnation().gate.paused() && missingWorkspace(c, h, m) == "" {
 			h.keeper = m
 			c.log.RestoreCopy(age)
 			return
@@ -168,18 +167,11 @@
 	}
 }
 
-// strikesKeeper reports whether a step would stop or isolate the keeper before the
-// log has what the keeper knows.
-func strikesKeeper(c *cluster, h *history, s step) bool {
-	m, other := c.vms[s.VM], c.vms[s.Other]
-	switch s.Kind {
-	case "kill", "pause", "cut_log":
-		return m == h.keeper && !startedTimeline(c, m)
-	case "cut":
-		return (m == h.keeper || other == h.keeper) && !startedTimeline(c, h.keeper)
-	default:
-		return false
-	}
+// killsKeeper reports whether a step would kill the keeper before the log has what
+// the keeper knows.
+func killsKeeper(c *cluster, h *history, s step) bool {
+	m := c.vms[s.VM]
+	return s.Kind == "kill" && m == h.keeper && (m.incarnation().gate.paused() || !startedTimeline(c, m) || missingWorkspace(c, h, m) != "")
 }
 
 // startedTimeline reports whether the configuration of a member belongs to the
@@ -235,3 +227,57 @@
 		})
 	}
 }
+
+// TestVMStartedDuringRestoreRevertsNoConfiguration guards against a VM that starts
+// before the restored log's timeline does, and reads entries that others never apply
+// before it reaches a peer: its higher offset must not make the others take over its
+// older configuration.
+func TestVMStartedDuringRestoreRevertsNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4)
+		defer c.stopAll()
+		if answer := c.execute(c.vms[0], "change workspace counter priority 5", "change"); !answer.Accepted {
+			t.Fatalf("the change returned %+v", answer)
+		}
+		time.Sleep(500 * time.Millisecond)
+		c.kill(c.vms[1])
+		<-c.vms[1].incarnation().done
+		c.restoreLogAndGrow(time.Second)
+		for _, m := range c.vms {
+			c.network.cut(c.vms[1].addr, m.addr)
+		}
+		c.start(c.vms[1])
+		time.Sleep(500 * time.Millisecond)
+		c.network.heal()
+		time.Sleep(30 * time.Second)
+		c.checkPriority(5)
+		if answer := c.execute(c.vms[1], "change workspace counter priority 6", "late"); !answer.Accepted {
+			t.Errorf("a command after the restore returned %+v", answer)
+		}
+		time.Sleep(time.Second)
+		c.checkPriority(6)
+	})
+}
+
+// TestAllVMsStartedAfterRestore guards against VMs that wait for each other for good
+// if all of them start on a restored log whose timeline has not started.
+func TestAllVMsStartedAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll()
+		for _, m := range c.vms {
+			c.kill(m)
+			<-m.incarnation().done
+		}
+		c.restoreLogAndGrow(time.Second)
+		for _, m := range c.vms {
+			c.start(m)
+		}
+		time.Sleep(20 * time.Second)
+		if answer := c.execute(c.vms[1], "change workspace counter priority 6", "late"); !answer.Accepted {
+			t.Errorf("a command after the restore returned %+v", answer)
+		}
+		time.Sleep(time.Second)
+		c.checkPriority(6)
+	})
+}
--- a/entryvm/property_test.go
+++ b/entryvm/property_test.go
@@ -126,7 +126,7 @@
 // runStep runs one step. Requests run in the background.
 func runStep(c *cluster, h *history, s step, number int, keys [2]string) {
 	m, other := c.vms[s.VM], c.vms[s.Other]
-	if strikesKeeper(c, h, s) {
+	if killsKeeper(c, h, s) {
 		return
 	}
 	switch s.Kind {
--- a/system/configure.go
+++ b/system/configure.go
@@ -56,7 +56,7 @@
 	s.publishSnapshot(t, now)
 	s.repairLog(t, now)
 	for _, correlationID := range t.Events.SnapshotRequests {
-		t.Answer(correlationID, lentilmux.SnapshotAnswer{Snapshot: takeSnapshot(t)})
+		t.Answer(correlationID, lentilmux.SnapshotAnswer{Snapshot: publicSnapshot(t)})
 	}
 }
 
--- a/system/membership.go
+++ b/system/membership.go
@@ -183,7 +183,7 @@
 func ownDigest(t *table.Tables) lentilmux.Digest {
 	digest := lentilmux.Digest{
 		VM: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
-		Revision: t.Self.Revision, Draining: t.Self.Draining(),
+		Revision: publicRevision(t), Draining: t.Self.Draining(),
 		NextCallOffset: t.Streams.Calls.NextOffset, CallsKnownSince: t.Streams.Calls.KnownSince,
 	}
 	for i := range t.Upstreams.Rows {
--- a/system/readiness.go
+++ b/system/readiness.go
@@ -52,6 +52,9 @@
 	if t.Self.LastContactAt.IsZero() {
 		return "neither the log nor a peer has answered"
 	}
+	if !timelineStarted(t) {
+		return "the log was restored and its timeline has not started"
+	}
 	if !config.CaughtUp && (config.Healthy() || t.Self.Revision == 0) {
 		return "the configuration is not read to the log's end"
 	}
--- a/system/timeline.go
+++ b/system/timeline.go
@@ -24,6 +24,31 @@
 	return t.Streams.Config.AppliedTimeline >= t.Streams.Config.Timeline
 }
 
+// isTentative reports whether the configuration in force may contain commands that
+// other VMs never apply: a node that is not synced applies all that it reads, since it
+// cannot tell the copy from what was appended before the timeline started.
+func isTentative(t *table.Tables) bool {
+	return !t.Self.Synced && !timelineStarted(t)
+}
+
+// publicRevision returns the revision for peers to compare with theirs. It is 0 for a
+// tentative configuration.
+func publicRevision(t *table.Tables) lentilmux.Revision {
+	if isTentative(t) {
+		return 0
+	}
+	return t.Self.Revision
+}
+
+// publicSnapshot returns the snapshot for peers. It is empty for a tentative
+// configuration.
+func publicSnapshot(t *table.Tables) lentilmux.Snapshot {
+	if isTentative(t) {
+		return lentilmux.Snapshot{}
+	}
+	return takeSnapshot(t)
+}
+
 // noteRestore begins the timeline of a page. The entries of earlier timelines that
 // could not be applied yet are dropped.
 func (s *Configure) noteRestore(t *table.Tables, now time.Time, page lentilmux.ConfigPageMsg) {
