Read the drain that upstreams announce in their answers

An upstream that drains says so in all its answers, with the header Server-Leaving: 1. Only its store entry was read, so during an outage of the store, or before its entry is read, nothing told VMs of the drain.

UpstreamResponse.AnnouncesDrain reads the header of any answer to an attempt: success, refusal, error, and the first answer of a resumed stream. The relay reports it to the node with the start of the process that the attempt was sent to, before it passes anything on. Reports of upstreams carry it too. Load digests can tell peers of it. An answer with the ID of another request and status 421, which another upstream at a reused address sends, are not believed.

Nothing acts on it yet. TestDrainAnnouncements covers the header, two new cases of TestRelay the order of reports, TestLoadDigestRoundTrip the digest.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -120,7 +120,7 @@
 		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonNoUpstream, a.describeNoRoom(request.Service)))
 	}
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
-		attempt.Limited = row.RequestLimit.Named
+		attempt.Limited, attempt.StartedAt = row.RequestLimit.Named, row.StartedAt
 	}
 	request.Move, request.PathBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.SentAt, request.LastUpstream = attempt.Epoch, false, now, attempt.Upstream
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -49,6 +49,7 @@
 	Done            []lentilmux.ForwardDoneMsg
 	PartReleases    []PartReleaseRow
 	UpstreamLimits  []lentilmux.UpstreamLimitMsg
+	UpstreamDrains  []lentilmux.UpstreamDrainMsg
 	Limits          *Limits
 	BeginDrain      bool
 }
@@ -85,6 +86,8 @@
 		e.PartReleases = append(e.PartReleases, PartReleaseRow{ReleasePartMsg: x, CorrelationID: envelope.CorrelationID})
 	case lentilmux.UpstreamLimitMsg:
 		e.UpstreamLimits = append(e.UpstreamLimits, x)
+	case lentilmux.UpstreamDrainMsg:
+		e.UpstreamDrains = append(e.UpstreamDrains, x)
 	case LimitsMsg:
 		e.Limits = &x.Limits
 	case lentilmux.BeginDrainMsg:
@@ -108,6 +111,6 @@
 		StreamUpdates: e.StreamUpdates[:0], StreamFailures: e.StreamFailures[:0], Digests: e.Digests[:0], Reports: e.Reports[:0],
 		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
-		PartReleases: e.PartReleases[:0], UpstreamLimits: e.UpstreamLimits[:0],
+		PartReleases: e.PartReleases[:0], UpstreamLimits: e.UpstreamLimits[:0], UpstreamDrains: e.UpstreamDrains[:0],
 	}
 }
--- a/forward.go
+++ b/forward.go
@@ -47,6 +47,7 @@
 	EventGapTimeout   time.Duration // time between events after which the attempt is stalled
 	Progress          []*Progress   // of the path's upstreams
 	Limited           bool          // whether the upstream named a limit, so that an answer without one has to be reported
+	StartedAt         time.Time     // start of the upstream's process, as known when the attempt was sent
 }
 
 // AttemptAnswer carries the next attempt of a request.
@@ -131,6 +132,9 @@
 	BlamedUpstream() (addr netip.AddrPort)
 	// RequestLimit returns the limit that the answer names.
 	RequestLimit() (limit RequestLimit)
+	// AnnouncesDrain reports whether the answer verifiably comes from the
+	// attempt's upstream and announces that the upstream drains.
+	AnnouncesDrain() (drains bool)
 	// Next returns the next complete event and its number. It returns [io.EOF]
 	// after the last event of a complete response stream, and another error if
 	// the stream breaks off. The bytes are valid until the next call.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -25,6 +25,7 @@
 	kind           lentilmux.CallKind
 	attempts       int      // maximum number of attempts
 	steps          [][]step // of the response to each attempt
+	drains         bool     // whether the responses announce the drain of their upstream
 	replaceStalled []bool   // for each report of a stalled attempt, whether the node replaces it
 }
 
@@ -44,6 +45,8 @@
 	switch x := msg.(type) {
 	case lentilmux.ForwardStartedMsg:
 		s.logf("node: attempt %d started", x.Epoch)
+	case lentilmux.UpstreamDrainMsg:
+		s.logf("node: %s announces its drain", x.Upstream)
 	case lentilmux.ForwardDoneMsg:
 		s.logf("node: done %s %s status=%d events=%d first=%s", x.Outcome, x.Reason, x.Status, x.Events, x.TimeToFirstByte)
 	}
@@ -80,7 +83,7 @@
 		return lentilmux.RefusalAnswer{Refusal: lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonUpstreamFailed}}
 	}
 	return lentilmux.AttemptAnswer{Attempt: lentilmux.Attempt{
-		Request: "r", Epoch: last + 1, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
+		Request: "r", Upstream: fmt.Sprintf("upstream-%d", last+1), Epoch: last + 1, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
 		Progress: []*lentilmux.Progress{{}},
 	}}
 }
@@ -116,6 +119,7 @@
 
 func (r *scriptedResponse) Verdict() lentilmux.Verdict           { return r.verdict }
 func (r *scriptedResponse) RequestLimit() lentilmux.RequestLimit { return lentilmux.RequestLimit{} }
+func (r *scriptedResponse) AnnouncesDrain() bool                 { return r.script.drains }
 func (r *scriptedResponse) BlamedUpstream() netip.AddrPort       { return netip.AddrPort{} }
 func (r *scriptedResponse) Body() ([]byte, error)                { return []byte("body"), nil }
 func (r *scriptedResponse) Close()                               { r.script.logf("upstream: closed") }
@@ -181,6 +185,8 @@
 		{name: "refused before it ran", script: script{kind: lentilmux.CallOnce, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictNotRun), events(0, 0)}}},
 		{name: "failure response to a call that is not repeatable", script: script{kind: lentilmux.CallOnce, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed)}}},
 		{name: "failure response to a repeatable call, retried", script: script{kind: lentilmux.CallRepeatable, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed), verdict(lentilmux.VerdictFailed)}}},
+		{name: "drain announced by a stream", script: script{kind: lentilmux.CallResumableStream, attempts: 2, drains: true, steps: [][]step{append(events(tick, 0), connectionLost), events(tick, 1)}}},
+		{name: "drain announced by a refusal and an error", script: script{kind: lentilmux.CallOnce, attempts: 2, drains: true, steps: [][]step{verdict(lentilmux.VerdictNotRun), verdict(lentilmux.VerdictFailed)}}},
 		{name: "deadline exceeded", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(3*time.Second, 0)}}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 	}
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -104,6 +104,9 @@
 			Upstream: uint32(limit.Upstream), Named: limit.Named, PerSecond: limit.PerSecond, AgeMs: uint64(limit.Age.Milliseconds()),
 		})
 	}
+	for _, drain := range digest.Drains {
+		message.Drains = append(message.Drains, &peerpb.UpstreamDrain{Upstream: uint32(drain.Upstream), StartedAtMs: drain.StartedAt.UnixMilli(), AgeMs: uint64(drain.Age.Milliseconds())})
+	}
 	return message
 }
 
@@ -175,6 +178,11 @@
 	}
 	digest.Parts = partsFromProto(message.GetParts())
 	digest.Limits = limitsFromProto(message.GetLimits())
+	for _, drain := range message.GetDrains() {
+		digest.Drains = append(digest.Drains, lentilmux.UpstreamDrain{
+			Upstream: lentilmux.UpstreamHash(drain.GetUpstream()), StartedAt: time.UnixMilli(drain.GetStartedAtMs()), Age: ageFromProto(drain.GetAgeMs()),
+		})
+	}
 	return digest, nil
 }
 
--- a/streams.go
+++ b/streams.go
@@ -137,6 +137,7 @@
 	Capacity            int64     // KV cache, in tokens times layers
 	Reserved            int64     // KV cache in use, in tokens times layers
 	StartedAt           time.Time // start of its process
+	Draining            bool      // whether it announces its drain
 }
 
 // RangeOrder orders an upstream to hold a layer range.
@@ -284,6 +285,7 @@
 	RetryCounts []RetryCounts
 	Parts       []PartSuspicion // prompt parts that may crash upstreams, as the sender knows them
 	Limits      []UpstreamLimit // limits that upstreams named, as the sender knows them
+	Drains      []UpstreamDrain // drains that upstreams announced, as the sender knows them
 }
 
 // RetryCounts counts the sends to one service in the retry window, for the retry
