Stop sending to an upstream whose answer announces its drain

Callers were sent to workers that were about to exit: while the store could not be written or read, a worker that drained was taken for ready, though each of its answers said otherwise.

The new system ApplyDrains keeps the drains that answers and reports announce in a table of its own, by upstream and start of the process, so that an older entry of the same process, or one that expires and is read again, does not end the drain, and an answer of an older process does not begin one. Only a new process ends it. Such an upstream gets no new requests, no layers and no moves.

--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -10,7 +10,7 @@
 
 // SendDigests sends this VM's load to its peers at each DigestInterval, or
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
-// dead. It writes its address to the store at each AnnounceInterval. A relay also sends
+// dead or announced its drain. It writes its address to the store at each AnnounceInterval. A relay also sends
 // sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
 // reads and writes VMs.
 type SendDigests struct {
@@ -33,14 +33,14 @@
 	if t.usesRelays() {
 		interval = t.Limits.RelayDigestInterval
 	}
-	if t.NewSuspects {
+	if t.NewSuspects || t.NewDrains {
 		interval = t.Limits.MinDigestInterval
 	}
 	if due := s.lastSentAt.Add(interval); now.Before(due) {
 		t.WakeAt(due)
 		return
 	}
-	s.lastSentAt, t.NewSuspects = now, false
+	s.lastSentAt, t.NewSuspects, t.NewDrains = now, false, false
 	s.rounds++
 	t.WakeAt(now.Add(interval))
 	own := s.ownDigest(t, now)
@@ -119,7 +119,7 @@
 	}
 	s.sequence++
 	digest.Sequence = s.sequence
-	digest.Parts, digest.Limits = t.PartSuspects.suspicions(now), t.knownLimits(now)
+	digest.Parts, digest.Limits, digest.Drains = t.PartSuspects.suspicions(now), t.knownLimits(now), t.knownDrains(now)
 	t.AddEffect(lentilmux.LoadDigestEffect{Digest: digest, To: to})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,7 @@
 		&FinishRequests{},
 		&TrackPartCrashes{},
 		&ApplyRequestLimits{},
+		&ApplyDrains{},
 		&DetectFailures{},
 		&PlaceLayers{},
 		&SendOrders{},
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -116,7 +116,7 @@
 // sorted by ID.
 func (p *PlaceLayers) eligibleUpstreams(t *Tables, service string) (rows []*UpstreamRow) {
 	for _, row := range t.Upstreams.Rows {
-		if row.Service != service || row.Draining || !row.ExpiresAt.IsZero() || row.Dead || !row.HasLayers && !row.SuspectUntil.IsZero() {
+		if row.Service != service || row.isDraining() || !row.ExpiresAt.IsZero() || row.Dead || !row.HasLayers && !row.SuspectUntil.IsZero() {
 			continue
 		}
 		if model, _ := t.ModelAndAccelerator(row); model != nil {
@@ -212,7 +212,7 @@
 	for i, node := range plan.Nodes {
 		row := t.Upstreams.Find(node.Upstream)
 		layers := plan.Ranges[i]
-		if row == nil || row.isLoading() || row.Dead || row.Draining || layers.Len() <= 0 || node.Pinned && layers == node.Layers {
+		if row == nil || row.isLoading() || row.Dead || row.isDraining() || layers.Len() <= 0 || node.Pinned && layers == node.Layers {
 			continue
 		}
 		reason := "no layers loaded"
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -173,6 +173,8 @@
 		return s.moveResult(name, fields), nil
 	case "limit":
 		return upstreamLimit(name, fields), nil
+	case "drains":
+		return upstreamDrain(name, fields), nil
 	case "release_part":
 		return lentilmux.ReleasePartMsg{Part: parseParts(name)[0], Who: "operator"}, nil
 	case "held_part":
@@ -193,6 +195,7 @@
 	}
 	digest.Stale = fields["stale"] == "true"
 	digest.Parts = partSuspicions(fields)
+	digest.Drains = announcedDrains(fields)
 	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
 		digest.Limits = []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream(upstream), Named: perSecond != "none", PerSecond: parseFloat(perSecond), Age: parseDuration(fields["age"])}}
 	}
@@ -232,6 +235,9 @@
 	for _, load := range effect.Digest.Loads {
 		text += fmt.Sprintf(" %s %d", s.tables.Upstreams.FindByHash(load.Upstream).ID, load.Streams)
 	}
+	for _, drain := range effect.Digest.Drains {
+		text += fmt.Sprintf(" drain of %s, started at %d, %s ago", s.nameOf(drain.Upstream), drain.StartedAt.Unix(), drain.Age)
+	}
 	s.lastDigests = append(s.lastDigests, text)
 }
 
@@ -286,7 +292,7 @@
 		}
 		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}}
 	}
-	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0)}
+	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0), Draining: fields["draining"] == "true"}
 	report.Layers, report.HasLayers = parseLayers(fields["layers"])
 	if fields["slowdown"] != "" {
 		report.Slowdown = float64(parseInt(fields["slowdown"]))
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -32,6 +32,7 @@
 	FleetLoads      FleetLoads
 	Requests        Requests
 	Pending         []PendingRow
+	Drains          Drains
 	RetryBudgets    RetryBudgets
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
@@ -40,6 +41,7 @@
 	CrossZoneBucket TokenBucket // rate limit of activations that cross zones, in bits
 	Events          Events
 	NewSuspects     bool // whether an upstream was found dead that the last digest does not list
+	NewDrains       bool // whether an upstream announced its drain that the last digest does not list
 
 	effects  []lentilmux.Effect // of this tick
 	nextTick time.Time
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -31,7 +31,8 @@
 	Dead                bool          // whether requests in flight on it have to move
 	ReportedByPeer      bool          // whether Dead was reported by a peer
 
-	RequestLimit RequestLimitState
+	RequestLimit    RequestLimitState
+	DrainingProcess time.Time // start of the process that announced its drain in an answer; zero for none
 
 	Slowdown   float64   // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
 	ReportedAt time.Time // when its last report arrived
@@ -62,7 +63,7 @@
 // Usable reports whether new requests may be sent to the upstream: it is not
 // draining, expired or suspected.
 func (u *UpstreamRow) Usable(now time.Time) bool {
-	return !u.Draining && (u.ExpiresAt.IsZero() || now.Before(u.ExpiresAt)) && u.SuspectUntil.IsZero()
+	return !u.isDraining() && (u.ExpiresAt.IsZero() || now.Before(u.ExpiresAt)) && u.SuspectUntil.IsZero()
 }
 
 // Upstreams is the table of upstreams.
