Leave an upstream alone for the time that its refusal names

An upstream that turns a request away with 503 may name in Retry-After for how long it wants no requests from this VM. The header was not read: after 250 ms the VM sent there again, and at once for services without layers.

ApplyBackOffs keeps the end of the back-off by upstream and process. Until then no attempt, retry, replacement, move or trial of this VM uses the upstream. A later answer replaces the time, a new process ends it, also if the entry expired meanwhile. Peers are not told, since the time is meant for one VM.

If all upstreams that could begin to answer are in a back-off, a request waits where the first one ends soon enough for its latency target, also for services without layers, and is refused at once otherwise, with that time or its own deadline as Retry-After.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -117,7 +117,7 @@
 		ok = a.chooseUpstream(t, request, &attempt, now)
 	}
 	if !ok {
-		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonNoUpstream, a.describeNoRoom(request.Service)))
+		return a.adjustOutcome(request, t.noRoomRefusal(request, a.describeNoRoom(request.Service), now))
 	}
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
 		attempt.Limited, attempt.StartedAt = row.RequestLimit.Named, row.StartedAt
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -107,7 +107,7 @@
 func (a *AdmitRequests) collectNodes(t *Tables, service string, now time.Time) {
 	a.nodes, a.rows, a.atLimit = a.nodes[:0], a.rows[:0], 0
 	for _, row := range t.Upstreams.Rows {
-		if row.Service != service || !row.HasLayers || !row.Usable(now) || now.Before(row.FullUntil) {
+		if row.Service != service || !row.HasLayers || !row.Usable(now) || row.backsOff(now) || now.Before(row.FullUntil) {
 			continue
 		}
 		model, accelerator := t.ModelAndAccelerator(row)
@@ -169,7 +169,7 @@
 func (a *AdmitRequests) chooseUpstream(t *Tables, request *RequestRow, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
 	a.candidates, a.rows, a.atLimit = a.candidates[:0], a.rows[:0], 0
 	for _, row := range t.Upstreams.Rows {
-		if row.Service != request.Service || !row.Usable(now) {
+		if row.Service != request.Service || !row.Usable(now) || row.backsOff(now) {
 			continue
 		}
 		if !t.hasLimitToken(row, now) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,6 +78,7 @@
 		&TrackPartCrashes{},
 		&ApplyRequestLimits{},
 		&ApplyDrains{},
+		&ApplyBackOffs{},
 		&DetectFailures{},
 		&PlaceLayers{},
 		&SendOrders{},
--- a/fleet/pending.go
+++ b/fleet/pending.go
@@ -10,6 +10,7 @@
 type PendingRow struct {
 	ArrivalRow
 	Until    time.Time // latest time at which the request is admitted or refused
+	RetryAt  time.Time // when a back-off ends that all upstreams are in; zero if they are not
 	ForRoom  bool      // whether it waits for room at the upstreams, and not for the first reads of the store
 	Admitted bool      // whether its route and key were checked and the request was counted
 }
@@ -47,7 +48,7 @@
 	for _, row := range rows {
 		ready := t.hasFirstReads()
 		if row.ForRoom {
-			ready = roomFreed
+			ready = roomFreed || !row.RetryAt.IsZero() && !now.Before(row.RetryAt)
 		}
 		if !ready && now.Before(row.Until) {
 			t.Pending = append(t.Pending, row)
@@ -61,16 +62,18 @@
 // holdForRoom queues a request for which no upstream has room at the moment,
 // since streams end all the time and a refusal keeps its caller away for longer.
 // The request waits until RoomWaitFraction of its route's latency target has
-// passed. It does not wait if it would not fit into idle upstreams either, or if
-// so many requests wait already that this one would get no room in time.
+// passed. It does not wait if it would not fit into idle upstreams either, if all
+// upstreams are in a back-off that lasts longer, or if so many requests wait already
+// that this one would get no room in time.
 func (a *AdmitRequests) holdForRoom(t *Tables, row PendingRow, request *RequestRow, now time.Time) (pending bool) {
 	until := request.ReceivedAt.Add(time.Duration(t.Limits.RoomWaitFraction * float64(request.Route.FirstByteTarget)))
-	if !now.Before(until) {
+	row.RetryAt = t.backOffEnd(request.Service, now)
+	if !now.Before(until) || row.RetryAt.After(until) {
 		return false
 	}
 	if !row.ForRoom {
 		maxWaiters := max(1, t.Limits.MaxRoomWaiters*float64(len(t.Requests.Rows)))
-		if float64(t.roomWaiters()) >= maxWaiters || !a.fitsIdleUpstreams(t, request, now) {
+		if float64(t.roomWaiters()) >= maxWaiters || row.RetryAt.IsZero() && !a.fitsIdleUpstreams(t, request, now) {
 			return false
 		}
 		t.RecordDecision(lentilmux.Decision{What: "request_waiting", Subject: string(request.ID), Chosen: until.Sub(now).String(), Reason: "no upstream of " + request.Service + " has room"})
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -175,6 +175,8 @@
 		return upstreamLimit(name, fields), nil
 	case "drains":
 		return upstreamDrain(name, fields), nil
+	case "refused":
+		return upstreamBackOff(name, fields), nil
 	case "release_part":
 		return lentilmux.ReleasePartMsg{Part: parseParts(name)[0], Who: "operator"}, nil
 	case "held_part":
@@ -366,7 +368,11 @@
 		s.epochs[string(answer.Attempt.Request)] = answer.Attempt.Epoch
 		return fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
 	case lentilmux.RefusalAnswer:
-		return fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
+		text := fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
+		if after := answer.Refusal.RetryAfter; answer.Refusal.Reason == lentilmux.ReasonNoUpstream && after != fleet.DefaultLimits().RefusalRetryAfter {
+			text += fmt.Sprintf(", retry after %s", after)
+		}
+		return text
 	case lentilmux.WaitAnswer:
 		return fmt.Sprintf("answer %s: wait %s", label, answer.Wait)
 	}
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -33,6 +33,7 @@
 	Requests        Requests
 	Pending         []PendingRow
 	Drains          Drains
+	BackOffs        BackOffs
 	RetryBudgets    RetryBudgets
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -32,6 +32,7 @@
 	ReportedByPeer      bool          // whether Dead was reported by a peer
 
 	RequestLimit    RequestLimitState
+	BackOffUntil    time.Time // named in an answer to this VM: nothing new starts here until then
 	DrainingProcess time.Time // start of the process that announced its drain in an answer; zero for none
 
 	Slowdown   float64   // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
--- a/forward.go
+++ b/forward.go
@@ -132,6 +132,9 @@
 	BlamedUpstream() (addr netip.AddrPort)
 	// RequestLimit returns the limit that the answer names.
 	RequestLimit() (limit RequestLimit)
+	// RetryAfter returns the time that an answer names which turns the request
+	// away.
+	RetryAfter() (retryAfter RetryAfter)
 	// AnnouncesDrain reports whether the answer verifiably comes from the
 	// attempt's upstream and announces that the upstream drains.
 	AnnouncesDrain() (drains bool)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -198,6 +198,7 @@
 	defer response.Close()
 	r.reportLimit(attemptCtx, attempt, response)
 	r.reportDrain(attemptCtx, attempt, response)
+	r.reportBackOff(attemptCtx, attempt, response)
 	switch {
 	case response.Verdict() == lentilmux.VerdictSuccess && attempt.Kind.Streams():
 		err = r.relayStream(attemptCtx, attempt, response, stallWatchdog)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -23,10 +23,11 @@
 	out            strings.Builder
 	started        time.Time
 	kind           lentilmux.CallKind
-	attempts       int      // maximum number of attempts
-	steps          [][]step // of the response to each attempt
-	drains         bool     // whether the responses announce the drain of their upstream
-	replaceStalled []bool   // for each report of a stalled attempt, whether the node replaces it
+	attempts       int                  // maximum number of attempts
+	steps          [][]step             // of the response to each attempt
+	drains         bool                 // whether the responses announce the drain of their upstream
+	retryAfter     lentilmux.RetryAfter // of the responses
+	replaceStalled []bool               // for each report of a stalled attempt, whether the node replaces it
 }
 
 // step is one event of a stream, or an error in its place.
@@ -47,6 +48,8 @@
 		s.logf("node: attempt %d started", x.Epoch)
 	case lentilmux.UpstreamDrainMsg:
 		s.logf("node: %s announces its drain", x.Upstream)
+	case lentilmux.UpstreamBackOffMsg:
+		s.logf("node: %s wants nothing for %s", x.Upstream, x.RetryAfter.Delay)
 	case lentilmux.ForwardDoneMsg:
 		s.logf("node: done %s %s status=%d events=%d first=%s", x.Outcome, x.Reason, x.Status, x.Events, x.TimeToFirstByte)
 	}
@@ -120,6 +123,7 @@
 func (r *scriptedResponse) Verdict() lentilmux.Verdict           { return r.verdict }
 func (r *scriptedResponse) RequestLimit() lentilmux.RequestLimit { return lentilmux.RequestLimit{} }
 func (r *scriptedResponse) AnnouncesDrain() bool                 { return r.script.drains }
+func (r *scriptedResponse) RetryAfter() lentilmux.RetryAfter     { return r.script.retryAfter }
 func (r *scriptedResponse) BlamedUpstream() netip.AddrPort       { return netip.AddrPort{} }
 func (r *scriptedResponse) Body() ([]byte, error)                { return []byte("body"), nil }
 func (r *scriptedResponse) Close()                               { r.script.logf("upstream: closed") }
@@ -187,6 +191,7 @@
 		{name: "failure response to a repeatable call, retried", script: script{kind: lentilmux.CallRepeatable, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed), verdict(lentilmux.VerdictFailed)}}},
 		{name: "drain announced by a stream", script: script{kind: lentilmux.CallResumableStream, attempts: 2, drains: true, steps: [][]step{append(events(tick, 0), connectionLost), events(tick, 1)}}},
 		{name: "drain announced by a refusal and an error", script: script{kind: lentilmux.CallOnce, attempts: 2, drains: true, steps: [][]step{verdict(lentilmux.VerdictNotRun), verdict(lentilmux.VerdictFailed)}}},
+		{name: "refusals that name a time", script: script{kind: lentilmux.CallOnce, attempts: 2, retryAfter: lentilmux.RetryAfter{Named: true, Delay: 2 * time.Second}, steps: [][]step{verdict(lentilmux.VerdictNotRun), verdict(lentilmux.VerdictNotRun)}}},
 		{name: "deadline exceeded", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(3*time.Second, 0)}}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 	}
