Prefer other upstreams to one that just refused, also without layers

An upstream that turns a request away for lack of room gets no new ones for 250 ms, so that others are tried first. For services without layers the mark was set but not read: the next request was sent to the same upstream as before, which refused it again and drew on the retry budget.

Such an upstream is now left out like an ejected one, that is, unless nothing else is left: 250 ms is a guess, and a refusal that names a time counts on its own.

Evidence: in the new scenario full_plain, r3, r4 and r6 went to the upstream that had refused r1 30 to 60 ms before, and now go to the other one. In scenario once, r2, sent 10 ms after a refusal, goes to the other upstream for the same reason.

--- a/fleet/eject.go
+++ b/fleet/eject.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// excludeEjected removes ejected upstreams, those with a trial and the one of the
-// last attempt from the candidates, unless no candidate would be left.
+// excludeEjected removes upstreams that are ejected, turned a request away lately or
+// run a trial, and the one of the last attempt, from the candidates, unless no
+// candidate would be left.
 func (a *AdmitRequests) excludeEjected(lastUpstream string, now time.Time) {
 	keptCount := 0
 	for i, row := range a.rows {
-		if row.ID != lastUpstream && !now.Before(row.EjectedUntil) && row.Trials == 0 {
+		if row.ID != lastUpstream && !now.Before(row.EjectedUntil) && !now.Before(row.FullUntil) && row.Trials == 0 {
 			a.rows[keptCount], a.candidates[keptCount] = row, a.candidates[i]
 			keptCount++
 		}
