--- a/fleet/drains.go
+++ b/fleet/drains.go
@@ -33,19 +33,41 @@
 	Source    string    // of the first known announcement, for the log
 }
 
+// processKey identifies one process of an upstream.
+type processKey struct {
+	upstream    lentilmux.UpstreamHash
+	startedAtMs int64
+}
+
 // Drains is the table of drains announced in answers.
 type Drains struct {
-	Rows []*DrainRow
+	Rows         []*DrainRow
+	rowByProcess map[processKey]*DrainRow
 }
 
 // Find returns the row of a process, or nil if no drain of it is known.
 func (d *Drains) Find(upstream lentilmux.UpstreamHash, startedAt time.Time) *DrainRow {
-	for _, row := range d.Rows {
-		if row.Upstream == upstream && row.StartedAt.Equal(startedAt) {
-			return row
-		}
+	return d.rowByProcess[processKey{upstream, startedAt.UnixMilli()}]
+}
+
+// Put adds a row for a process that has none.
+func (d *Drains) Put(row *DrainRow) {
+	if d.rowByProcess == nil {
+		d.rowByProcess = make(map[processKey]*DrainRow)
 	}
-	return nil
+	d.rowByProcess[processKey{row.Upstream, row.StartedAt.UnixMilli()}] = row
+	d.Rows = append(d.Rows, row)
+}
+
+// removeBefore removes the rows whose last announcement was before a time.
+func (d *Drains) removeBefore(oldest time.Time) {
+	d.Rows = slices.DeleteFunc(d.Rows, func(row *DrainRow) bool {
+		expired := row.SeenAt.Before(oldest)
+		if expired {
+			delete(d.rowByProcess, processKey{row.Upstream, row.StartedAt.UnixMilli()})
+		}
+		return expired
+	})
 }
 
 // ApplyDrains records the drains that upstreams announce in their answers to this
@@ -71,7 +93,10 @@
 			t.recordDrain(drain.Upstream, drain.StartedAt, now.Add(-max(drain.Age, 0)), "reported by "+digest.VM)
 		}
 	}
-	t.Drains.Rows = slices.DeleteFunc(t.Drains.Rows, func(drain *DrainRow) bool { return now.Sub(drain.SeenAt) > drainRetention })
+	t.Drains.removeBefore(now.Add(-drainRetention))
+	if len(t.Events.StreamUpdates) == 0 && !t.NewDrains {
+		return // neither drains nor entries have changed
+	}
 	for _, drain := range t.Drains.Rows {
 		a.applyDrain(t, drain)
 	}
@@ -101,7 +126,7 @@
 	if startedAt.IsZero() || len(t.Drains.Rows) >= maxDrains {
 		return
 	}
-	t.Drains.Rows = append(t.Drains.Rows, &DrainRow{Upstream: upstream, StartedAt: startedAt, SeenAt: seenAt, Source: source})
+	t.Drains.Put(&DrainRow{Upstream: upstream, StartedAt: startedAt, SeenAt: seenAt, Source: source})
 	t.NewDrains = true
 }
 
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -57,3 +58,29 @@
 		})
 	}
 }
+
+// BenchmarkDrainDigestBytes measures encoding and decoding a load digest and
+// reports its size, by the number of announced drains that it lists.
+func BenchmarkDrainDigestBytes(b *testing.B) {
+	for _, count := range []int{0, 10, 512} {
+		b.Run(fmt.Sprintf("drains=%d", count), func(b *testing.B) {
+			digest := lentilmux.LoadDigest{VM: "entry-123", VMCount: 57, Zone: "region-1-zone-2", Addr: netip.MustParseAddrPort("192.0.2.1:7080"), Incarnation: 1 << 60, Sequence: 1 << 20}
+			for i := range count {
+				digest.Drains = append(digest.Drains, lentilmux.UpstreamDrain{
+					Upstream: lentilmux.HashUpstream(fmt.Sprintf("worker-%04d", i)), StartedAt: time.UnixMilli(1_790_000_000_000 + int64(i)), Age: 20 * time.Second,
+				})
+			}
+			var data []byte
+			for b.Loop() {
+				var err error
+				if data, err = proto.Marshal(loadDigestToProto(digest)); err != nil {
+					b.Fatal(err)
+				}
+				if _, err = loadDigestFromProto(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "bytes/digest")
+		})
+	}
+}
