--- a/fleet/partcrashes_test.go
+++ b/fleet/partcrashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -182,3 +183,12 @@
 	}
 	return 0
 }
+
+// describeCrashes returns the number of crashes and the times of the first ones.
+func (s *simulation) describeCrashes() string {
+	var text strings.Builder
+	for _, at := range s.crashes[:min(len(s.crashes), 8)] {
+		fmt.Fprintf(&text, " %s", at.Sub(s.start))
+	}
+	return fmt.Sprintf("%d crashes, the first at%s", len(s.crashes), text.String())
+}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -83,8 +82,9 @@
 	store     map[string]lentilmux.PutEffect       // records that VMs wrote, by key
 	heldParts map[string]bool                      // parts that a VM ever held, by ID
 	onSend    func(request *simulatedRequest, upstream *simulatedUpstream)
-	onLimit   func(vm *simulatedVM, upstream *simulatedUpstream) // when a VM got an answer that names a limit
-	pickVM    func() *simulatedVM                                // of the next request; nil for a random one
+	onLimit   func(vm *simulatedVM, upstream *simulatedUpstream)                                // when a VM got an answer that names a limit
+	turnsAway func(request *simulatedRequest, upstream *simulatedUpstream) lentilmux.RetryAfter // what a refusal names; nothing if the request is taken
+	pickVM    func() *simulatedVM                                                               // of the next request; nil for a random one
 }
 
 // simulatedEvent is a function that runs at a time.
@@ -316,6 +316,9 @@
 	if s.onSend != nil {
 		s.onSend(request, upstream)
 	}
+	if s.turnAway(request, attempt, upstream) {
+		return
+	}
 	upstream.active[request] = true
 	s.after(simulatedPrefill, func() {
 		if request.done || request.attempt.Epoch != attempt.Epoch || !upstream.active[request] {
@@ -386,12 +389,3 @@
 		Request: request.inbound.ID, Epoch: attempt.Epoch, Kind: kind, NotRun: kind == lentilmux.FailureDial, Delivered: request.delivery,
 	})
 }
-
-// describeCrashes returns the number of crashes and the times of the first ones.
-func (s *simulation) describeCrashes() string {
-	var text strings.Builder
-	for _, at := range s.crashes[:min(len(s.crashes), 8)] {
-		fmt.Fprintf(&text, " %s", at.Sub(s.start))
-	}
-	return fmt.Sprintf("%d crashes, the first at%s", len(s.crashes), text.String())
-}
