--- a/fleet/backoffs.go
+++ b/fleet/backoffs.go
@@ -47,13 +47,13 @@
 }
 
 // ApplyBackOffs keeps the upstreams that turned a request away out of use for the
-// time that they named. It reads Events.UpstreamBackOffs and writes BackOffs and
+// time that they named. It reads Events.BackOffs and writes BackOffs and
 // Upstreams.
 type ApplyBackOffs struct{}
 
 // Run implements [System].
 func (a *ApplyBackOffs) Run(t *Tables, now time.Time) {
-	for _, msg := range t.Events.UpstreamBackOffs {
+	for _, msg := range t.Events.BackOffs {
 		a.record(t, msg, now)
 	}
 	t.BackOffs.Rows = slices.DeleteFunc(t.BackOffs.Rows, func(backOff *BackOffRow) bool {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -35,24 +35,24 @@
 
 // Events holds the messages of one tick, by type.
 type Events struct {
-	StreamUpdates    []lentilmux.StreamUpdatesMsg
-	StreamFailures   []lentilmux.StreamReadFailedMsg
-	Digests          []lentilmux.LoadDigest
-	Reports          []lentilmux.UpstreamReportMsg
-	OrderResults     []lentilmux.RangeOrderResultMsg
-	Plans            []lentilmux.RangesPlannedMsg
-	Arrivals         []ArrivalRow
-	AnswersStarted   []lentilmux.ForwardStartedMsg
-	FailedAttempts   []FailedAttemptRow
-	StalledAttempts  []StalledAttemptRow
-	MoveResults      []lentilmux.MoveResultMsg
-	Done             []lentilmux.ForwardDoneMsg
-	PartReleases     []PartReleaseRow
-	UpstreamLimits   []lentilmux.UpstreamLimitMsg
-	UpstreamDrains   []lentilmux.UpstreamDrainMsg
-	UpstreamBackOffs []lentilmux.UpstreamBackOffMsg
-	Limits           *Limits
-	BeginDrain       bool
+	StreamUpdates   []lentilmux.StreamUpdatesMsg
+	StreamFailures  []lentilmux.StreamReadFailedMsg
+	Digests         []lentilmux.LoadDigest
+	Reports         []lentilmux.UpstreamReportMsg
+	OrderResults    []lentilmux.RangeOrderResultMsg
+	Plans           []lentilmux.RangesPlannedMsg
+	Arrivals        []ArrivalRow
+	AnswersStarted  []lentilmux.ForwardStartedMsg
+	FailedAttempts  []FailedAttemptRow
+	StalledAttempts []StalledAttemptRow
+	MoveResults     []lentilmux.MoveResultMsg
+	Done            []lentilmux.ForwardDoneMsg
+	PartReleases    []PartReleaseRow
+	UpstreamLimits  []lentilmux.UpstreamLimitMsg
+	UpstreamDrains  []lentilmux.UpstreamDrainMsg
+	BackOffs        []lentilmux.UpstreamBackOffMsg
+	Limits          *Limits
+	BeginDrain      bool
 }
 
 // add appends a message to the list of its type. Messages of unknown types are
@@ -90,7 +90,7 @@
 	case lentilmux.UpstreamDrainMsg:
 		e.UpstreamDrains = append(e.UpstreamDrains, x)
 	case lentilmux.UpstreamBackOffMsg:
-		e.UpstreamBackOffs = append(e.UpstreamBackOffs, x)
+		e.BackOffs = append(e.BackOffs, x)
 	case LimitsMsg:
 		e.Limits = &x.Limits
 	case lentilmux.BeginDrainMsg:
@@ -115,6 +115,6 @@
 		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
 		PartReleases: e.PartReleases[:0], UpstreamLimits: e.UpstreamLimits[:0], UpstreamDrains: e.UpstreamDrains[:0],
-		UpstreamBackOffs: e.UpstreamBackOffs[:0],
+		BackOffs: e.BackOffs[:0],
 	}
 }
