--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,8 @@
 		&FinishRequests{},
 		&TrackPartCrashes{},
 		&ApplyRequestLimits{},
+		&ApplyDrains{},
+		&ApplyBackOffs{},
 		&DetectFailures{},
 		&PlaceLayers{},
 		&SendOrders{},
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -180,6 +180,10 @@
 		return s.moveResult(name, fields), nil
 	case "limit":
 		return upstreamLimit(name, fields), nil
+	case "drains":
+		return upstreamDrain(name, fields), nil
+	case "refused":
+		return upstreamBackOff(name, fields), nil
 	case "release_part":
 		return lentilmux.ReleasePartMsg{Part: parseParts(name)[0], Who: "operator"}, nil
 	case "held_part":
@@ -215,6 +219,7 @@
 	}
 	digest.Stale = fields["stale"] == "true"
 	digest.Parts = partSuspicions(fields)
+	digest.Drains = announcedDrains(fields)
 	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
 		digest.Limits = []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream(upstream), Named: perSecond != "none", PerSecond: parseFloat(perSecond), Age: parseDuration(fields["age"])}}
 	}
@@ -254,6 +259,9 @@
 	for _, load := range effect.Digest.Loads {
 		text += fmt.Sprintf(" %s %d", s.tables.Upstreams.FindByHash(load.Upstream).ID, load.Streams)
 	}
+	for _, drain := range effect.Digest.Drains {
+		text += fmt.Sprintf(" drain of %s, started at %d, %s ago", s.nameOf(drain.Upstream), drain.StartedAt.Unix(), drain.Age)
+	}
 	s.lastDigests = append(s.lastDigests, text)
 }
 
@@ -354,7 +362,7 @@
 		}
 		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}}
 	}
-	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0)}
+	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0), Draining: fields["draining"] == "true"}
 	report.Layers, report.HasLayers = parseLayers(fields["layers"])
 	if fields["slowdown"] != "" {
 		report.Slowdown = float64(parseInt(fields["slowdown"]))
@@ -428,7 +436,11 @@
 		s.epochs[string(answer.Attempt.Request)] = answer.Attempt.Epoch
 		return fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
 	case lentilmux.RefusalAnswer:
-		return fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
+		text := fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
+		if after := answer.Refusal.RetryAfter; answer.Refusal.Reason == lentilmux.ReasonNoUpstream && after != fleet.DefaultLimits().RefusalRetryAfter {
+			text += fmt.Sprintf(", retry after %s", after)
+		}
+		return text
 	case lentilmux.WaitAnswer:
 		return fmt.Sprintf("answer %s: wait %s", label, answer.Wait)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -66,7 +66,7 @@
 		a.response = nil
 		return err
 	}
-	r.reportLimit(a)
+	r.reportAnnouncements(a)
 	verdict := a.response.Verdict()
 	switch {
 	case verdict == lentilmux.VerdictSuccess && a.Kind.Streams():
@@ -105,17 +105,6 @@
 	return nil
 }
 
-// reportLimit reports the request limit that an answer names, or that it no longer
-// names one.
-func (r *relayedRequest) reportLimit(a *runningAttempt) {
-	limit := a.response.RequestLimit()
-	if a.response.Verdict() == lentilmux.VerdictInvalid || !limit.Named && !a.Limited {
-		return
-	}
-	// Send fails only if the request is ending; a later answer tells the limit too.
-	_ = r.relay.node.Send(a.ctx, lentilmux.UpstreamLimitMsg{Request: a.Request, Upstream: a.Upstream, Limit: limit})
-}
-
 // runAttempt passes on an attempt that has begun, or that failed to with
 // beginErr. If another one supersedes it, it passes on that one. It returns nil if
 // the request has ended, else a report of what failed.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -29,12 +29,14 @@
 	inFlight       int // attempts that the node knows to be in flight
 	started        time.Time
 	kind           lentilmux.CallKind
-	attempts       int           // maximum number of attempts
-	sendTime       time.Duration // until an upstream gets an attempt after the first
-	bodyTime       time.Duration // until the body of the first attempt has arrived
-	steps          [][]step      // of the response to each attempt
-	askTime        time.Duration // until the node answers the report of a stalled attempt
-	replaceStalled []bool        // for each report of a stalled attempt, whether the node replaces it
+	attempts       int                  // maximum number of attempts
+	sendTime       time.Duration        // until an upstream gets an attempt after the first
+	bodyTime       time.Duration        // until the body of the first attempt has arrived
+	steps          [][]step             // of the response to each attempt
+	drains         bool                 // whether the responses announce the drain of their upstream
+	retryAfter     lentilmux.RetryAfter // of the responses
+	askTime        time.Duration        // until the node answers the report of a stalled attempt
+	replaceStalled []bool               // for each report of a stalled attempt, whether the node replaces it
 }
 
 // step is one event of a stream, or an error in its place.
@@ -58,6 +60,10 @@
 	case lentilmux.ForwardStartedMsg:
 		s.logf("node: attempt %d started", x.Epoch)
 		s.inFlight = 1
+	case lentilmux.UpstreamDrainMsg:
+		s.logf("node: %s announces its drain", x.Upstream)
+	case lentilmux.UpstreamBackOffMsg:
+		s.logf("node: %s wants nothing for %s", x.Upstream, x.RetryAfter.Delay)
 	case lentilmux.ForwardDoneMsg:
 		s.logf("node: done %s %s status=%d events=%d first=%s %s", x.Outcome, x.Reason, x.Status, x.Events, x.TimeToFirstByte, formatEnd(x.End))
 	}
@@ -113,7 +119,7 @@
 	s.last++
 	s.inFlight++
 	return lentilmux.AttemptAnswer{Attempt: lentilmux.Attempt{
-		Request: "r", Epoch: s.last, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
+		Request: "r", Upstream: fmt.Sprintf("upstream-%d", s.last), Epoch: s.last, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
 		Progress: []*lentilmux.Progress{{}},
 	}}
 }
@@ -153,6 +159,8 @@
 
 func (r *scriptedResponse) Verdict() lentilmux.Verdict           { return r.verdict }
 func (r *scriptedResponse) RequestLimit() lentilmux.RequestLimit { return lentilmux.RequestLimit{} }
+func (r *scriptedResponse) AnnouncesDrain() bool                 { return r.script.drains }
+func (r *scriptedResponse) RetryAfter() lentilmux.RetryAfter     { return r.script.retryAfter }
 func (r *scriptedResponse) BlamedUpstream() netip.AddrPort       { return netip.AddrPort{} }
 func (r *scriptedResponse) Close()                               { r.script.logf("upstream: attempt %d closed", r.epoch) }
 
@@ -256,6 +264,9 @@
 		{name: "refused before it ran", script: script{kind: lentilmux.CallOnce, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictNotRun), events(0, 0)}}},
 		{name: "failure response to a call that is not repeatable", script: script{kind: lentilmux.CallOnce, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed)}}},
 		{name: "failure response to a repeatable call, retried", script: script{kind: lentilmux.CallRepeatable, attempts: 2, steps: [][]step{verdict(lentilmux.VerdictFailed), verdict(lentilmux.VerdictFailed)}}},
+		{name: "drain announced by a stream", script: script{kind: lentilmux.CallResumableStream, attempts: 2, drains: true, steps: [][]step{append(events(tick, 0), connectionLost), events(tick, 1)}}},
+		{name: "drain announced by a refusal and an error", script: script{kind: lentilmux.CallOnce, attempts: 2, drains: true, steps: [][]step{verdict(lentilmux.VerdictNotRun), verdict(lentilmux.VerdictFailed)}}},
+		{name: "refusals that name a time", script: script{kind: lentilmux.CallOnce, attempts: 2, retryAfter: lentilmux.RetryAfter{Named: true, Delay: 2 * time.Second}, steps: [][]step{verdict(lentilmux.VerdictNotRun), verdict(lentilmux.VerdictNotRun)}}},
 		{name: "deadline exceeded", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(3*time.Second, 0)}}},
 		// A silence of a sound upstream must not end an answer: the attempt that takes
 		// over may be refused or break off.
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -138,6 +138,8 @@
 
 func (r *raceResponse) Verdict() lentilmux.Verdict           { return r.verdict }
 func (r *raceResponse) RequestLimit() lentilmux.RequestLimit { return lentilmux.RequestLimit{} }
+func (r *raceResponse) AnnouncesDrain() bool                 { return false }
+func (r *raceResponse) RetryAfter() lentilmux.RetryAfter     { return lentilmux.RetryAfter{} }
 func (r *raceResponse) BlamedUpstream() netip.AddrPort       { return netip.AddrPort{} }
 func (r *raceResponse) Body() (body []byte, err error)       { return nil, nil }
 func (r *raceResponse) Close()                               { r.end("closed") }
