Place layers beside an upstream that claims layers beyond its model

Seen: an entry whose range ends behind the model's last layer ended the process. Any VM that planned ranges ended, and again after each start, since the entry is still there. Clients lost what the VM had accepted.

Cause: the range of a pinned upstream was used as an index into the cache of each layer, and its length went into a product that can overflow, so that such an upstream even seemed to have room.

A range that isn't within the model counts for nothing, and leaves no room in the KV cache.

--- a/path.go
+++ b/path.go
@@ -56,9 +56,10 @@
 }
 
 // CacheCapacity returns the capacity of the KV cache, in tokens times layers,
-// that is left in the accelerator's memory next to the weights of its layers.
+// that is left in the accelerator's memory next to the weights of its layers. More
+// layers than the model has leave none.
 func (m *ModelProfile) CacheCapacity(accelerator Accelerator, layers int) int64 {
-	if m.CacheBytesPerToken <= 0 || m.Layers <= 0 {
+	if m.CacheBytesPerToken <= 0 || m.Layers <= 0 || layers > m.Layers {
 		return 0
 	}
 	return max(0, (accelerator.MemoryBytes-int64(layers)*m.LayerBytes)*int64(m.Layers)/m.CacheBytesPerToken)
--- a/placement/zonerate.go
+++ b/placement/zonerate.go
@@ -100,7 +100,7 @@
 	clear(z.cache)
 	slots, hasSlots := 0, true
 	for i, n := range z.nodes {
-		if i == lost || ranges[i].Len() <= 0 {
+		if i == lost || !z.fits(ranges[i]) {
 			continue
 		}
 		z.tokens[i] = float64(z.model.CacheCapacity(n.Accelerator, ranges[i].Len())) / float64(ranges[i].Len())
@@ -121,7 +121,7 @@
 	}
 	for i := range z.nodes {
 		z.shares[i] = 0
-		if i == lost || ranges[i].Len() <= 0 {
+		if i == lost || !z.fits(ranges[i]) {
 			continue
 		}
 		for layer := ranges[i].First; layer <= ranges[i].Last; layer++ {
@@ -135,6 +135,12 @@
 	return requests
 }
 
+// fits reports whether a range holds layers, and only layers of the model. A pinned
+// range may be one that an upstream claims without having it.
+func (z *zoneRate) fits(layers lentilmux.LayerRange) bool {
+	return layers.Len() > 0 && layers.First >= 0 && layers.Last < z.model.Layers
+}
+
 // times returns the seconds that a token takes over all layers and that the
 // prefill of a prompt takes, with the given number of requests in the zone and
 // prompts of all layers arriving at the given load, in seconds per second.
