Use no upstream that claims layers beyond those of its model

Seen: an entry of another writer whose layers end behind the model's last one was used like any other. Requests were sent over it, and the placement took its layers for held, so that a real gap of its zone was not filled.

Cause: a layer range was compared with the request's layers only, never with those that the model has.

ModelAndAccelerator is where requests, placement and probes after failures look up what an upstream runs, so the check there covers all of them.

--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -191,15 +191,15 @@
 }
 
 // ModelAndAccelerator returns the model that an upstream runs and its
-// accelerator. The model is nil if the service has none or does not list the
-// accelerator.
+// accelerator. The model is nil if the service has none, does not list the
+// accelerator, or has fewer layers than the upstream claims to hold.
 func (t *Tables) ModelAndAccelerator(row *UpstreamRow) (model *lentilmux.ModelProfile, accelerator lentilmux.Accelerator) {
 	service := t.Rules.Service(row.Service)
 	if service == nil || service.Engine == nil {
 		return nil, lentilmux.Accelerator{}
 	}
 	accelerator, ok := service.Engine.Accelerator(row.Accelerator)
-	if !ok {
+	if !ok || row.HasLayers && row.Layers.Last >= service.Engine.Layers {
 		return nil, lentilmux.Accelerator{}
 	}
 	return service.Engine, accelerator
