Carry the keys of stream copies as bytes

Seen: one record whose key isn't valid UTF-8, left by another writer, made the copies of a relay unreadable. Every VM that follows the store through it failed with 'string field contains invalid UTF-8', and read the store itself or, while the store was down, nothing.

Cause: the key of a copied entry was a protobuf string, which is checked as the answer is encoded; the store's keys are any bytes up to 255.

A string and a bytes field have the same encoding, so VMs of both versions understand each other while a deployment is rolled.

--- a/peer/copies.go
+++ b/peer/copies.go
@@ -79,7 +79,7 @@
 	}
 	page = lentilmux.CompactedPage{End: response.Msg.GetEnd(), Lag: time.Duration(response.Msg.GetLagNs())}
 	for _, entry := range response.Msg.GetEntries() {
-		page.Entries = append(page.Entries, lentilmux.CompactedEntry{Key: entry.GetKey(), Value: entry.GetValue(), Offset: entry.GetOffset()})
+		page.Entries = append(page.Entries, lentilmux.CompactedEntry{Key: string(entry.GetKey()), Value: entry.GetValue(), Offset: entry.GetOffset()})
 	}
 	return page, nil
 }
@@ -118,7 +118,7 @@
 	}
 	reply := &peerpb.CopyReadResponse{End: page.End, LagNs: page.Lag.Nanoseconds()}
 	for _, entry := range page.Entries {
-		reply.Entries = append(reply.Entries, &peerpb.CopyEntry{Key: entry.Key, Value: entry.Value, Offset: entry.Offset})
+		reply.Entries = append(reply.Entries, &peerpb.CopyEntry{Key: []byte(entry.Key), Value: entry.Value, Offset: entry.Offset})
 	}
 	return connect.NewResponse(reply), nil
 }
