Send a request again to an upstream on a connection of its own

Seen: an upstream refused a request, got it again after others had refused it too, and ran it. It wrote the earlier refusal once more on the kept connection. That copy echoes the ID of the very request, so it was believed: the client was told 'not run', or the request ran at a second upstream.

Cause: nothing in an answer tells a copy from the answer to the same request, sent again on the same connection.

An upstream gets each request at most once on a kept connection; a second time it gets it on a new one that is closed after the answer. Requests that are sent once, nearly all of them, keep using kept connections.

--- a/service/service.go
+++ b/service/service.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// WithoutKeepAlive opens a connection for each call and closes it afterwards, so
+// that nothing that a service wrote before can be taken for the answer.
+func WithoutKeepAlive() Option {
+	return func(t *http.Transport, _ *net.Dialer) { t.DisableKeepAlives = true }
+}
+
 // NewClient returns a client without open connections. It follows no redirects,
 // does not request compression and never resends a call on its own.
 func NewClient(options ...Option) *Client {
