Break the connection of a chat stream that broke off

Seen: on the product's own front end a stream that broke off got an error event and then the final chunk, as a complete one does. A client or a proxy that goes by the framing took it for whole; only the missing [DONE] said otherwise.

Cause: the handler returned, and the server ended the response.

The error event, typed and from the router itself, stays, as TestTruncatedStreamHasNoDoneEvent asks. An upstream's error can't come in between: engines send typed tokens, not bytes. The cluster tests call the handler as a server does, which takes such an abort for the end of one response.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -149,6 +149,9 @@
 		response.finish()
 	}
 	h.observeChat(startedAt, response.timeToFirstToken, result.Tokens, err)
+	if response.broken {
+		panic(http.ErrAbortHandler) // closes the connection without terminating the response
+	}
 }
 
 // rejectChat answers an invalid chat request with err.
--- a/caller/chatresponse.go
+++ b/caller/chatresponse.go
@@ -24,6 +24,7 @@
 	timeToFirstToken time.Duration // zero before the first token
 	tokens           []string
 	headerSent       bool
+	broken           bool // whether a stream ends without being complete
 }
 
 // emit adds the next token; it is the [engine.EmitFunc] of the response. In a
@@ -90,12 +91,14 @@
 }
 
 // fail ends a response that is not complete. A stream whose header has been sent
-// gets an error event instead of [DONE]; any other response gets an error status.
+// gets an error event instead of [DONE], after which its connection has to be
+// broken; any other response gets an error status.
 func (c *chatResponseWriter) fail(err error) {
 	if !c.headerSent {
 		writeError(c.w, err)
 		return
 	}
+	c.broken = true
 	data, marshalErr := json.Marshal(newErrorReply(toRefusal(err)))
 	if marshalErr == nil {
 		_ = c.writeEvent("error", data) // fails only if the caller has disconnected
--- a/entryvm/cluster_test.go
+++ b/entryvm/cluster_test.go
@@ -260,7 +260,7 @@
 	request.Header.Set(caller.TimeoutHeader, fmt.Sprint(timeout.Milliseconds()))
 	recorder := httptest.NewRecorder()
 	current.gate.wait()
-	current.vm.Handler().ServeHTTP(recorder, request.WithContext(ctx))
+	serve(current.vm.Handler(), recorder, request.WithContext(ctx))
 	current.gate.wait()
 	if m.incarnation().vm != current.vm {
 		return response{} // the caller's connection broke when the VM was killed
@@ -268,6 +268,17 @@
 	return parseResponse(recorder)
 }
 
+// serve serves a request as an HTTP server does: a handler that aborts the response
+// ends only its own request.
+func serve(handler http.Handler, recorder *httptest.ResponseRecorder, request *http.Request) {
+	defer func() {
+		if reason := recover(); reason != nil && reason != http.ErrAbortHandler {
+			panic(reason)
+		}
+	}()
+	handler.ServeHTTP(recorder, request)
+}
+
 // parseResponse returns the parts of a recorded response that tests check.
 func parseResponse(recorder *httptest.ResponseRecorder) (r response) {
 	r = response{Status: recorder.Code, Outcome: "answered", Body: recorder.Body.String(), RequestID: recorder.Header().Get(caller.RequestIDHeader)}
