Reset the connection of a broken stream to an HTTP/1.0 caller

Seen: a caller with HTTP/1.0 got a stream that broke off as if it were complete. Its response has no framing, so the orderly end of the connection is the end of the response.

Cause: a broken response closed its connection, which says something only to HTTP/1.1.

Both front ends use caller.BreakResponse; a TLS or limited connection is unwrapped first.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -150,7 +150,7 @@
 	}
 	h.observeChat(startedAt, response.timeToFirstToken, result.Tokens, err)
 	if response.broken {
-		panic(http.ErrAbortHandler) // closes the connection without terminating the response
+		BreakResponse(w, r)
 	}
 }
 
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -145,6 +145,9 @@
 	closed  chan struct{} // receives one value on the first Close
 }
 
+// NetConn returns the connection without the limit.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements [net.Conn].
 func (c *limitedConn) Close() (err error) {
 	select {
