Don't continue a stream whose events have no numbers

Seen: a resumable stream whose events carried no ids broke off, and the next upstream, asked without a last event, sent it from its beginning. The caller got the first events twice in one stream.

Cause: 'no event yet' and 'events without numbers' were the same number.

Evidence: TestBrokenStreamWithoutNumbers got 'data: a' twice and a clean end before; now the connection breaks after the events that the caller has. The node still learns of the failure, and of the request's end.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,6 +88,10 @@
 			request.refuse(&x.Refusal)
 			return
 		case lentilmux.AttemptAnswer:
+			if request.beganWithoutNumbers() {
+				request.refuse(&lentilmux.Refusal{Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonUpstreamFailed})
+				return
+			}
 			failure := request.runAttempt(ctx, x.Attempt)
 			if failure == nil {
 				return
@@ -141,6 +145,10 @@
 	return 0
 }
 
+// beganWithoutNumbers reports whether the caller has events without numbers. Such a
+// stream cannot be continued, since no upstream knows after which event.
+func (r *relayedRequest) beganWithoutNumbers() bool { return r.headersSent && r.lastEvent < 0 }
+
 // reportDone reports the end of the request to the node and to the observer.
 func (r *relayedRequest) reportDone() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
