Choose no path over an upstream whose cost is no finite number

Seen: an upstream that reports a pace of 1e308 ended the process. Its cost is infinite, or no number for a request without prompt tokens, and if the other candidates are no better, the path over the layers has no predecessor and is read at index -1, in the control goroutine.

Cause: costs were compared without a check that they are numbers.

Evidence: TestChooseWithOddLoads ended with 'index out of range [-1]' in appendHops before, with speeds and loads that are infinite, negative, huge or no number. Now such a node counts as one without room, and each path that is chosen covers the layers in order. No golden file of dispatch, fleet or placement changed.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -112,13 +112,13 @@
 			use = (float64(node.Reserved) + float64(cacheTokens)*float64(min(node.Layers.Len(), request.Layers.Len()))) / float64(node.Capacity)
 		}
 		c.memoryUse = append(c.memoryUse, use)
-		if use > maxMemoryUse {
-			c.layerCosts = append(c.layerCosts, math.Inf(1))
-			continue
-		}
 		step := node.StepFactor * (model.StepTime.Seconds() + streamWeight*float64(node.Streams+1)*perStream)
 		prefill := node.PrefillFactor * (float64(request.PromptTokens) + pendingPrefillFraction*float64(node.PendingPromptTokens)) / model.PrefillTokensPerSecond
 		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / (memoryUseLimit - use)
+		if use > maxMemoryUse || !isFinite(cost) {
+			c.layerCosts = append(c.layerCosts, math.Inf(1))
+			continue
+		}
 		c.layerCosts = append(c.layerCosts, cost*c.zoneFactor(node.Zone)*(1+costJitter*c.random.Float64()))
 		c.addCandidate(nodes, i)
 	}
@@ -133,6 +133,10 @@
 	c.boundaries = slices.Compact(c.boundaries)
 }
 
+// isFinite reports whether a cost can be added and compared. A node with another
+// one, which takes an impossible speed or load, runs nothing.
+func isFinite(cost float64) bool { return cost >= 0 && cost < math.MaxFloat64/math.MaxInt32 }
+
 // zoneFactor returns the random factor of a zone's costs for this request. VMs
 // learn late of each other's choices. The factor therefore spreads requests
 // over zones in proportion to the inverse square of their costs, rather than
