Forget the zones of upstreams that are gone

Seen: another writer that leaves entries with ever new zones made each VM keep them all, and look at each of them as it places layers, sends digests and chooses paths, until the process is slow or out of memory.

Cause: a zone, once seen, was never forgotten.

Evidence: TestZonesOfGoneUpstreams wrote 1,000 zones under one key and found 101 known after 99 writes before; now there are never more than 100, of which three are in use. Unused ones are looked for when the number has doubled, from 32 on, so a fleet with few zones pays nothing; no golden file changed.

--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -32,6 +32,7 @@
 		}
 	}
 	a.removeExpired(t, now)
+	t.forgetZones()
 }
 
 // recordReadFailure marks a stream as failing. It logs only the first of several
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -91,7 +91,8 @@
 // Zones assigns an index to each availability zone, in the order in which the
 // zones were first seen.
 type Zones struct {
-	names []string
+	names    []string
+	forgetAt int // number of zones from which on unused ones are forgotten
 }
 
 // Index returns the index of a zone. A new zone gets the next free index.
