Keep the process running if an effect panics

Seen: a panic while layers were planned, a report was read or an order was sent, each in a goroutine of its own, ended the process with all requests in flight; the plan beside an entry with layers beyond its model was such a case.

Cause: nothing recovers in these goroutines, while those of callers are covered by net/http.

The result is missing as if the answer was lost, which the node's timeouts cover (PlanTimeout, OrderTimeout, MaxMissedProbes).

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -232,15 +232,15 @@
 		g.sharedReads.Store(x.Shared)
 		g.log.SetSources(x.VMs)
 	case lentilmux.FetchReportEffect:
-		go g.fetchReport(x)
+		g.run(effect, func() { g.fetchReport(x) })
 	case lentilmux.RangeOrderEffect:
-		go g.sendOrder(x)
+		g.run(effect, func() { g.sendOrder(x) })
 	case lentilmux.PlanRangesEffect:
-		go g.planRanges(x)
+		g.run(effect, func() { g.planRanges(x) })
 	case lentilmux.MoveEffect:
-		go g.moveRequest(x)
+		g.run(effect, func() { g.moveRequest(x) })
 	case lentilmux.PutEffect:
-		go g.putRecord(x)
+		g.run(effect, func() { g.putRecord(x) })
 	case lentilmux.HeldPartsEffect:
 		g.heldParts.publish(x.Parts)
 	}
