Hold no prompt part because of a crash in the future

Seen: a record in the store that says that a prompt part crashed upstreams at a time to come, left by another writer, made every VM refuse the requests with that part until then, and after.

Cause: the age of the last crash was negative, and so never over.

Evidence: in the new scenario future_part request r1 was refused as quarantined before, for a record 1,000,000 hours ahead; now it gets a path and the leader deletes the record. A record one second ahead, as clocks that differ give, still holds.

--- a/fleet/heldparts.go
+++ b/fleet/heldparts.go
@@ -18,6 +18,8 @@
 	// mistakenHold is the time after the beginning of a hold in which that of
 	// another part can show that it was a mistake.
 	mistakenHold = 10 * time.Second
+	// maxClockSkew bounds how far the clocks of two VMs are apart.
+	maxClockSkew = time.Minute
 )
 
 // holdPart starts to refuse requests with a part. Source is the VM that reported
@@ -140,14 +142,14 @@
 }
 
 // applyHeldPart merges a hold that was read from the store. The leader deletes a
-// record that no VM needs any more.
+// record that no VM needs any more, or that names a time to come.
 func (t *Tables) applyHeldPart(record lentilmux.HeldPartRecord, now time.Time) {
 	age := now.Sub(record.LastCrashAt)
-	if age > t.partRetention(record.Round, true) {
+	if age > t.partRetention(record.Round, true) || age < -maxClockSkew {
 		t.deleteHeldPart(record.Part, now)
 		return
 	}
-	t.mergeSuspicion(lentilmux.PartSuspicion{Part: record.Part, Clears: record.Clears, Round: record.Round, Held: true, Age: age}, "the store", now)
+	t.mergeSuspicion(lentilmux.PartSuspicion{Part: record.Part, Clears: record.Clears, Round: record.Round, Held: true, Age: max(age, 0)}, "the store", now)
 	if row := t.PartSuspects.Find(record.Part); row != nil && row.Clears == record.Clears {
 		row.MustStore = false
 	}
