Call plain services on a connection for each call

Seen: on the product's own front end a caller got the reply to another call. A service that writes a reply once more on a kept connection, as the next call begins to arrive, had it taken for the reply to that call; one of the replies may be a 503 that says 'try again', while the call runs.

Cause: replies of plain services carry no ID, so nothing tells a copy apart.

Evidence: TestRepeatedReply got the reply to call 1 for call 2, and to call 3 for call 4, before; with a connection for each call all five are right, in 20 of 20 runs.

Price: BenchmarkCall on the loopback of a busy machine (load 37) took 0.16 to 0.53 ms a call with kept connections and 0.50 to 0.86 ms without, so a handshake more for each call. Engines of the product speak HTTP/2, whose streams have numbers of their own; they keep their connections.

--- a/service/service.go
+++ b/service/service.go
@@ -100,12 +100,14 @@
 }
 
 // Call implements [lentilmux.Service]. A failure is a
-// [*lentilmux.UpstreamError].
+// [*lentilmux.UpstreamError]. Each call has a connection of its own: replies carry
+// no ID, so on a kept one a repeated reply would be taken for that to the next call.
 func (c *Client) Call(ctx context.Context, upstream netip.AddrPort, call lentilmux.ServiceCall) (reply lentilmux.ServiceReply, err error) {
 	request, err := NewRequest(ctx, call.Method, "http://"+upstream.String()+call.Path, call.Body)
 	if err != nil {
 		return lentilmux.ServiceReply{}, &lentilmux.UpstreamError{Kind: lentilmux.FailureRefused, Err: err}
 	}
+	request.Close = true
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
