Follow the VM list beside a VM with an odd address

Seen: on the product's own front end one VM whose address can't be parsed, a port out of range for one, made each read of the list fail. The entry VM kept the last list it had: upstreams that were leaving got new requests, new peers stayed unknown.

Cause: the error of one VM was returned for the whole list, since a list without that VM would have made it look removed.

The VM stays listed, with its leaving mark, but without an address; a known peer keeps the address that it had, an unknown one is added once its digest names one.

--- a/system/membership.go
+++ b/system/membership.go
@@ -76,9 +76,15 @@
 		return
 	}
 	if p := t.Peers.Find(vm.Name); p != nil {
-		p.Addr, p.Leaving = vm.Addr, vm.Leaving
+		p.Leaving = vm.Leaving
+		if vm.Addr.IsValid() {
+			p.Addr = vm.Addr
+		}
 		return
 	}
+	if !vm.Addr.IsValid() {
+		return // it has to send a digest first, which names its address
+	}
 	t.Peers.Put(table.Peer{Name: vm.Name, Addr: vm.Addr, Leaving: vm.Leaving})
 }
 
--- a/vmlist.go
+++ b/vmlist.go
@@ -21,7 +21,8 @@
 )
 
 // ListedVM is one VM of the platform's list. Addr is the address at which an
-// upstream serves requests or at which an entry VM listens for peers.
+// upstream serves requests or at which an entry VM listens for peers; it is not
+// valid if the list has none that can be parsed.
 type ListedVM struct {
 	Name    string
 	Role    VMRole
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -44,8 +44,8 @@
 	return &Client{stub: vmlistpbconnect.NewVMListServiceClient(&http.Client{Transport: transport}, "http://"+addr.String())}
 }
 
-// List implements [lentilmux.VMList]. If a VM has an invalid address, the
-// complete read fails, since a list without that VM would make it look removed.
+// List implements [lentilmux.VMList]. A VM whose address cannot be parsed is listed
+// without one, since a list without that VM would make it look removed.
 func (c *Client) List(ctx context.Context) (vms []lentilmux.ListedVM, err error) {
 	defer errors.DeferredAnnotatef(&err, "reading the list of VMs")
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -57,7 +57,7 @@
 	for _, vm := range response.Msg.GetVms() {
 		addr, err := netip.ParseAddrPort(vm.GetAddr())
 		if err != nil {
-			return nil, errors.Annotatef(err, "VM %s", vm.GetName())
+			addr = netip.AddrPort{}
 		}
 		vms = append(vms, lentilmux.ListedVM{
 			Name: vm.GetName(), Role: lentilmux.VMRole(vm.GetRole()), Zone: vm.GetZone(), Addr: addr, Leaving: vm.GetLeaving(),
