Keep relay and node in step while attempts race

TestRaces plays the relay against the node with random silences, refusals, broken connections and delays between the two.

Cause: the relay took a failed attempt out of the race before the node knew, so the one that went on was not reported as the only one. Now a failed attempt stays in the race until the node has answered, one added between the claim and the delivery of an event is canceled with that event, a stall of an attempt that is no longer in flight is not reported as progress, and the node answers the failure of an attempt that has been superseded with a wait.

--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -15,6 +15,10 @@
 // handleFailedAttempt retries a request whose attempt failed, or refuses it.
 func (a *AdmitRequests) handleFailedAttempt(t *Tables, failed FailedAttemptRow, now time.Time) {
 	request := t.findAttempt(failed.Request, failed.Epoch)
+	if request == nil && t.Requests.Find(failed.Request) != nil {
+		t.Answer(failed.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval}) // another attempt has gone on meanwhile
+		return
+	}
 	if request == nil {
 		t.Answer(failed.CorrelationID, lentilmux.RefusalAnswer{Refusal: lentilmux.Refusal{Reason: lentilmux.ReasonOutcomeUnknown, Detail: "the leg is not known"}})
 		return
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -132,7 +132,16 @@
 		if r.race.remove(a) || ctx.Err() != nil {
 			return r.handleError(ctx, a, err)
 		}
-		a = (<-r.results).attempt // the one that superseded it
+		a = r.awaitWinner()
+	}
+}
+
+// awaitWinner returns the attempt that superseded the current one.
+func (r *relayedRequest) awaitWinner() *runningAttempt {
+	for {
+		if result := <-r.results; result.attempt != nil {
+			return result.attempt
+		}
 	}
 }
 
@@ -162,7 +171,10 @@
 		if err := r.sink.WriteEvent(a.event); err != nil {
 			return errCallerDisconnected
 		}
-		r.recordEvent(a.number)
+		r.recordEvent()
+		if r.race.deliver(a) {
+			r.reportProgress(ctx, a)
+		}
 		err = r.nextEvent(a, a.number)
 	}
 	if !errors.Is(err, io.EOF) {
@@ -189,7 +201,7 @@
 }
 
 // recordEvent records an event that was sent to the caller.
-func (r *relayedRequest) recordEvent(number int64) {
+func (r *relayedRequest) recordEvent() {
 	now := r.relay.clock()
 	if r.result.Events == 0 {
 		r.result.TimeToFirstByte = now.Sub(r.inbound.ReceivedAt)
@@ -198,7 +210,6 @@
 	}
 	r.lastEventAt = now
 	r.result.Events++
-	r.race.deliver(number)
 }
 
 // recordProgress records progress of all upstreams on the path of an attempt.
--- a/forward/contender.go
+++ b/forward/contender.go
@@ -29,9 +29,12 @@
 		return x.Wait
 	case lentilmux.AttemptAnswer:
 		contender := r.startAttempt(ctx, x.Attempt)
-		if !r.race.addContender(contender, stalled, delivered) {
+		added, goesOn := r.race.addContender(contender, stalled, delivered)
+		if !added {
 			contender.close()
-			r.reportProgress(ctx, stalled)
+			if goesOn {
+				r.reportProgress(ctx, stalled)
+			}
 			return 0
 		}
 		r.contenders.Go(func() { r.contend(ctx, contender) })
@@ -41,7 +44,9 @@
 }
 
 // contend runs an attempt beside others until its answer begins, it is canceled, or
-// it fails and the node gives no other one.
+// it fails and the node gives no other one. A contender that has failed stays in the
+// race until the node has answered, so that an attempt that goes on meanwhile is
+// reported as the only one.
 func (r *relayedRequest) contend(ctx context.Context, contender *runningAttempt) {
 	for {
 		err := r.begin(contender)
@@ -53,7 +58,7 @@
 		}
 		canceled := contender.ctx.Err() != nil
 		contender.close()
-		if !r.race.remove(contender) || canceled {
+		if !r.race.contains(contender) || canceled {
 			return // canceled, or the request ends
 		}
 		failure := r.describeFailure(contender, err)
@@ -63,12 +68,19 @@
 		}
 		switch x := answer.(type) {
 		case lentilmux.AttemptAnswer:
-			contender = r.startAttempt(ctx, x.Attempt)
-			r.race.add(contender)
+			next := r.startAttempt(ctx, x.Attempt)
+			if !r.race.replace(contender, next) {
+				next.close()
+				return // canceled
+			}
+			contender = next
 		case lentilmux.RefusalAnswer:
-			r.sendResult(ctx, contenderResult{answer: answer})
+			if r.race.remove(contender) {
+				r.sendResult(ctx, contenderResult{answer: answer})
+			}
 			return
 		default:
+			r.race.remove(contender)
 			return // another attempt is in flight
 		}
 	}
--- a/forward/race.go
+++ b/forward/race.go
@@ -35,14 +35,31 @@
 
 // addContender adds an attempt beside one that was reported as stalled after the
 // given number of events. It returns false if that one has gone on since, or is no
-// longer in flight.
-func (r *race) addContender(a, stalled *runningAttempt, delivered int) (added bool) {
+// longer in flight; goesOn tells these two apart.
+func (r *race) addContender(a, stalled *runningAttempt, delivered int) (added, goesOn bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.delivered != delivered || !slices.Contains(r.inFlight, stalled) {
-		return false
+	if !slices.Contains(r.inFlight, stalled) {
+		return false, false
+	}
+	if r.delivered != delivered {
+		return false, true
 	}
 	r.addLocked(a)
+	return true, false
+}
+
+// replace puts another attempt in the place of one that has failed. It returns
+// false if that one was canceled meanwhile.
+func (r *race) replace(failed, next *runningAttempt) (replaced bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.Index(r.inFlight, failed)
+	if i < 0 {
+		return false
+	}
+	r.inFlight = slices.Delete(r.inFlight, i, i+1)
+	r.addLocked(next)
 	return true
 }
 
@@ -55,6 +72,11 @@
 	if !slices.Contains(r.inFlight, a) {
 		return false, false
 	}
+	return true, r.cancelOthersLocked(a)
+}
+
+// cancelOthersLocked cancels all attempts but a. It reports whether there were any.
+func (r *race) cancelOthersLocked(a *runningAttempt) (contended bool) {
 	for _, other := range r.inFlight {
 		if other == a {
 			continue
@@ -66,16 +88,18 @@
 		other.cancel(errSuperseded)
 	}
 	r.inFlight = append(r.inFlight[:0], a)
-	return true, contended
+	return contended
 }
 
-// deliver records that an event of the attempt that claimed the race is passed
-// on.
-func (r *race) deliver(number int64) {
+// deliver records that an event of an attempt that has claimed the race was passed
+// on, and cancels attempts that were added since. contended reports whether there
+// were any.
+func (r *race) deliver(a *runningAttempt) (contended bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastEvent = number
+	r.lastEvent = a.number
 	r.delivered++
+	return r.cancelOthersLocked(a)
 }
 
 // remove removes an attempt that has ended. It returns false if the attempt was
@@ -91,6 +115,13 @@
 	return true
 }
 
+// contains reports whether an attempt is in flight.
+func (r *race) contains(a *runningAttempt) (inFlight bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.inFlight, a)
+}
+
 // recordFailure records the failure of an attempt and keeps its answer, if it has
 // one.
 func (r *race) recordFailure(a *runningAttempt, failure *lentilmux.ForwardFailedMsg) {
