Reject an empty value of a setting whose type has none

Seen: LENTILMUX_QUEUE_MOST="" started the router with room for 0 requests in its queue, without a word.

Cause: an empty value counted as valid for every setting that isn't required, and left the zero value in place.

Evidence: TestEmptyValuesOfTypedSettings found no invalid setting before, and the five whose default isn't empty now. Strings, and settings whose default is empty, may stay empty, which disables a certificate authority or a ledger.

--- a/settings/read.go
+++ b/settings/read.go
@@ -100,13 +100,14 @@
 }
 
 // parseAll parses the values of all settings and returns all invalid ones as a
-// [ValidationError]. An empty value is valid unless the setting is required.
+// [ValidationError]. An empty value of a setting that is not required is valid if
+// the default is empty or the type of the setting allows it.
 func (s *Set) parseAll() (err error) {
 	var invalid ValidationError
 	for _, setting := range s.settings {
 		ok := setting.parse(setting.value)
 		if setting.value == "" {
-			ok = !setting.required
+			ok = !setting.required && (ok || setting.Default == "")
 		}
 		if ok {
 			continue
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -107,3 +107,16 @@
 		t.Errorf("flags alone: got error %v", err)
 	}
 }
+
+// TestEmptyValuesOfTypedSettings guards against an empty variable that counts as 0:
+// a queue without places, say. Empty is valid only where the default is empty.
+func TestEmptyValuesOfTypedSettings(t *testing.T) {
+	s := newSet()
+	err := s.Read([]string{"--name", "n"}, lookup(map[string]string{
+		"DEMO_ADDR": "", "DEMO_COUNT": "", "DEMO_SHARE": "", "DEMO_WAIT": "", "DEMO_COLOR": "", "DEMO_KEY": "",
+	}))
+	var invalid settings.ValidationError
+	if !errors.As(err, &invalid) || len(invalid) != 5 {
+		t.Errorf("got %v, want the five settings whose default is not empty", err)
+	}
+}
