Take a new certificate into use only together with its CA

Seen: if the CA file was unusable in the middle of a rotation, the new certificate came into use beside the old CA, and clients with the old CA rejected the VM's servers.

Cause: the certificate was stored before the CA was read.

Both are stored once both can be used; the next check tries again.

--- a/certificate/certificate.go
+++ b/certificate/certificate.go
@@ -51,29 +51,28 @@
 	return r, r.readFiles()
 }
 
-// readFiles reads the certificate with its key, and then the CA. It stops at
-// the first file that cannot be used, whose previous version stays in use. A
-// new certificate is used even if the CA file read after it is unusable.
+// readFiles reads the certificate with its key, and the CA. If a file cannot be
+// used, the previous versions of all stay in use.
 func (r *Reloader) readFiles() (err error) {
+	certificate, roots := r.certificate, r.roots
 	if r.certFile != "" {
 		pair, err := tls.LoadX509KeyPair(r.certFile, r.keyFile)
 		if err != nil {
 			return err
 		}
-		r.certificate = &pair
+		certificate = &pair
 	}
-	if r.caFile == "" {
-		return nil
-	}
-	data, err := os.ReadFile(r.caFile)
-	if err != nil {
-		return err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(data) {
-		return errors.Annotate(ErrNoCertificate, r.caFile)
+	if r.caFile != "" {
+		data, err := os.ReadFile(r.caFile)
+		if err != nil {
+			return err
+		}
+		roots = x509.NewCertPool()
+		if !roots.AppendCertsFromPEM(data) {
+			return errors.Annotate(ErrNoCertificate, r.caFile)
+		}
 	}
-	r.roots = pool
+	r.certificate, r.roots = certificate, roots
 	return nil
 }
 
