Count an event as passed on before it is written

What callers saw: a stream was broken off although two sound attempts were in flight, if the second one began while an event of the first was being written to a caller that was slow to read. And if the caller was slow to read the first event, a silent upstream was not reported until the deadline.

Cause: the race counted an event only after it was written. An attempt added meanwhile was asked to continue after the event before, claimed the race and canceled the first one; once the write was done, the first one took the race back without being able to go on. In the first event the stream also seemed to be one without numbers, which ended the reports of its stall.

Evidence: the first of the two new cases of TestRelay ended with 'caller: aborted' at 700 ms with the code before, with 'cause=attempt_canceled'; the second, with no stall reported, at the deadline. TestRaces can play callers that are slow to read (TestRacesToSlowCaller), which passes before and after.

Why this works: claiming the race and counting the event are one step, so an attempt that is added during the write begins after the event, and its claim hands the stream over in order.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -151,7 +151,7 @@
 // relayStream passes on the events of a stream as they arrive.
 func (r *relayedRequest) relayStream(ctx context.Context, a *runningAttempt) (err error) {
 	for err == nil {
-		claimed, contended := r.race.claim(a)
+		claimed, contended := r.race.claimEvent(a)
 		if !claimed {
 			return errSuperseded
 		}
@@ -162,9 +162,6 @@
 			return errCallerDisconnected
 		}
 		r.recordEvent()
-		if r.race.deliver(a) {
-			r.reportProgress(ctx, a)
-		}
 		err = r.nextEvent(a, a.number)
 	}
 	if !errors.Is(err, io.EOF) {
@@ -185,7 +182,6 @@
 	if !r.headersSent {
 		r.sink.WriteHeader(a.response)
 		r.headersSent = true
-		r.race.begin(a.response)
 		r.result.Status = 200
 	}
 	r.reportProgress(ctx, a)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -36,6 +36,7 @@
 	drains         bool                 // whether the responses announce the drain of their upstream
 	retryAfter     lentilmux.RetryAfter // of the responses
 	askTime        time.Duration        // until the node answers the report of a stalled attempt
+	readTimes      []time.Duration      // until the caller has read each of its first events
 	replaceStalled []bool               // for each report of a stalled attempt, whether the node replaces it
 }
 
@@ -195,7 +196,14 @@
 }
 
 func (s *script) WriteHeader(lentilmux.UpstreamResponse) { s.logf("caller: headers") }
-func (s *script) WriteEvent(event []byte) error          { s.logf("caller: %s", event); return nil }
+func (s *script) WriteEvent(event []byte) error {
+	if len(s.readTimes) > 0 {
+		time.Sleep(s.readTimes[0])
+		s.readTimes = s.readTimes[1:]
+	}
+	s.logf("caller: %s", event)
+	return nil
+}
 func (s *script) WriteReply(_ lentilmux.UpstreamResponse, body []byte) int {
 	s.logf("caller: %s", body)
 	return 200
@@ -283,6 +291,10 @@
 		{name: "two silent attempts and a third", script: script{kind: lentilmux.CallResumableStream, attempts: 3, replaceStalled: []bool{true, false, true}, steps: [][]step{append(events(tick, 0), events(1500*time.Millisecond, 1)...), events(1500*time.Millisecond, 1), events(tick, 1)}}},
 		{name: "silent call, another attempt answers", script: script{kind: lentilmux.CallRepeatable, attempts: 2, replaceStalled: []bool{true}, bodyTime: time.Second, steps: [][]step{events(0, 0), events(0, 0)}}},
 		{name: "silent until the caller disconnects", disconnect: 350 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(time.Second, 1)...), events(time.Second, 1)}}},
+		// An attempt is added while the caller is slow to read an event: the other one begins
+		// after that event, and the stream goes on.
+		{name: "silent, another attempt begins during a slow write", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, readTimes: []time.Duration{0, 570 * time.Millisecond}, steps: [][]step{append(events(tick, 0, 1), events(1500*time.Millisecond, 2)...), events(tick, 2, 3)}}},
+		{name: "silent, another attempt begins during the first write", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, readTimes: []time.Duration{570 * time.Millisecond}, steps: [][]step{append(events(tick, 0), events(1500*time.Millisecond, 1)...), events(tick, 1, 2)}}},
 		{name: "refused at once", script: script{kind: lentilmux.CallOnce}},
 		{name: "process ends", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
--- a/forward/race.go
+++ b/forward/race.go
@@ -13,8 +13,8 @@
 	mu        sync.Mutex
 	inFlight  []*runningAttempt
 	begun     lentilmux.UpstreamResponse // whose stream the caller got the beginning of; nil for none
-	lastEvent int64                      // number of the last event that was passed on; negative for none
-	delivered int                        // events that were passed on
+	lastEvent int64                      // number of the last event that was passed on or is being written; negative for none
+	delivered int                        // events that were passed on, with the one that is being written
 
 	failedResponse lentilmux.UpstreamResponse // last failure of an upstream, sent to the caller if no attempt succeeds
 	failedBody     []byte                     // body of failedResponse
@@ -76,6 +76,23 @@
 	return true, r.cancelOthersLocked(a)
 }
 
+// claimEvent claims the race for an attempt whose next event is to be written to the
+// caller. From then on the event counts as passed on, so that an attempt that is added
+// while it is being written begins after it.
+func (r *race) claimEvent(a *runningAttempt) (claimed, contended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.Contains(r.inFlight, a) {
+		return false, false
+	}
+	if r.begun == nil {
+		r.begun = a.response
+	}
+	r.lastEvent = a.number
+	r.delivered++
+	return true, r.cancelOthersLocked(a)
+}
+
 // cancelOthersLocked cancels all attempts but a. It reports whether there were any.
 func (r *race) cancelOthersLocked(a *runningAttempt) (contended bool) {
 	for _, other := range r.inFlight {
@@ -92,17 +109,6 @@
 	return contended
 }
 
-// deliver records that an event of an attempt that has claimed the race was passed
-// on, and cancels attempts that were added since. contended reports whether there
-// were any.
-func (r *race) deliver(a *runningAttempt) (contended bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastEvent = a.number
-	r.delivered++
-	return r.cancelOthersLocked(a)
-}
-
 // remove removes an attempt that has ended. It returns false if the attempt was
 // canceled in favor of another one before.
 func (r *race) remove(a *runningAttempt) (removed bool) {
@@ -136,13 +142,6 @@
 	}
 }
 
-// begin records the response whose stream the caller gets the beginning of.
-func (r *race) begin(response lentilmux.UpstreamResponse) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.begun = response
-}
-
 // verdict classifies a response. A success that cannot continue the stream that the
 // caller has the beginning of is invalid: an error in a body of another type may
 // look like events.
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -33,6 +33,8 @@
 	t    *testing.T
 	node *lentilmux.Node
 
+	slowCaller bool // whether the caller takes long to read some events
+
 	mu      sync.Mutex // guards the rest
 	random  *rand.Rand
 	living  []*raceResponse // responses that have not ended
@@ -184,6 +186,9 @@
 }
 func (s raceSink) Refuse(*lentilmux.Refusal) (status int) { return 503 }
 func (s raceSink) WriteEvent(event []byte) (err error) {
+	if s.slowCaller {
+		time.Sleep(s.pause())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if string(event) != fmt.Sprint(s.next) {
@@ -211,9 +216,23 @@
 // against events that are lost or come twice, and against a relay and a node that
 // disagree on which attempts are in flight.
 func TestRaces(t *testing.T) {
+	playRaces(t, false)
+}
+
+// TestRacesToSlowCaller plays such requests for a caller that is slow to read, so that
+// an attempt stalls while an event of it is being written. It guards against a stream
+// that hangs or is broken off since an event that is being written does not count as
+// passed on.
+func TestRacesToSlowCaller(t *testing.T) {
+	playRaces(t, true)
+}
+
+// playRaces plays raceSeeds requests.
+func playRaces(t *testing.T, slowCaller bool) {
+	t.Helper()
 	races := 0
 	for seed := range raceSeeds {
-		synctest.Test(t, func(t *testing.T) { races += playRace(t, uint64(seed)) })
+		synctest.Test(t, func(t *testing.T) { races += playRace(t, uint64(seed), slowCaller) })
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
@@ -224,8 +243,8 @@
 }
 
 // playRace plays one request. It returns 1 if attempts raced.
-func playRace(t *testing.T, seed uint64) (raced int) {
-	f := &raceFleet{t: t, random: rand.New(rand.NewPCG(seed, 0))}
+func playRace(t *testing.T, seed uint64, slowCaller bool) (raced int) {
+	f := &raceFleet{t: t, slowCaller: slowCaller, random: rand.New(rand.NewPCG(seed, 0))}
 	started := time.Now()
 	model := fleet.New(fleet.Self{Name: "entry-1", Zone: "kochi", Incarnation: 1, Started: started}, fleet.DefaultLimits())
 	f.node = lentilmux.NewNode(model, lentilmux.WithEffector(f))
