End a request whose caller leaves while another attempt takes over

What callers saw: nothing, but the request never ended: its goroutine, its connection and its reservations at the upstreams stayed until the process ended, and a drain waited for it.

Cause: an attempt that was superseded waited for its winner without regard to the request's context. The winner hands itself over or, if the caller has left, drops itself; if the caller left between the two steps, nobody ended the wait.

Why this works: the wait ends with the request's context.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -122,15 +122,25 @@
 		if r.race.remove(a) || ctx.Err() != nil {
 			return r.handleError(ctx, a, err)
 		}
-		a = r.awaitWinner()
+		winner := r.awaitWinner(ctx)
+		if winner == nil {
+			return r.handleError(ctx, a, ctx.Err())
+		}
+		a = winner
 	}
 }
 
-// awaitWinner returns the attempt that superseded the current one.
-func (r *relayedRequest) awaitWinner() *runningAttempt {
+// awaitWinner returns the attempt that superseded the current one, or nil if the
+// request ends before it is handed over.
+func (r *relayedRequest) awaitWinner(ctx context.Context) *runningAttempt {
 	for {
-		if result := <-r.results; result.attempt != nil {
-			return result.attempt
+		select {
+		case result := <-r.results:
+			if result.attempt != nil {
+				return result.attempt
+			}
+		case <-ctx.Done():
+			return nil
 		}
 	}
 }
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -227,6 +228,33 @@
 	playRaces(t, true)
 }
 
+// TestCallerLeavesDuringTakeover guards against requests that never end, and keep their
+// reservations, since their caller leaves at the moment at which another attempt takes
+// over.
+func TestCallerLeavesDuringTakeover(t *testing.T) {
+	const (
+		requests   = 20000
+		takesOver  = 300 * time.Millisecond
+		firstEvent = 50 * time.Millisecond
+		maxYields  = 16 // of the caller before it leaves, so that it does so at different steps
+	)
+	for i := range requests {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, started: time.Now(), steps: [][]step{
+				append(events(firstEvent, 0), events(time.Second, 1)...), events(firstEvent, 1),
+			}}
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(takesOver, func() {
+				for range i % maxYields {
+					runtime.Gosched()
+				}
+				cancel()
+			})
+			forward.NewRelay(s).Run(ctx, lentilmux.InboundRequest{ID: "r", ReceivedAt: s.started, Deadline: s.started.Add(2 * time.Second), ResumeAfter: -1}, sender{s}, s)
+		})
+	}
+}
+
 // playRaces plays raceSeeds requests.
 func playRaces(t *testing.T, slowCaller bool) {
 	t.Helper()
