End a trial once when attempts swap, play racing attempts in any order

What callers saw: an upstream on which a trial of a suspected prompt part was replaced by another attempt could be kept out of use as a first hop for good, while there was an alternative, or a second trial could start at an upstream where one was still running.

Cause: trials were counted for the newest attempt only when its reservations were released. An attempt that was superseded by an older one left its trial behind, and an attempt that became older kept the name of a trial that had ended, so that it was ended once more.

Evidence: TestRacingReservations, a property test over random orders of the messages on requests whose attempts race, fails within the first 36 draws without either half of the fix ('0 trials, requests have 1' and '1 trials, requests have 0') and passes 30000 draws with both. It also found the loads of all upstreams equal to the reservations after each message, and no call that ran twice.

Why this works: only the newest attempt runs a trial, as it alone holds reservations.

--- a/fleet/race.go
+++ b/fleet/race.go
@@ -7,7 +7,8 @@
 )
 
 // findAttempt returns the row of a request with the given attempt as its newest, or
-// nil if that attempt is not in flight. Only the newest attempt holds reservations.
+// nil if that attempt is not in flight. Only the newest attempt holds reservations and
+// runs a trial.
 func (t *Tables) findAttempt(id lentilmux.RequestID, epoch lentilmux.Epoch) (request *RequestRow) {
 	request = t.Requests.Find(id)
 	switch {
@@ -21,6 +22,7 @@
 		return nil
 	}
 	t.addLoad(request.Reservations, -1)
+	t.endTrial(request)
 	request.AttemptState, request.Older[i] = request.Older[i], request.AttemptState
 	t.reserve(request)
 	return request
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -137,6 +137,7 @@
 		older := request.AttemptState
 		older.Reservations = slices.Clone(older.Reservations)
 		t.release(request)
+		older.TrialUpstream, stalled.TrialUpstream = "", ""
 		request.AttemptState = AttemptState{LastUpstream: older.LastUpstream}
 		request.continueAfter(t, failed.Delivered)
 		if a.sendAttempt(t, request, failed.CorrelationID, now) == nil {
