Make the tailer's golden test independent of the scheduler

The cases now change the log while the reader waits after a failed read, records are appended at once, the recorder has a lock, and no two waits end at the same time.

--- a/platformlog/tailer_test.go
+++ b/platformlog/tailer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,9 +20,32 @@
 // messages that the tailer sends to the node. While late is set, reads return it.
 type tailedLog struct {
 	*standin.Log
-	out     strings.Builder
 	started time.Time
-	late    *lentilmux.LogPage
+
+	mu   sync.Mutex
+	out  strings.Builder
+	late *lentilmux.LogPage
+}
+
+// printf adds a line to the log of reads and messages.
+func (l *tailedLog) printf(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(&l.out, "%6s "+format+"\n", append([]any{time.Since(l.started)}, args...)...)
+}
+
+// setLate sets the page that reads return; nil ends it.
+func (l *tailedLog) setLate(page *lentilmux.LogPage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late = page
+}
+
+// latePage returns the page that reads return, or nil.
+func (l *tailedLog) latePage() *lentilmux.LogPage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.late
 }
 
 func (l *tailedLog) Read(ctx context.Context, stream lentilmux.Stream, first uint64, wait time.Duration) (page lentilmux.LogPage, err error) {
@@ -29,9 +53,9 @@
 		<-ctx.Done()
 		return page, ctx.Err()
 	}
-	fmt.Fprintf(&l.out, "%6s read from offset %d\n", time.Since(l.started), first)
-	if l.late != nil {
-		return *l.late, nil
+	l.printf("read from offset %d", first)
+	if late := l.latePage(); late != nil {
+		return *late, nil
 	}
 	return l.Log.Read(ctx, stream, first, wait)
 }
@@ -43,25 +67,27 @@
 	if !ok {
 		return nil
 	}
-	fmt.Fprintf(&l.out, "%6s page of timeline %d, restored at %d, start %d, end %d:", time.Since(l.started), page.Timeline, page.RestoredAt, page.Start, page.End)
+	var entries strings.Builder
 	for _, entry := range page.Entries {
-		fmt.Fprintf(&l.out, " %s@%d", entry.Record.ID, entry.Offset)
+		fmt.Fprintf(&entries, " %s@%d", entry.Record.ID, entry.Offset)
 	}
-	l.out.WriteByte('\n')
+	l.printf("page of timeline %d, restored at %d, start %d, end %d:%s", page.Timeline, page.RestoredAt, page.Start, page.End, entries.String())
 	return nil
 }
 
-// write appends one call record for each ID.
+// write appends one call record for each ID at once.
 func (l *tailedLog) write(t *testing.T, ids ...string) {
 	t.Helper()
+	var entries [][]byte
 	for _, id := range ids {
 		data, err := platformlog.EncodeCall(lentilmux.CallRecord{Kind: lentilmux.CallRecordRelease, ID: id})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := l.Append(t.Context(), lentilmux.StreamCalls, [][]byte{data}); err != nil {
-			t.Fatal(err)
-		}
+		entries = append(entries, data)
+	}
+	if err := l.Append(t.Context(), lentilmux.StreamCalls, entries); err != nil {
+		t.Fatal(err)
 	}
 }
 
@@ -103,11 +129,11 @@
 		}},
 		{"late answers of the old timeline", func(l *tailedLog, t *testing.T) {
 			l.RestoreCopy(copyAge)
-			time.Sleep(100 * time.Millisecond)
-			l.late = &lentilmux.LogPage{End: 9}
-			l.write(t, "n1")
 			time.Sleep(300 * time.Millisecond)
-			l.late = nil
+			l.setLate(&lentilmux.LogPage{End: 9})
+			l.write(t, "n1")
+			time.Sleep(350 * time.Millisecond)
+			l.setLate(nil)
 			l.write(t, "n2")
 		}},
 	}
@@ -121,9 +147,12 @@
 			time.Sleep(900 * time.Millisecond)
 			l.write(t, "c", "d")
 			synctest.Wait()
-			l.out.Reset()
+			l.SetOutage(true) // the next read follows after the changes
+			synctest.Wait()
+			l.SetOutage(false)
+			l.printf("restore")
 			c.run(l, t)
-			time.Sleep(1200 * time.Millisecond)
+			time.Sleep(1350 * time.Millisecond)
 			cancel()
 			synctest.Wait()
 			fmt.Fprintf(&out, "== %s\n%s", c.name, l.out.String())
