Show the timeline of each stream to operators

The table streams of show has the timeline in a column of its own, so that an operator sees which VMs have noticed a restore of the log.

--- a/system/views.go
+++ b/system/views.go
@@ -31,7 +31,7 @@
 	"orders":     {[]string{"upstream", "model", "layers", "fence", "state"}, orderRows},
 	"revisions":  {[]string{"revision", "at", "who", "verdict", "text", "detail", "id"}, revisionRows},
 	"decisions":  {[]string{"at", "what", "subject", "chosen", "reason", "considered"}, decisionRows},
-	"streams":    {[]string{"stream", "next", "end", "healthy", "regressed", "known_since"}, streamRows},
+	"streams":    {[]string{"stream", "next", "end", "healthy", "regressed", "known_since", "timeline"}, streamRows},
 }
 
 // TableNames returns the names of all tables that operators can query, sorted.
@@ -240,7 +240,7 @@
 			knownSince = s.KnownSince.UTC().Format(time.RFC3339Nano)
 		}
 		rows = append(rows, []string{
-			string(name), fmt.Sprint(s.NextOffset), fmt.Sprint(s.EndOffset), fmt.Sprint(s.Healthy()), fmt.Sprint(!s.RegressedSince.IsZero()), knownSince,
+			string(name), fmt.Sprint(s.NextOffset), fmt.Sprint(s.EndOffset), fmt.Sprint(s.Healthy()), fmt.Sprint(!s.RegressedSince.IsZero()), knownSince, fmt.Sprint(s.Timeline),
 		})
 	}
 	row(lentilmux.StreamConfig, &t.Streams.Config)
