Prove that a call whose readers are gone is not run again

TestRestoredLogRunsNoBookingTwice passes also without the refusal of keys from before the restore, since the VM that read the records writes them again. In the new test that VM is killed: the booking must be refused as unknown.

--- a/entryvm/logrestore_test.go
+++ b/entryvm/logrestore_test.go
@@ -127,6 +127,35 @@
 	})
 }
 
+// TestLostCallOfKilledVMIsUnknown guards against a booking that runs again after a
+// restore of the log if the only VM that had read its records is gone.
+func TestLostCallOfKilledVMIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll()
+		c.network.cutLog(c.vms[1].addr, true)
+		c.network.cutLog(c.vms[2].addr, true)
+		time.Sleep(2 * time.Second) // reads in flight end
+		key := newIdempotencyKey()
+		if r := c.sendBooking(c.vms[0], key, "slot", true, 5*time.Second); r.Outcome != "answered" {
+			t.Fatalf("the booking returned %+v", r)
+		}
+		c.kill(c.vms[0])
+		<-c.vms[0].incarnation().done
+		c.restoreLogAndGrow(time.Second)
+		c.network.heal()
+		time.Sleep(5 * time.Second)
+		for _, m := range c.vms[1:] {
+			if r := c.sendBooking(m, key, "slot", false, 3*time.Second); r.Outcome != "unknown" {
+				t.Errorf("%s returned %+v for the resend, want an unknown outcome", m.name, r)
+			}
+		}
+		if n := c.bookingRuns(key); n != 1 {
+			t.Errorf("the booking ran %d times", n)
+		}
+	})
+}
+
 // TestVMStartedAfterRestoreServesBookings guards against a VM that takes its own
 // start for the time of an earlier restore of the log, and so refuses all keys that
 // were created before it.
