List a stream at once when its next entries are gone

Meanwhile the configuration was too old for API keys, and requests were refused.

The listing after an answer that entries are gone is sent at once. The minimum interval still applies after it, so that a store that answers so again and again isn't read more often than twice in each interval.

Evidence: TestFollower, cases with truncation: listed at 250 ms instead of 500 ms.

--- a/platformlog/follower.go
+++ b/platformlog/follower.go
@@ -61,8 +61,8 @@
 }
 
 // Run follows the stream until ctx ends or the node stops. It lists the stream
-// again if the store has dropped entries that were not read yet, and at once if the
-// store was restored from an earlier copy: its offsets mean other entries then.
+// again at once if the store has dropped entries that were not read yet, or was
+// restored from an earlier copy: its offsets mean other entries then.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
@@ -71,11 +71,9 @@
 		case err == nil:
 			f.listed, f.position, f.retryDelay = true, msg.Position, 0
 			err = f.node.Send(ctx, msg)
-		case errors.Is(err, errRestored):
+		case errors.Is(err, errRestored), f.listed && errors.Is(err, lentilmux.ErrTruncated):
 			f.listed = false
 			continue
-		case errors.Is(err, lentilmux.ErrTruncated):
-			f.listed, err = false, nil
 		default:
 			f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
 			err = f.node.Send(ctx, lentilmux.StreamReadFailedMsg{Stream: f.stream, Err: err})
