End reads that wait for entries of an earlier history of the store

A VM that is cut off from the store while it is restored waits on with the reads that it had sent before: ten seconds for entries of upstreams, 25 for records of VMs, though its next read of the configuration shows the restore. Until then it does not know of upstreams that leave.

The timeline that any stream is read from ends the reads of the other streams that wait for entries of an earlier one; those streams are listed at once. This holds for reads of the store itself: a relay's copies of its streams follow one after the other.

Evidence: TestRestoreEndsWaitingReads: the waiting read ends at 0.3 s, when another stream shows the restore; before, at 10 s.

--- a/platformlog/copycatchup_test.go
+++ b/platformlog/copycatchup_test.go
@@ -45,6 +45,29 @@
 	})
 }
 
+// TestRestoreEndsWaitingReads compares with the golden file when reads end that wait for
+// entries of a stream while another stream shows that the store was restored. It guards
+// against a VM that was cut off from the store during the restore: nobody answers the
+// reads that it sent before, and it would not list the stream again for many seconds.
+func TestRestoreEndsWaitingReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakePeers{fakeLog: fakeLog{started: time.Now(), reads: []fakeRead{
+			{after: 10 * time.Second}, {page: onTimeline(1, page(3, false, entry("config", 2)))},
+		}}}
+		cache := platformlog.NewCopyCache(time.Now, func() time.Duration { return time.Minute })
+		log := platformlog.NewPeerFirstLog(s, s, cache, time.Now, nil)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = log.Newest(t.Context(), lentilmux.StreamRules, "")
+		}()
+		for _, from := range []lentilmux.LogPosition{offset(70), offset(70), restored(60)} {
+			page, err := log.Follow(t.Context(), lentilmux.StreamUpstreams, from, 10*time.Second)
+			s.logPage(time.Now(), page, err)
+		}
+		goldie.New(t).Assert(t, "restore_ends_waiting_reads", []byte(s.out.String()))
+	})
+}
+
 // entriesAt returns entries with the given offsets.
 func entriesAt(offsets ...uint64) (entries []lentilmux.CompactedEntry) {
 	for _, offset := range offsets {
--- a/platformlog/peerfirstlog.go
+++ b/platformlog/peerfirstlog.go
@@ -39,6 +39,7 @@
 	avoided       atomic.Pointer[avoidedPeer]      // peer whose copy failed last
 	storeFailedAt atomic.Pointer[time.Time]        // when a read of the store last failed
 	listings      map[lentilmux.Stream]*listing    // each used by its stream's follower only
+	timelines     timelineWatch                    // of the store itself
 }
 
 // avoidedPeer is a peer that is not read from until its cooldown ends.
@@ -144,6 +145,7 @@
 		p.markStoreFailed(stream)
 		return page, err
 	}
+	p.timelines.observe(page.Timeline)
 	p.collect(stream, after, page, sentAt)
 	return page, nil
 }
@@ -167,12 +169,14 @@
 }
 
 // Follow implements [lentilmux.CompactedLog]. If a peer fails, the store is read
-// with the rest of the wait, unless the store has failed recently as well.
+// with the rest of the wait, unless the store has failed recently as well. A read of
+// the store ends with an empty page of the later timeline as soon as any stream shows
+// that the store was restored.
 func (p *PeerFirstLog) Follow(ctx context.Context, stream lentilmux.Stream, from lentilmux.LogPosition, wait time.Duration) (page lentilmux.CompactedPage, err error) {
 	sentAt := p.clock()
 	page, ok, err := p.readPeer(ctx, lentilmux.CopyRead{Stream: stream, Timeline: from.Timeline, From: from.Offset, Wait: wait})
 	if !ok {
-		page, err = p.CompactedLog.Follow(ctx, stream, from, max(0, wait-p.clock().Sub(sentAt)))
+		page, err = p.followStore(ctx, stream, from, max(0, wait-p.clock().Sub(sentAt)))
 	}
 	switch {
 	case err == nil:
@@ -185,3 +189,17 @@
 	}
 	return page, err
 }
+
+// followStore follows a stream of the store itself.
+func (p *PeerFirstLog) followStore(ctx context.Context, stream lentilmux.Stream, from lentilmux.LogPosition, wait time.Duration) (page lentilmux.CompactedPage, err error) {
+	readCtx, cancel := p.timelines.during(ctx, from.Timeline)
+	defer cancel()
+	page, err = p.CompactedLog.Follow(readCtx, stream, from, wait)
+	if err == nil {
+		p.timelines.observe(page.Timeline)
+	}
+	if latest, _ := p.timelines.next(); err != nil && latest > from.Timeline && ctx.Err() == nil {
+		return lentilmux.CompactedPage{Timeline: latest}, nil
+	}
+	return page, err
+}
