Forget the departure of an upstream that is ready again

An upstream whose entry expired and came back with the same process, for example since it could not reach the store for a while, was still remembered as departed.

A later entry that says that it is ready ends the memory of its departure. A process that drains is logged as leaving when that starts and after a restore, not with each of its entries.

--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -82,13 +82,6 @@
 	return false, left != nil || sameProcess && !row.ExpiresAt.IsZero()
 }
 
-// endDeparture uses an upstream again that had left before the store was restored.
-func (t *Tables) endDeparture(row *UpstreamRow, reason string) {
-	row.DepartedUntil, row.Draining = time.Time{}, false
-	t.Departures.forget(row.ID)
-	t.RecordDecision(lentilmux.Decision{What: "upstream_returned", Subject: row.ID, Reason: reason})
-}
-
 // endDepartures ends the departures of upstreams whose entries are still in the store
 // after departedDuration: they are alive.
 func (t *Tables) endDepartures(now time.Time) {
@@ -98,7 +91,9 @@
 		case now.Before(row.DepartedUntil):
 			t.WakeAt(row.DepartedUntil)
 		default:
-			t.endDeparture(row, "its entry is still in the store")
+			row.DepartedUntil, row.Draining = time.Time{}, false
+			t.Departures.forget(row.ID)
+			t.RecordDecision(lentilmux.Decision{What: "upstream_returned", Subject: row.ID, Reason: "its entry is still in the store"})
 		}
 	}
 }
--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -42,6 +42,9 @@
 	if departed {
 		row.DepartedUntil = now.Add(departedDuration)
 	}
+	if !row.Draining {
+		t.Departures.forget(row.ID)
+	}
 	if !known {
 		row.FirstSeenAt = now
 	}
@@ -53,10 +56,10 @@
 	}
 	t.Zones.Index(row.Zone)
 	switch {
-	case drained && !read.record.Draining, departed:
+	case drained && (startsDraining || read.restored), departed:
 		t.RecordDecision(lentilmux.Decision{What: "upstream_leaving", Subject: row.ID, Reason: "its process left before, its entry says that it is ready"})
 	case returned:
-		t.endDeparture(row, "a later entry says that it is ready")
+		t.RecordDecision(lentilmux.Decision{What: "upstream_returned", Subject: row.ID, Reason: "a later entry says that it is ready"})
 	case !known || restarted:
 		t.RecordDecision(lentilmux.Decision{What: "upstream_registered", Subject: row.ID, Chosen: row.Addr.String(), Reason: fmt.Sprintf("service %s zone %s accelerator %s", row.Service, row.Zone, row.Accelerator)})
 	case startsDraining:
