Keep the end of a departure when a stream is listed again

An upstream that had left before a restore is out of use for ten seconds at most. Each further listing, as after an answer that entries are gone, began them anew.

--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -255,7 +255,8 @@
 
 // listUpstreams returns the message for a listing of the given upstreams, each with
 // its newest entry or, if a state such as a:draining or a start time such as a@7 is
-// given, with that.
+// given, with that. All have the offset 0, as in the copy from which the store was
+// restored.
 func (s *scenario) listUpstreams(now time.Time, names []string) lentilmux.Msg {
 	msg := lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamUpstreams, AsOf: now, Position: s.position, AllKeys: true}
 	for _, name := range names {
@@ -268,7 +269,7 @@
 		if hasStart {
 			record.StartedAt = time.Unix(int64(parseInt(startedAt)), 0)
 		}
-		msg.Updates = append(msg.Updates, lentilmux.StreamUpdate{Key: id, Offset: s.position.Offset, Upstream: &record})
+		msg.Updates = append(msg.Updates, lentilmux.StreamUpdate{Key: id, Upstream: &record})
 	}
 	return msg
 }
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -109,8 +109,8 @@
 }
 
 // applyUpdate applies one entry of a stream, which has the given position. Restored
-// tells whether it is in the first listing after a restore of the store. Entries that could not be decoded
-// are logged and skipped.
+// tells whether it is in the first listing after a restore of the store. Entries that
+// could not be decoded are logged and skipped.
 func (a *ApplyStoreUpdates) applyUpdate(t *Tables, stream lentilmux.Stream, update lentilmux.StreamUpdate, position lentilmux.LogPosition, restored bool, now time.Time) {
 	switch {
 	case update.DecodeError != "":
--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -38,8 +38,11 @@
 		previousLayers = row.Layers
 	}
 	row = t.Upstreams.Upsert(record)
-	row.Position, row.ExpiresAt, row.EntryReadAt, row.DepartedUntil = read.position, time.Time{}, now, time.Time{}
-	if departed {
+	row.Position, row.ExpiresAt, row.EntryReadAt = read.position, time.Time{}, now
+	switch {
+	case !departed:
+		row.DepartedUntil = time.Time{}
+	case read.restored || !row.hasDeparted():
 		row.DepartedUntil = now.Add(departedDuration)
 	}
 	if !row.Draining {
@@ -78,9 +81,9 @@
 }
 
 // expireUpstream handles a missing entry of an upstream. The expiry usually takes
-// effect immediately. After the store became reachable again or was restored it is delayed
-// until the end of StoreRecoveryGrace, since upstreams may still be writing their
-// entries again.
+// effect immediately. After the store became reachable again or was restored, it is
+// delayed until the end of StoreRecoveryGrace, since upstreams may still be writing
+// their entries again.
 func (a *ApplyStoreUpdates) expireUpstream(t *Tables, row *UpstreamRow, now time.Time) {
 	if !row.ExpiresAt.IsZero() {
 		return
