Test the metrics of timelines and configuration versions

TestStoreGauges reads lentilmux_rules_version and lentilmux_store_timeline from the metrics handler, which operators compare between VMs after a restore of the store.

--- a/entryvm/metrics_test.go
+++ b/entryvm/metrics_test.go
@@ -67,3 +67,26 @@
 		})
 	}
 }
+
+// TestStoreGauges guards the metrics by which operators see VMs that did not notice a
+// restore of the store or lack a version of the configuration.
+func TestStoreGauges(t *testing.T) {
+	m, err := newMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := &storeState{}
+	if err := m.observeStore(state); err != nil {
+		t.Fatal(err)
+	}
+	state.publishRules(21)
+	state.publishTimeline(lentilmux.StreamRules, 2)
+	state.publishTimeline(lentilmux.StreamUpstreams, 1)
+	recorder := httptest.NewRecorder()
+	m.handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{`lentilmux_rules_version\{.*\} 21`, `lentilmux_store_timeline\{.*stream="rules".*\} 2`, `lentilmux_store_timeline\{.*stream="members".*\} 1`} {
+		if !regexp.MustCompile(want).MatchString(recorder.Body.String()) {
+			t.Errorf("no sample matches %s in\n%s", want, recorder.Body)
+		}
+	}
+}
