--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -38,10 +38,16 @@
 		previousLayers = row.Layers
 	}
 	row = t.Upstreams.Upsert(record)
-	row.Position, row.ExpiresAt, row.EntryReadAt, row.DepartedUntil = read.position, time.Time{}, now, time.Time{}
-	if departed {
+	row.Position, row.ExpiresAt, row.EntryReadAt = read.position, time.Time{}, now
+	switch {
+	case !departed:
+		row.DepartedUntil = time.Time{}
+	case read.restored || !row.hasDeparted():
 		row.DepartedUntil = now.Add(departedDuration)
 	}
+	if !row.Draining {
+		t.Departures.forget(row.ID)
+	}
 	if !known {
 		row.FirstSeenAt = now
 	}
@@ -53,10 +59,10 @@
 	}
 	t.Zones.Index(row.Zone)
 	switch {
-	case drained && !read.record.Draining, departed:
+	case drained && (startsDraining || read.restored), departed:
 		t.RecordDecision(lentilmux.Decision{What: "upstream_leaving", Subject: row.ID, Reason: "its process left before, its entry says that it is ready"})
 	case returned:
-		t.endDeparture(row, "a later entry says that it is ready")
+		t.RecordDecision(lentilmux.Decision{What: "upstream_returned", Subject: row.ID, Reason: "a later entry says that it is ready"})
 	case !known || restarted:
 		t.RecordDecision(lentilmux.Decision{What: "upstream_registered", Subject: row.ID, Chosen: row.Addr.String(), Reason: fmt.Sprintf("service %s zone %s accelerator %s", row.Service, row.Zone, row.Accelerator)})
 	case startsDraining:
@@ -75,9 +81,9 @@
 }
 
 // expireUpstream handles a missing entry of an upstream. The expiry usually takes
-// effect immediately. After the store became reachable again or was restored it is delayed
-// until the end of StoreRecoveryGrace, since upstreams may still be writing their
-// entries again.
+// effect immediately. After the store became reachable again or was restored, it is
+// delayed until the end of StoreRecoveryGrace, since upstreams may still be writing
+// their entries again.
 func (a *ApplyStoreUpdates) expireUpstream(t *Tables, row *UpstreamRow, now time.Time) {
 	if !row.ExpiresAt.IsZero() {
 		return
