--- /dev/null
+++ b/entryvm/gatewayservers.go
@@ -0,0 +1,105 @@
+package entryvm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/forward"
+	"lentilmux.example/lentilmux/peer"
+)
+
+const (
+	// abortTimeout bounds the end of the requests that a drain cuts off.
+	abortTimeout = 100 * time.Millisecond
+	// gatewayIdleTimeout is how long a connection may stay idle between requests.
+	gatewayIdleTimeout = 2 * time.Minute
+)
+
+// gatewayServers holds the HTTP servers of a gateway, one for each address that
+// it listens on. A server that was not opened is nil.
+type gatewayServers struct {
+	caller    *http.Server
+	readiness *http.Server
+	metrics   *http.Server
+	copies    *http.Server
+
+	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
+}
+
+// open creates the servers, listens on their addresses and starts serving, the
+// callers' address last.
+func (s *gatewayServers) open(g *Gateway) (err error) {
+	relay := forward.NewRelay(g.node, forward.WithClock(g.config.Clock), forward.WithObserver(g.metrics.countForwarded))
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	s.cancelRequests = cancelRequests
+	s.caller = &http.Server{
+		Handler: g.dependencies.NewCallerHandler(relay, &g.state), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
+		MaxHeaderBytes: g.config.MaxHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.state.ready.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	s.readiness = &http.Server{Handler: ready, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout}
+	if err := g.serve(s.readiness, g.config.ReadyAddr); err != nil {
+		return err
+	}
+	if g.config.MetricsAddr.IsValid() {
+		mux := http.NewServeMux()
+		mux.Handle("GET "+g.config.MetricsPath, g.metrics.handler())
+		mux.HandleFunc("GET "+heldPartsPath, g.listHeldParts)
+		mux.HandleFunc("POST "+releasePartPath, g.releaseHeldPart)
+		s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: g.config.HeaderTimeout}
+		if err := g.serve(s.metrics, g.config.MetricsAddr); err != nil {
+			return err
+		}
+	}
+	copies := http.NewServeMux()
+	copies.Handle(peer.NewCopyHandler(g.copies))
+	s.copies = &http.Server{Handler: copies, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout}
+	if err := g.serve(s.copies, g.config.PeerAddr); err != nil {
+		return err
+	}
+	return g.serve(s.caller, g.config.CallerAddr)
+}
+
+// serve listens on an address and serves it in the background until the server
+// is closed.
+func (g *Gateway) serve(server *http.Server, addr netip.AddrPort) (err error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errors.Annotatef(err, "listening on %s", addr)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			g.decisionLog.enqueue(lentilmux.Decision{What: "server_failed", Subject: addr.String(), Reason: err.Error()})
+		}
+	}()
+	return nil
+}
+
+// abortRequests ends callers' requests in flight and waits until they are logged,
+// for abortTimeout at most.
+func (s *gatewayServers) abortRequests() {
+	s.cancelRequests(lentilmux.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.caller.Shutdown(ctx) // close follows in any case
+}
+
+// close closes all opened servers and their connections immediately.
+func (s *gatewayServers) close() {
+	for _, server := range []*http.Server{s.caller, s.readiness, s.metrics, s.copies} {
+		if server != nil {
+			_ = server.Close() // the process or test is ending
+		}
+	}
+}
