--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,7 +56,7 @@
 	if a.response != nil {
 		a.response.Close()
 	}
-	defer a.cancel(nil)
+	a.cancel(nil)
 }
 
 // begin sends an attempt and reads the beginning of its response: the first event
