Guard the scripted log of the tests against concurrent reads

TestRestoreEndsWaitingReads reads two streams of it at once; the race detector reported its list of reads. It has a lock now. The golden files are unchanged.

--- a/platformlog/follower_test.go
+++ b/platformlog/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,10 +19,11 @@
 // fakeLog is a scripted compacted stream, and a node that logs the messages it
 // gets.
 type fakeLog struct {
-	out     strings.Builder
 	started time.Time
-	reads   []fakeRead // results of the reads, in order; later reads return nothing new
 
+	mu       sync.Mutex
+	out      strings.Builder
+	reads    []fakeRead         // results of the reads, in order; later reads return nothing new
 	timeline lentilmux.Timeline // of the last page
 }
 
@@ -32,15 +34,24 @@
 	err   error
 }
 
-// next returns the next scripted result, or an empty page after the wait.
-func (f *fakeLog) next(ctx context.Context, wait time.Duration) (page lentilmux.CompactedPage, err error) {
-	read := fakeRead{after: wait, page: lentilmux.CompactedPage{Timeline: f.timeline}}
+// begin logs a read and returns its scripted result, or an empty page after the wait.
+func (f *fakeLog) begin(wait time.Duration, format string, values ...any) (read fakeRead) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fmt.Fprintf(&f.out, "%6s ", time.Since(f.started))
+	fmt.Fprintf(&f.out, format, values...)
+	read = fakeRead{after: wait, page: lentilmux.CompactedPage{Timeline: f.timeline}}
 	if len(f.reads) > 0 {
 		read, f.reads = f.reads[0], f.reads[1:]
 	}
 	if read.err == nil {
 		f.timeline = read.page.Timeline
 	}
+	return read
+}
+
+// end returns the result of a read when it is due.
+func (f *fakeLog) end(ctx context.Context, read fakeRead) (page lentilmux.CompactedPage, err error) {
 	select {
 	case <-time.After(read.after):
 		return read.page, read.err
@@ -50,13 +61,11 @@
 }
 
 func (f *fakeLog) Newest(ctx context.Context, _ lentilmux.Stream, after string) (page lentilmux.CompactedPage, err error) {
-	fmt.Fprintf(&f.out, "%6s list after key %q\n", time.Since(f.started), after)
-	return f.next(ctx, 0)
+	return f.end(ctx, f.begin(0, "list after key %q\n", after))
 }
 
 func (f *fakeLog) Follow(ctx context.Context, _ lentilmux.Stream, from lentilmux.LogPosition, wait time.Duration) (page lentilmux.CompactedPage, err error) {
-	fmt.Fprintf(&f.out, "%6s read from offset %d, wait %s\n", time.Since(f.started), from.Offset, wait)
-	return f.next(ctx, wait)
+	return f.end(ctx, f.begin(wait, "read from offset %d, wait %s\n", from.Offset, wait))
 }
 
 func (f *fakeLog) Put(context.Context, lentilmux.Stream, string, []byte) error { return nil }
