Apply the answer to a move also to an attempt that races

What callers saw: a stream stood still until its deadline when an upstream behind the first hop died, if the first hop had been silent for a moment during an earlier move.

Cause: while an attempt races with a newer one, the answer to its move was dropped, since it names another epoch than the newest. If the attempt went on, it seemed to be in a move for good: it was neither moved nor replaced again.

Evidence: in the scenario silent_move the request stays on the dead hop at 1 s on the code before (no request_moved line), and is moved with the change. The property test of racing attempts, which sends such answers at random, passes 20000 draws.

Why this works: the state of the move belongs to the attempt, wherever it is kept.

--- a/fleet/move.go
+++ b/fleet/move.go
@@ -142,6 +142,9 @@
 // other failure it may be retried when its attempt is next reported as stalled.
 func (m *MoveRequests) applyMoveResult(t *Tables, msg lentilmux.MoveResultMsg, now time.Time) {
 	request := t.Requests.Find(msg.Request)
+	if request != nil && request.Epoch != msg.Epoch {
+		request.applyOlderMoveResult(msg)
+	}
 	if request == nil || request.Epoch != msg.Epoch || request.Move != MoveInFlight {
 		return
 	}
@@ -158,6 +161,23 @@
 	t.replacePath(request, request.HopsBefore, request.HeldBefore)
 }
 
+// applyOlderMoveResult applies the answer to a move of an attempt that races with a
+// newer one. After any answer but an acceptance it is not moved again.
+func (r *RequestRow) applyOlderMoveResult(msg lentilmux.MoveResultMsg) {
+	for i := range r.Older {
+		older := &r.Older[i]
+		switch {
+		case older.Epoch != msg.Epoch || older.Move != MoveInFlight:
+		case msg.Answer.Outcome == lentilmux.MoveAccepted:
+			older.Move = MoveIdle
+		case msg.Answer.Outcome == lentilmux.MoveHopUnavailable:
+			older.Move, older.Hops, older.Reservations = MoveImpossible, older.HopsBefore, older.HeldBefore
+		default:
+			older.Move = MoveImpossible
+		}
+	}
+}
+
 // markUnavailable handles a refusal that names a hop. A hop that the request ran
 // on already is lost to it, so that the next move replaces it too, and is probed.
 // A new hop gets no new requests for FullDuration; if the upstream named none,
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -343,7 +343,7 @@
 
 // moveResult returns the message for an answer to a move.
 func (s *scenario) moveResult(name string, fields map[string]string) lentilmux.Msg {
-	msg := lentilmux.MoveResultMsg{Request: lentilmux.RequestID(name), Epoch: s.epochs[name]}
+	msg := lentilmux.MoveResultMsg{Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields)}
 	msg.Answer.Outcome, msg.Answer.Status = moveOutcomes[fields["outcome"]], parseInt(fields["status"])
 	if row := s.tables.Upstreams.Find(fields["hop"]); row != nil {
 		msg.Answer.UnavailableHop = row.Addr
