Let no later answer shorten a back-off

What upstreams saw: requests of a VM that they had turned away for some seconds, before these were over, if a later refusal named a shorter time.

Cause: each answer replaced the end of the back-off.

Evidence: in the scenario back_off a refusal for 1 ms follows one for 1.27 s. On the code before, r5 is sent to app-1 5 ms later ('upstream_chosen r5 app-1'); with the change it is refused with the time that is left.

Why this works: the end is the latest that a refusal of that process named.

--- a/fleet/backoffs.go
+++ b/fleet/backoffs.go
@@ -10,8 +10,8 @@
 
 // An upstream that turns a request away may name the time for which it wants no
 // more requests from this VM. Until then nothing new starts there. The time holds
-// for this VM alone, so peers are not told. A later answer of that kind replaces it,
-// and a new process ends it.
+// for this VM alone, so peers are not told. A later answer of that kind may prolong it
+// but not shorten it, since each one holds for its time. A new process ends it.
 
 const (
 	// maxBackOff is the longest back-off. A longer one would take an upstream out of
@@ -86,9 +86,11 @@
 		return
 	}
 	backOff := t.BackOffs.FindOrCreate(msg.Upstream)
-	backOff.StartedAt = msg.StartedAt
-	if !msg.RetryAfter.Invalid {
-		backOff.Until = now.Add(min(max(msg.RetryAfter.Delay, 0), maxBackOff))
+	if !backOff.StartedAt.Equal(msg.StartedAt) {
+		backOff.StartedAt, backOff.Until = msg.StartedAt, time.Time{}
+	}
+	if until := now.Add(min(msg.RetryAfter.Delay, maxBackOff)); !msg.RetryAfter.Invalid && until.After(backOff.Until) {
+		backOff.Until = until
 	}
 	if !now.Before(backOff.logNextAt) {
 		backOff.logNextAt = now.Add(backOffLogInterval)
