Credit the attempt of a call that answered after a race

What operators saw: an upstream that answered a call was ejected, or its rival that had not answered was taken for sound, if another attempt had raced with it.

Cause: only streams report which attempt goes on. For a call the node took the newest attempt for the one that answered.

Why this works: the report is sent before the end of the request and makes the attempt the current one of its row.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -150,9 +150,13 @@
 	if a.Kind.Streams() {
 		return r.relayStream(ctx, a)
 	}
-	if claimed, _ := r.race.claim(a); !claimed {
+	claimed, contended := r.race.claim(a)
+	if !claimed {
 		return errSuperseded
 	}
+	if contended {
+		r.reportProgress(ctx, a)
+	}
 	r.result.TimeToFirstByte = r.relay.clock().Sub(r.inbound.ReceivedAt)
 	r.recordAnswer(r.sink.WriteReply(a.response, a.body))
 	return nil
--- a/forward/contender.go
+++ b/forward/contender.go
@@ -54,7 +54,10 @@
 	for {
 		err := r.begin(contender)
 		if err == nil {
-			if claimed, _ := r.race.claim(contender); claimed {
+			if claimed, contended := r.race.claim(contender); claimed {
+				if contended && !contender.Kind.Streams() {
+					r.reportProgress(ctx, contender)
+				}
 				r.sendResult(ctx, contenderResult{attempt: contender})
 				return
 			}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -290,6 +290,7 @@
 		{name: "breaks off, and another attempt before it begins", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), step{after: 250 * time.Millisecond, err: connectionLost.err}), {{after: 200 * time.Millisecond, err: connectionLost.err}}}}},
 		{name: "two silent attempts and a third", script: script{kind: lentilmux.CallResumableStream, attempts: 3, replaceStalled: []bool{true, false, true}, steps: [][]step{append(events(tick, 0), events(1500*time.Millisecond, 1)...), events(1500*time.Millisecond, 1), events(tick, 1)}}},
 		{name: "silent call, another attempt answers", script: script{kind: lentilmux.CallRepeatable, attempts: 2, replaceStalled: []bool{true}, bodyTime: time.Second, steps: [][]step{events(0, 0), events(0, 0)}}},
+		{name: "silent call, answers before another attempt", script: script{kind: lentilmux.CallRepeatable, attempts: 2, replaceStalled: []bool{true}, bodyTime: 400 * time.Millisecond, sendTime: 200 * time.Millisecond, steps: [][]step{events(0, 0), events(0, 0)}}},
 		{name: "silent until the caller disconnects", disconnect: 350 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), events(time.Second, 1)...), events(time.Second, 1)}}},
 		// An attempt is added while the caller is slow to read an event: the other one begins
 		// after that event, and the stream goes on.
