--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +16,6 @@
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/dispatch"
 	"lentilmux.example/lentilmux/fleet"
-	"lentilmux.example/lentilmux/placement"
 )
 
 // TestScenarios guards against unintended changes of decisions and effects. It
@@ -210,61 +208,6 @@
 	return msg
 }
 
-// loadDigest returns the digest of a peer from the fields of a line.
-func loadDigest(name string, fields map[string]string) lentilmux.LoadDigest {
-	digest := lentilmux.LoadDigest{
-		VM: name, VMCount: max(parseInt(fields["vms"]), 1), Zone: "thrissur", Addr: vmAddr(name), Incarnation: uint64(parseInt(fields["incarnation"])),
-		Sequence: uint64(parseInt(fields["sequence"])), Suspects: strings.FieldsFunc(fields["suspects"], func(r rune) bool { return r == ',' }),
-		Scope: map[string]lentilmux.DigestScope{"zone": lentilmux.ScopeZone, "fleet": lentilmux.ScopeFleet}[fields["scope"]],
-	}
-	digest.Stale = fields["stale"] == "true"
-	digest.Parts = partSuspicions(fields)
-	digest.Drains = announcedDrains(fields)
-	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
-		digest.Limits = []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream(upstream), Named: perSecond != "none", PerSecond: parseFloat(perSecond), Age: parseDuration(fields["age"])}}
-	}
-	if fields["zone"] != "" {
-		digest.Zone = fields["zone"]
-	}
-	if upstream, streams, ok := strings.Cut(fields["loads"], ":"); ok {
-		digest.Loads = []lentilmux.UpstreamLoad{{Upstream: lentilmux.HashUpstream(upstream), Streams: parseInt(streams), Reserved: 10}}
-	}
-	return digest
-}
-
-// vmAddr returns the address of a VM with a name such as entry-3.
-func vmAddr(name string) netip.AddrPort {
-	_, number, _ := strings.Cut(name, "-")
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(parseInt(number))}), 7000)
-}
-
-// show prints the load of this VM and its peers at an upstream, or the last
-// digests that were sent.
-func (s *scenario) show(name string) {
-	if row := s.tables.Upstreams.Find(name); row != nil {
-		fmt.Fprintf(&s.out, "         %s: own %d, peers %d streams\n", name, row.OwnLoad.Streams, row.PeerLoad.Streams)
-		return
-	}
-	for _, sent := range s.lastDigests {
-		fmt.Fprintf(&s.out, "         %s\n", sent)
-	}
-}
-
-// scopeNames are the names of the digest scopes in the golden files.
-var scopeNames = [...]string{"vm", "zone", "fleet"}
-
-// recordDigest records a digest that is sent, so that a show line can print it.
-func (s *scenario) recordDigest(effect lentilmux.LoadDigestEffect) {
-	text := fmt.Sprintf("digest of %s, %d VMs, to %v:", scopeNames[effect.Digest.Scope], effect.Digest.VMCount, effect.To)
-	for _, load := range effect.Digest.Loads {
-		text += fmt.Sprintf(" %s %d", s.tables.Upstreams.FindByHash(load.Upstream).ID, load.Streams)
-	}
-	for _, drain := range effect.Digest.Drains {
-		text += fmt.Sprintf(" drain of %s, started at %d, %s ago", s.nameOf(drain.Upstream), drain.StartedAt.Unix(), drain.Age)
-	}
-	s.lastDigests = append(s.lastDigests, text)
-}
-
 // streamUpdates returns the message for a read of one entry of a stream.
 func (s *scenario) streamUpdates(stream lentilmux.Stream, now time.Time, update lentilmux.StreamUpdate) lentilmux.Msg {
 	s.position.Offset++
@@ -334,13 +277,6 @@
 	return msg
 }
 
-// moveOutcomes are the outcomes of a move by their names in scenarios. A line
-// without an outcome stands for an accepted move.
-var moveOutcomes = map[string]lentilmux.MoveOutcome{
-	"": lentilmux.MoveAccepted, "unknown": lentilmux.MoveUnknown, "not_in_flight": lentilmux.MoveNotInFlight,
-	"hop_unavailable": lentilmux.MoveHopUnavailable, "rejected": lentilmux.MoveRejected,
-}
-
 // moveResult returns the message for an answer to a move.
 func (s *scenario) moveResult(name string, fields map[string]string) lentilmux.Msg {
 	msg := lentilmux.MoveResultMsg{Request: lentilmux.RequestID(name), Epoch: s.epochs[name]}
@@ -371,208 +307,9 @@
 	return lentilmux.UpstreamReportMsg{Upstream: name, Report: report}
 }
 
-// tick runs the model once and prints its effects.
-func (s *scenario) tick(now time.Time, batch ...lentilmux.Envelope) {
-	effects, nextTick := s.model.Tick(now, batch)
-	s.nextTick = nextTick
-	if !nextTick.After(now) {
-		fmt.Fprintf(&s.out, "  next tick is already due: the control goroutine would spin\n")
-		s.nextTick = now.Add(time.Millisecond)
-	}
-	first := true
-	var plans []lentilmux.Envelope
-	for _, effect := range effects {
-		if x, ok := effect.(lentilmux.PlanRangesEffect); ok {
-			ranges := placement.ZoneSearch{}.Place(x.Model, x.Zones, x.Nodes)
-			plans = append(plans, lentilmux.Envelope{Msg: lentilmux.RangesPlannedMsg{Service: x.Service, Nodes: x.Nodes, Ranges: ranges}})
-		}
-		if x, ok := effect.(lentilmux.LoadDigestEffect); ok {
-			if first {
-				s.lastDigests, first = nil, false
-			}
-			s.recordDigest(x)
-		}
-		if text := s.formatEffect(effect); text != "" {
-			fmt.Fprintf(&s.out, "%8s %s\n", now.Sub(s.start), text)
-		}
-	}
-	if len(plans) > 0 {
-		s.tick(now, plans...)
-	}
-}
-
-// formatEffect formats an effect for the golden file, or returns an empty string
-// for effects that are not compared.
-func (s *scenario) formatEffect(effect lentilmux.Effect) string {
-	switch x := effect.(type) {
-	case lentilmux.AnswerEffect:
-		return s.formatAnswer(x)
-	case lentilmux.DecisionEffect:
-		return fmt.Sprintf("decided %s %s %s (%s)", x.Decision.What, x.Decision.Subject, x.Decision.Chosen, x.Decision.Reason)
-	case lentilmux.RangeOrderEffect:
-		return fmt.Sprintf("order %s to load %d-%d after %d accepted orders", x.Upstream, x.Order.Layers.First, x.Order.Layers.Last, x.Order.ExpectedOrders)
-	case lentilmux.FetchReportEffect:
-		return "fetch report of " + x.Upstream
-	case lentilmux.MoveEffect:
-		return fmt.Sprintf("move %s to %s", x.Request, formatHops(x.Path))
-	case lentilmux.ReadinessEffect:
-		return fmt.Sprintf("ready=%t %s", x.Ready, x.Reason)
-	case lentilmux.PutEffect:
-		if x.VM == nil && x.HeldPart == nil {
-			return fmt.Sprintf("delete %s from stream %s", x.Key, x.Stream)
-		}
-		return fmt.Sprintf("put %s in stream %s", x.Key, x.Stream)
-	case lentilmux.HeldPartsEffect:
-		return fmt.Sprintf("%d held parts", len(x.Parts))
-	}
-	return ""
-}
-
-// formatAnswer formats an answer and records the epoch of a new attempt for
-// later events of the request.
-func (s *scenario) formatAnswer(x lentilmux.AnswerEffect) string {
-	label := s.labels[x.CorrelationID]
-	switch answer := x.Answer.(type) {
-	case lentilmux.AttemptAnswer:
-		s.epochs[string(answer.Attempt.Request)] = answer.Attempt.Epoch
-		return fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
-	case lentilmux.RefusalAnswer:
-		text := fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
-		if after := answer.Refusal.RetryAfter; answer.Refusal.Reason == lentilmux.ReasonNoUpstream && after != fleet.DefaultLimits().RefusalRetryAfter {
-			text += fmt.Sprintf(", retry after %s", after)
-		}
-		return text
-	case lentilmux.WaitAnswer:
-		return fmt.Sprintf("answer %s: wait %s", label, answer.Wait)
-	}
-	return fmt.Sprintf("answer %s: %T", label, x.Answer)
-}
-
-func formatHops(path []lentilmux.Hop) string {
-	var texts []string
-	for _, hop := range path {
-		texts = append(texts, fmt.Sprintf("%s:%d-%d", hop.Upstream, hop.Layers.First, hop.Layers.Last))
-	}
-	return "[" + strings.Join(texts, " ") + "]"
-}
-
-// testRuleset returns a configuration with a model of eight layers, a service
-// without layers and one workspace for each key.
-func testRuleset(fields map[string]string) *lentilmux.Ruleset {
-	model := &lentilmux.ModelProfile{
-		Layers: 8, LayerBytes: 1000, CacheBytesPerToken: 8, StepTime: time.Millisecond, StepTimePerStream: 10 * time.Microsecond,
-		PrefillTokensPerSecond: 100000, ActivationBytes: 1000, ZoneLinkBitRate: 1e9, TokensPerEvent: 3, TypicalPromptTokens: 500, TypicalAnswerTokens: 100,
-		Accelerators: []lentilmux.Accelerator{{Name: "large", MemoryBytes: 8000, StepFactor: 2, PrefillFactor: 2}, {Name: "small", MemoryBytes: 6000, StepFactor: 6, PrefillFactor: 4}},
-	}
-	rules := &lentilmux.Ruleset{
-		Version: lentilmux.Revision(parseInt(fields["version"])), Limits: lentilmux.CallerLimits{MaxBodyBytes: 1 << 20},
-		Services: []lentilmux.ServiceRule{{Name: "desk-llm", Engine: model}, {Name: "ticket-app"}},
-		Routes: []lentilmux.RouteRule{
-			{Name: "llm", Host: "desk", Prefix: "/llm/", Kind: lentilmux.CallResumableStream, Targets: singleTarget("desk-llm"), Timeout: 20 * time.Second, FirstByteTarget: 500 * time.Millisecond, MaxAttempts: 2},
-			{Name: "book", Host: "desk", Prefix: "/book/", Kind: lentilmux.CallOnce, Targets: singleTarget("ticket-app"), Timeout: time.Second, MaxAttempts: 1},
-			{Name: "slots", Host: "desk", Prefix: "/book/slots/", Kind: lentilmux.CallRepeatable, Targets: singleTarget("ticket-app"), Timeout: time.Second, FirstByteTarget: 150 * time.Millisecond, MaxAttempts: 2},
-			{Name: "probe", Host: "desk", Prefix: "/probe/", Kind: lentilmux.CallRepeatable, Targets: singleTarget("ticket-app"), Timeout: time.Second, MaxAttempts: 1, Anonymous: true},
-		},
-	}
-	for _, key := range strings.Split(fields["keys"], ",") {
-		rules.Workspaces = append(rules.Workspaces, lentilmux.WorkspaceRule{Name: "workspace-" + key, Keys: []string{key}})
-	}
-	return rules
-}
-
-// singleTarget returns the targets of a route that has one service.
-func singleTarget(service string) []lentilmux.RouteTarget {
-	return []lentilmux.RouteTarget{{Service: service, Weight: 1}}
-}
-
-// upstreamRecord returns the store entry of an upstream from the fields of a
-// line. The address is derived from the name.
-func upstreamRecord(name string, fields map[string]string) *lentilmux.UpstreamRecord {
-	record := &lentilmux.UpstreamRecord{
-		ID: name, Service: "desk-llm", Zone: "kochi", Slots: 8, Accelerator: fields["accelerator"], Draining: fields["state"] == "draining",
-		StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0),
-	}
-	if fields["service"] != "" {
-		record.Service = fields["service"]
-	}
-	if fields["zone"] != "" {
-		record.Zone = fields["zone"]
-	}
-	var sum byte
-	for _, c := range []byte(name) {
-		sum = sum*31 + c
-	}
-	record.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, sum}), 8080)
-	record.Layers, record.HasLayers = parseLayers(fields["layers"])
-	return record
-}
-
-// inboundRequest returns the request of an arrive line.
-func inboundRequest(name string, fields map[string]string, now time.Time) lentilmux.InboundRequest {
-	timeout := 10 * time.Second
-	if fields["timeout"] != "" {
-		timeout = parseDuration(fields["timeout"])
-	}
-	return lentilmux.InboundRequest{
-		ID: lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
-		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
-	}
-}
-
-// parseParts parses prompt parts, hexadecimal numbers separated by commas.
-func parseParts(text string) (parts []lentilmux.PromptPart) {
-	for _, id := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
-		value, _ := strconv.ParseUint(id, 16, 64)
-		parts = append(parts, lentilmux.PromptPart(value))
-	}
-	return parts
-}
-
-// partSuspicions returns what a digest says of one prompt part, if it does.
-func partSuspicions(fields map[string]string) (suspicions []lentilmux.PartSuspicion) {
-	for _, part := range parseParts(fields["part"]) {
-		suspicion := lentilmux.PartSuspicion{
-			Part: part, Clears: parseInt(fields["clears"]), Round: parseInt(fields["round"]), Held: fields["held"] == "true", Age: parseDuration(fields["age"]),
-		}
-		for i := range parseInt(fields["crashes"]) {
-			suspicion.Crashes = append(suspicion.Crashes, lentilmux.CrashID(i))
-		}
-		suspicions = append(suspicions, suspicion)
-	}
-	return suspicions
-}
-
 // upstreamLimit returns the message for an answer of an upstream that names a
 // limit, such as 6.9, an invalid one, or none.
 func upstreamLimit(name string, fields map[string]string) lentilmux.Msg {
 	limit := lentilmux.RequestLimit{Named: fields["named"] != "none", Invalid: fields["named"] == "invalid", PerSecond: parseFloat(fields["named"])}
 	return lentilmux.UpstreamLimitMsg{Request: "answered", Upstream: name, Limit: limit}
 }
-
-// parseFloat parses a number. Anything else is zero.
-func parseFloat(text string) float64 {
-	value, _ := strconv.ParseFloat(text, 64)
-	return value
-}
-
-// parseLayers parses a layer range such as 0-3. It returns false if the field is
-// missing.
-func parseLayers(text string) (layers lentilmux.LayerRange, hasLayers bool) {
-	first, last, ok := strings.Cut(text, "-")
-	if !ok {
-		return layers, false
-	}
-	return lentilmux.LayerRange{First: parseInt(first), Last: parseInt(last)}, true
-}
-
-// parseInt parses a number. A missing field is zero.
-func parseInt(text string) int {
-	value, _ := strconv.Atoi(text)
-	return value
-}
-
-// parseDuration parses a duration. A missing field is zero.
-func parseDuration(text string) time.Duration {
-	value, _ := time.ParseDuration(text)
-	return value
-}
--- /dev/null
+++ b/fleet/scenariooutput_test.go
@@ -0,0 +1,123 @@
+package fleet_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/fleet"
+	"lentilmux.example/lentilmux/placement"
+)
+
+// show prints the load of this VM and its peers at an upstream, or the last
+// digests that were sent.
+func (s *scenario) show(name string) {
+	if row := s.tables.Upstreams.Find(name); row != nil {
+		fmt.Fprintf(&s.out, "         %s: own %d, peers %d streams\n", name, row.OwnLoad.Streams, row.PeerLoad.Streams)
+		return
+	}
+	for _, sent := range s.lastDigests {
+		fmt.Fprintf(&s.out, "         %s\n", sent)
+	}
+}
+
+// scopeNames are the names of the digest scopes in the golden files.
+var scopeNames = [...]string{"vm", "zone", "fleet"}
+
+// recordDigest records a digest that is sent, so that a show line can print it.
+func (s *scenario) recordDigest(effect lentilmux.LoadDigestEffect) {
+	text := fmt.Sprintf("digest of %s, %d VMs, to %v:", scopeNames[effect.Digest.Scope], effect.Digest.VMCount, effect.To)
+	for _, load := range effect.Digest.Loads {
+		text += fmt.Sprintf(" %s %d", s.tables.Upstreams.FindByHash(load.Upstream).ID, load.Streams)
+	}
+	for _, drain := range effect.Digest.Drains {
+		text += fmt.Sprintf(" drain of %s, started at %d, %s ago", s.nameOf(drain.Upstream), drain.StartedAt.Unix(), drain.Age)
+	}
+	s.lastDigests = append(s.lastDigests, text)
+}
+
+// tick runs the model once and prints its effects.
+func (s *scenario) tick(now time.Time, batch ...lentilmux.Envelope) {
+	effects, nextTick := s.model.Tick(now, batch)
+	s.nextTick = nextTick
+	if !nextTick.After(now) {
+		fmt.Fprintf(&s.out, "  next tick is already due: the control goroutine would spin\n")
+		s.nextTick = now.Add(time.Millisecond)
+	}
+	first := true
+	var plans []lentilmux.Envelope
+	for _, effect := range effects {
+		if x, ok := effect.(lentilmux.PlanRangesEffect); ok {
+			ranges := placement.ZoneSearch{}.Place(x.Model, x.Zones, x.Nodes)
+			plans = append(plans, lentilmux.Envelope{Msg: lentilmux.RangesPlannedMsg{Service: x.Service, Nodes: x.Nodes, Ranges: ranges}})
+		}
+		if x, ok := effect.(lentilmux.LoadDigestEffect); ok {
+			if first {
+				s.lastDigests, first = nil, false
+			}
+			s.recordDigest(x)
+		}
+		if text := s.formatEffect(effect); text != "" {
+			fmt.Fprintf(&s.out, "%8s %s\n", now.Sub(s.start), text)
+		}
+	}
+	if len(plans) > 0 {
+		s.tick(now, plans...)
+	}
+}
+
+// formatEffect formats an effect for the golden file, or returns an empty string
+// for effects that are not compared.
+func (s *scenario) formatEffect(effect lentilmux.Effect) string {
+	switch x := effect.(type) {
+	case lentilmux.AnswerEffect:
+		return s.formatAnswer(x)
+	case lentilmux.DecisionEffect:
+		return fmt.Sprintf("decided %s %s %s (%s)", x.Decision.What, x.Decision.Subject, x.Decision.Chosen, x.Decision.Reason)
+	case lentilmux.RangeOrderEffect:
+		return fmt.Sprintf("order %s to load %d-%d after %d accepted orders", x.Upstream, x.Order.Layers.First, x.Order.Layers.Last, x.Order.ExpectedOrders)
+	case lentilmux.FetchReportEffect:
+		return "fetch report of " + x.Upstream
+	case lentilmux.MoveEffect:
+		return fmt.Sprintf("move %s to %s", x.Request, formatHops(x.Path))
+	case lentilmux.ReadinessEffect:
+		return fmt.Sprintf("ready=%t %s", x.Ready, x.Reason)
+	case lentilmux.PutEffect:
+		if x.VM == nil && x.HeldPart == nil {
+			return fmt.Sprintf("delete %s from stream %s", x.Key, x.Stream)
+		}
+		return fmt.Sprintf("put %s in stream %s", x.Key, x.Stream)
+	case lentilmux.HeldPartsEffect:
+		return fmt.Sprintf("%d held parts", len(x.Parts))
+	}
+	return ""
+}
+
+// formatAnswer formats an answer and records the epoch of a new attempt for
+// later events of the request.
+func (s *scenario) formatAnswer(x lentilmux.AnswerEffect) string {
+	label := s.labels[x.CorrelationID]
+	switch answer := x.Answer.(type) {
+	case lentilmux.AttemptAnswer:
+		s.epochs[string(answer.Attempt.Request)] = answer.Attempt.Epoch
+		return fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
+	case lentilmux.RefusalAnswer:
+		text := fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
+		if after := answer.Refusal.RetryAfter; answer.Refusal.Reason == lentilmux.ReasonNoUpstream && after != fleet.DefaultLimits().RefusalRetryAfter {
+			text += fmt.Sprintf(", retry after %s", after)
+		}
+		return text
+	case lentilmux.WaitAnswer:
+		return fmt.Sprintf("answer %s: wait %s", label, answer.Wait)
+	}
+	return fmt.Sprintf("answer %s: %T", label, x.Answer)
+}
+
+func formatHops(path []lentilmux.Hop) string {
+	var texts []string
+	for _, hop := range path {
+		texts = append(texts, fmt.Sprintf("%s:%d-%d", hop.Upstream, hop.Layers.First, hop.Layers.Last))
+	}
+	return "[" + strings.Join(texts, " ") + "]"
+}
