End a request whose caller leaves while another attempt takes over

What callers saw: nothing, they had left; but the VM kept the request, its load at the upstream and its goroutine for ever. Found by reading the race of attempts.

Cause: an attempt that has claimed the race hands itself over, unless the request ends, in which case it may close itself. The goroutine of the request waited for it without looking at that end.

Waiting for a winner ends with the request, which is then reported as one whose caller left.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -122,15 +122,25 @@
 		if r.race.remove(a) || ctx.Err() != nil {
 			return r.handleError(ctx, a, err)
 		}
-		a = r.awaitWinner()
+		winner, ok := r.awaitWinner(ctx)
+		if !ok {
+			return r.handleError(ctx, a, err)
+		}
+		a = winner
 	}
 }
 
-// awaitWinner returns the attempt that superseded the current one.
-func (r *relayedRequest) awaitWinner() *runningAttempt {
+// awaitWinner returns the attempt that superseded the current one. It returns false
+// if the request ends: the winner may be dropped then.
+func (r *relayedRequest) awaitWinner(ctx context.Context) (winner *runningAttempt, ok bool) {
 	for {
-		if result := <-r.results; result.attempt != nil {
-			return result.attempt
+		select {
+		case result := <-r.results:
+			if result.attempt != nil {
+				return result.attempt, true
+			}
+		case <-ctx.Done():
+			return nil, false
 		}
 	}
 }
