--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -122,25 +122,25 @@
 		if r.race.remove(a) || ctx.Err() != nil {
 			return r.handleError(ctx, a, err)
 		}
-		winner := r.awaitWinner(ctx)
-		if winner == nil {
-			return r.handleError(ctx, a, ctx.Err())
+		winner, ok := r.awaitWinner(ctx)
+		if !ok {
+			return r.handleError(ctx, a, err)
 		}
 		a = winner
 	}
 }
 
-// awaitWinner returns the attempt that superseded the current one, or nil if the
-// request ends before it is handed over.
-func (r *relayedRequest) awaitWinner(ctx context.Context) *runningAttempt {
+// awaitWinner returns the attempt that superseded the current one. It returns false
+// if the request ends: the winner may be dropped then.
+func (r *relayedRequest) awaitWinner(ctx context.Context) (winner *runningAttempt, ok bool) {
 	for {
 		select {
 		case result := <-r.results:
 			if result.attempt != nil {
-				return result.attempt
+				return result.attempt, true
 			}
 		case <-ctx.Done():
-			return nil
+			return nil, false
 		}
 	}
 }
