--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -19,7 +19,6 @@
 	"lentilmux.example/lentilmux/platformlog"
 )
 
-
 // GatewayConfig holds the settings of a [Gateway].
 type GatewayConfig struct {
 	Name           string
