Abort attempts at a silent engine only after 1.5 s without an answer

What callers saw: an engine falls silent for 1.4 s and goes on, while the other engine of its stage is dead. Their answers ended with deadline_exceeded, or were computed again.

Cause: one probe without an answer made Health abort all repeatable attempts at the upstream, the same as a refused probe does. Placing new work elsewhere can be taken back, to abort an attempt cannot, and the suspicion was taken back by the next answer.

Now a probe says whether it was refused or had no answer in time. A refused one aborts at once as before. After one without an answer the upstream gets no new work at once, as before, and is probed again without a pause; its attempts are aborted when the silence has lasted Limits.MaxSilence, 1.5 s since the first probe. Any answer to a probe or a load report ends the silence, so the decision rests on at least three probes in a row without an answer.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -186,7 +186,8 @@
 	return err
 }
 
-// Probe implements [lentilmux.Engine] over a connection of its own. If the engine
+// Probe implements [lentilmux.Engine] over a connection of its own. A failure is a
+// [*lentilmux.UpstreamError]. If the engine
 // answers on it, its transport replaces the shared one, so that new streams do
 // not use connections that have gone silent.
 func (c *Client) Probe(ctx context.Context, upstream netip.AddrPort) (err error) {
@@ -196,7 +197,7 @@
 	transport := c.newTransport()
 	if _, err := newStub(upstream, transport).Load(ctx, connect.NewRequest(&enginepb.LoadRequest{})); err != nil {
 		transport.CloseIdleConnections()
-		return err
+		return &lentilmux.UpstreamError{Kind: failureKind(err), Err: err}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -134,6 +134,28 @@
 	})
 }
 
+// TestProbeTellsSilentFromDead guards against a frozen engine whose probe fails in
+// the same way as that of a dead one: only the former may go on.
+func TestProbeTellsSilentFromDead(t *testing.T) {
+	runWithEngine(t, func(t *testing.T, e *testEngine) {
+		e.Freeze()
+		defer e.Thaw()
+		if err := e.client.Probe(t.Context(), e.addr); !isTimeout(err) {
+			t.Errorf("probe of a frozen engine: error %v, want a timeout", err)
+		}
+		e.host.Close()
+		if err := e.client.Probe(t.Context(), e.addr); err == nil || isTimeout(err) {
+			t.Errorf("probe of a closed host: error %v, want a refused connection", err)
+		}
+	})
+}
+
+// isTimeout reports whether err is an upstream error of the kind timeout.
+func isTimeout(err error) bool {
+	var upstreamError *lentilmux.UpstreamError
+	return errors.As(err, &upstreamError) && upstreamError.Kind == lentilmux.FailureTimeout
+}
+
 // unusedAddr returns a loopback address at which nothing listens. Until the test
 // ends it belongs to a client's connection, so that no other process takes it.
 func unusedAddr(t *testing.T) netip.AddrPort {
--- a/entryvm/effects.go
+++ b/entryvm/effects.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"lentilmux.example/lentilmux"
@@ -119,7 +121,23 @@
 	if effect.Kind == lentilmux.KindService {
 		probe = e.vm.dependencies.Service.Probe
 	}
-	e.sendToNode(lentilmux.ProbeResultMsg{Upstream: effect.Upstream, Alive: probe(ctx, effect.Addr) == nil})
+	e.sendToNode(lentilmux.ProbeResultMsg{Upstream: effect.Upstream, Outcome: probeOutcome(probe(ctx, effect.Addr))})
+}
+
+// probeOutcome returns the outcome of a probe that ended with err.
+func probeOutcome(err error) lentilmux.ProbeOutcome {
+	var upstreamError *lentilmux.UpstreamError
+	var netError net.Error
+	switch {
+	case err == nil:
+		return lentilmux.ProbeAlive
+	case errors.As(err, &upstreamError) && upstreamError.Kind == lentilmux.FailureTimeout:
+		return lentilmux.ProbeSilent
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &netError) && netError.Timeout():
+		return lentilmux.ProbeSilent
+	default:
+		return lentilmux.ProbeDead
+	}
 }
 
 // sendOrder sends a layer order to an engine and passes the result to the node.
--- a/entryvm/silence_test.go
+++ b/entryvm/silence_test.go
@@ -52,6 +52,38 @@
 	}
 }
 
+// TestFrozenEngineIsLeftInTime guards against answers that wait for a frozen engine
+// longer than the recovery target, wherever the freeze falls between two load
+// reports.
+func TestFrozenEngineIsLeftInTime(t *testing.T) {
+	const (
+		tokens    = 200
+		remaining = time.Second // for the rest of the answer after recovery
+	)
+	for offset := 50 * time.Millisecond; offset <= 550*time.Millisecond; offset += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(offset), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 2)
+				defer c.stopAll()
+				done := make(chan response)
+				go func() { done <- c.chat(c.vms[0], "hello", tokens, 30*time.Second) }()
+				time.Sleep(offset)
+				frozenAt := time.Now()
+				busiest(c).Freeze()
+				r := <-done
+				took := time.Since(frozenAt)
+				if r.Text != expectedAnswer("hello", tokens) {
+					t.Errorf("the answer is not complete: %+v", r)
+				}
+				t.Logf("complete %s after the freeze", took)
+				if took > recoveryTarget["freeze"]+remaining {
+					t.Errorf("the answer was complete only %s after the freeze", took)
+				}
+			})
+		})
+	}
+}
+
 // sameLayers reports whether two engines hold the same layers.
 func sameLayers(t *testing.T, a, b *standin.Engine) bool {
 	t.Helper()
--- a/request.go
+++ b/request.go
@@ -134,8 +134,8 @@
 	Reason  Reason
 }
 
-// AbortEffect cancels one attempt because its upstream was found dead, so that
-// the request can be retried.
+// AbortEffect cancels one attempt because its upstream was found dead or was
+// silent for too long, so that the request can be retried.
 type AbortEffect struct {
 	Request RequestID
 	Epoch   Epoch
@@ -148,10 +148,25 @@
 	Addr     netip.AddrPort
 }
 
+// ProbeOutcome is what a probe shows about an upstream.
+type ProbeOutcome int
+
+// The outcomes of a probe.
+const (
+	// ProbeAlive means that the upstream answered.
+	ProbeAlive ProbeOutcome = iota
+	// ProbeDead means that the connection was refused or broke, or that the
+	// upstream answered with an error.
+	ProbeDead
+	// ProbeSilent means that no answer came in time. The upstream may be dead,
+	// or sound and silent for a moment.
+	ProbeSilent
+)
+
 // ProbeResultMsg reports the result of a probe.
 type ProbeResultMsg struct {
 	Upstream string
-	Alive    bool
+	Outcome  ProbeOutcome
 }
 
 // FetchLoadEffect fetches the load report of an engine.
--- a/system/health.go
+++ b/system/health.go
@@ -28,10 +28,13 @@
 // results that arrived and writes the health and reports of Upstreams.
 //
 // A failed step or load report alone never ejects an upstream: it starts a
-// probe over a new connection. A failed probe ejects immediately and aborts the
-// attempts at the upstream that may be repeated; a successful one shows that
-// only a connection was lost. Repeated failures eject although probes succeed,
-// but only up to maxEjectedShare.
+// probe over a new connection. A failed probe ejects immediately; a successful
+// one shows that only a connection was lost. Repeated failures eject although
+// probes succeed, but only up to maxEjectedShare.
+//
+// The attempts at an upstream that may be repeated are aborted once it is shown
+// to be dead: immediately if a probe is refused, and after Limits.MaxSilence if
+// probes get no answer, since a sound upstream may be silent for a moment.
 type Health struct{}
 
 // Run implements [System].
@@ -95,6 +98,7 @@
 		s.startProbe(t, now, u)
 		return
 	}
+	u.SilentSince = time.Time{}
 	report := load.Report
 	if report.HasLayers != u.Report.HasLayers || report.Layers != u.Report.Layers || report.Model != u.Report.Model {
 		t.Stages.Stale = true
@@ -134,8 +138,13 @@
 		return
 	}
 	u.Probing = false
+	if probe.Outcome == lentilmux.ProbeSilent {
+		s.recordSilence(t, now, u)
+		return
+	}
+	u.SilentSince = time.Time{}
 	switch {
-	case !probe.Alive:
+	case probe.Outcome == lentilmux.ProbeDead:
 		s.eject(t, now, u, "probe on a new connection failed")
 		s.abortAttempts(t, u)
 	case !u.EjectedUntil.IsZero():
@@ -145,6 +154,33 @@
 	}
 }
 
+// recordSilence ejects an upstream that did not answer a probe. It is probed
+// again immediately until its silence has lasted Limits.MaxSilence; its
+// attempts are aborted only then, because an aborted attempt cannot be resumed
+// when the upstream goes on.
+func (s *Health) recordSilence(t *table.Tables, now time.Time, u *table.Upstream) {
+	if u.SilentSince.IsZero() {
+		u.SilentSince = laterOf(u.ProbedAt, u.ReportedAt)
+	}
+	isOver := now.Sub(u.SilentSince) >= t.Limits.MaxSilence
+	if isOver || u.EjectedUntil.IsZero() {
+		s.eject(t, now, u, "probe on a new connection had no answer")
+	}
+	if !isOver {
+		s.startProbe(t, now, u)
+		return
+	}
+	s.abortAttempts(t, u)
+}
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // eject stops new work for an upstream. Each further ejection lasts twice as
 // long, up to Limits.MaxEjectDuration.
 func (s *Health) eject(t *table.Tables, now time.Time, u *table.Upstream, reason string) {
--- a/system/scenario_test.go
+++ b/system/scenario_test.go
@@ -177,7 +177,7 @@
 	case "load":
 		return s.load(words[2], fields)
 	case "probe":
-		return lentilmux.ProbeResultMsg{Upstream: words[2], Alive: fields["alive"] == "true"}, nil
+		return lentilmux.ProbeResultMsg{Upstream: words[2], Outcome: probeOutcome(fields)}, nil
 	case "digest":
 		return s.digest(words[2], fields)
 	case "list":
@@ -195,6 +195,19 @@
 	}
 }
 
+// probeOutcome returns the outcome of a probe with the field alive=true,
+// alive=false or silent=true.
+func probeOutcome(fields map[string]string) lentilmux.ProbeOutcome {
+	switch {
+	case fields["alive"] == "true":
+		return lentilmux.ProbeAlive
+	case fields["silent"] == "true":
+		return lentilmux.ProbeSilent
+	default:
+		return lentilmux.ProbeDead
+	}
+}
+
 var outcomes = map[string]lentilmux.Outcome{
 	"answered": lentilmux.OutcomeAnswered, "not_run": lentilmux.OutcomeNotRun, "unknown": lentilmux.OutcomeUnknown,
 }
--- a/table/limits.go
+++ b/table/limits.go
@@ -20,6 +20,7 @@
 	BrokenReplacementDelay time.Duration // from the ejection of an engine until it is excluded, if its pipeline cannot serve at all
 	BaseEjectDuration      time.Duration // of the first ejection; each further one is twice as long
 	MaxEjectDuration       time.Duration
+	MaxSilence             time.Duration // without an answer to probes that a sound upstream may show; after it its attempts are aborted
 	BusyDuration           time.Duration // without new work for an upstream that rejected work or lost a connection
 	SlowStartDuration      time.Duration // after an ejection, until the upstream gets its full share
 	MaxQueued              int           // queued requests per workspace
@@ -57,6 +58,7 @@
 		BrokenReplacementDelay: 2 * time.Second,
 		BaseEjectDuration:      500 * time.Millisecond,
 		MaxEjectDuration:       10 * time.Second,
+		MaxSilence:             1500 * time.Millisecond,
 		BusyDuration:           100 * time.Millisecond,
 		SlowStartDuration:      2 * time.Second,
 		MaxQueued:              512,
--- a/table/upstream.go
+++ b/table/upstream.go
@@ -33,6 +33,7 @@
 	ReturnedAt   time.Time // end of the last ejection, when slow start began
 	ProbedAt     time.Time // of the last probe
 	Probing      bool      // whether a probe is in flight
+	SilentSince  time.Time // start of its silence, by its probes and load reports; zero if its last probe or load report was answered
 
 	Order     lentilmux.Order // layer range that the placement assigns
 	OrderedAt time.Time       // when the order was last sent
