Drop the old path of an attempt at one upstream alone

A change of the configuration removes the engine of a service whose requests are in flight. Their retries are sent to one upstream alone (chooseUpstream), but the row kept the path of the attempt before, beside the reservation of the new one.

What the scenario engine_removed shows on the code before: the stall of such a request is answered with wait 200ms each time, since its path looks movable, where another attempt should be sent. With the engine back in the configuration, the death of an upstream of the old path starts a move, which slices the one reservation by the length of the old path: panic in replaceHop, slice bounds out of range [2:1], in the control thread. Now the attempt has no path, so its stall is final, the death moves nothing, and the request that was not retried (r3) keeps its path. The test comes with the change, since a panic ends all scenarios of the package.

No existing golden file changes.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -192,6 +192,7 @@
 	if request.Route.Kind == lentilmux.CallRepeatable && request.PossibleRuns+1 < request.Route.MaxAttempts {
 		attempt.FirstEventTimeout = max(2*request.Route.FirstByteTarget, t.Limits.MinStallTimeout)
 	}
+	request.Hops = nil // of an earlier attempt, if the service had an engine then
 	request.Reservations = append(request.Reservations[:0], Reservation{Upstream: row.ID, Load: Load{Streams: 1}})
 	t.RecordDecision(lentilmux.Decision{
 		What: "upstream_chosen", Subject: string(request.ID), Chosen: row.ID,
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -474,6 +474,9 @@
 			{Name: "probe", Host: "desk", Prefix: "/probe/", Kind: lentilmux.CallRepeatable, Targets: singleTarget("ticket-app"), Timeout: time.Second, MaxAttempts: 1, Anonymous: true},
 		},
 	}
+	if fields["engine"] == "removed" {
+		rules.Services[0].Engine = nil
+	}
 	for _, key := range strings.Split(fields["keys"], ",") {
 		rules.Workspaces = append(rules.Workspaces, lentilmux.WorkspaceRule{Name: "workspace-" + key, Keys: []string{key}})
 	}
