Probe a silent upstream at most every 0.5 s

A probe that fails sooner than it times out, such as a stream that the upstream cancels, counts as one without an answer. The next probe followed at once, so that such an upstream got new connections as fast as it ended them until MaxSilence had passed. The scenario silent_engine shows it: on the code before, the probe of worker-4 follows at 5.01 s, now at 5.5 s. A probe that takes its whole timeout of 0.5 s is still followed by the next at once, so no other line of a golden file changes; the frozen engine of TestFrozenEngineIsLeftInTime is left as early as before, complete after 2.4 to 3.2 s.

--- a/system/health.go
+++ b/system/health.go
@@ -12,6 +12,10 @@
 // run out.
 const reprobeCheckInterval = 50 * time.Millisecond
 
+// silentProbeInterval is the minimum time between two probes of an upstream that
+// is silent.
+const silentProbeInterval = 500 * time.Millisecond
+
 // rttWeight is the weight of a new round-trip time in the moving average.
 const rttWeight = 0.2
 
@@ -155,26 +159,27 @@
 }
 
 // recordSilence ejects an upstream that did not answer a probe. It is probed
-// again immediately until its silence has lasted Limits.MaxSilence; its
+// again every silentProbeInterval until its silence has lasted Limits.MaxSilence; its
 // attempts are aborted only then, because an aborted attempt cannot be resumed
 // when the upstream goes on.
 func (s *Health) recordSilence(t *table.Tables, now time.Time, u *table.Upstream) {
 	if u.SilentSince.IsZero() {
-		u.SilentSince = laterOf(u.ProbedAt, u.ReportedAt)
+		u.SilentSince = later(u.ProbedAt, u.ReportedAt)
 	}
 	isOver := now.Sub(u.SilentSince) >= t.Limits.MaxSilence
 	if isOver || u.EjectedUntil.IsZero() {
 		s.eject(t, now, u, "probe on a new connection had no answer")
 	}
-	if !isOver {
-		s.startProbe(t, now, u)
+	if isOver {
+		s.abortAttempts(t, u)
 		return
 	}
-	s.abortAttempts(t, u)
+	u.EjectedUntil = later(now, u.ProbedAt.Add(silentProbeInterval))
+	s.reprobe(t, now, u)
 }
 
-// laterOf returns the later of two times.
-func laterOf(a, b time.Time) time.Time {
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
