--- a/system/health.go
+++ b/system/health.go
@@ -12,6 +12,10 @@
 // run out.
 const reprobeCheckInterval = 50 * time.Millisecond
 
+// silentProbeInterval is the minimum time between two probes of an upstream that
+// is silent.
+const silentProbeInterval = 500 * time.Millisecond
+
 // rttWeight is the weight of a new round-trip time in the moving average.
 const rttWeight = 0.2
 
@@ -28,10 +32,13 @@
 // results that arrived and writes the health and reports of Upstreams.
 //
 // A failed step or load report alone never ejects an upstream: it starts a
-// probe over a new connection. A failed probe ejects immediately and aborts the
-// attempts at the upstream that may be repeated; a successful one shows that
-// only a connection was lost. Repeated failures eject although probes succeed,
-// but only up to maxEjectedShare.
+// probe over a new connection. A failed probe ejects immediately; a successful
+// one shows that only a connection was lost. Repeated failures eject although
+// probes succeed, but only up to maxEjectedShare.
+//
+// The attempts at an upstream that may be repeated are aborted once it is shown
+// to be dead: immediately if a probe is refused, and after Limits.MaxSilence if
+// probes get no answer, since a sound upstream may be silent for a moment.
 type Health struct{}
 
 // Run implements [System].
@@ -95,6 +102,7 @@
 		s.startProbe(t, now, u)
 		return
 	}
+	u.SilentSince = time.Time{}
 	report := load.Report
 	if report.HasLayers != u.Report.HasLayers || report.Layers != u.Report.Layers || report.Model != u.Report.Model {
 		t.Stages.Stale = true
@@ -134,8 +142,13 @@
 		return
 	}
 	u.Probing = false
+	if probe.Outcome == lentilmux.ProbeSilent {
+		s.recordSilence(t, now, u)
+		return
+	}
+	u.SilentSince = time.Time{}
 	switch {
-	case !probe.Alive:
+	case probe.Outcome == lentilmux.ProbeDead:
 		s.eject(t, now, u, "probe on a new connection failed")
 		s.abortAttempts(t, u)
 	case !u.EjectedUntil.IsZero():
@@ -145,6 +158,34 @@
 	}
 }
 
+// recordSilence ejects an upstream that did not answer a probe. It is probed
+// again every silentProbeInterval until its silence has lasted Limits.MaxSilence; its
+// attempts are aborted only then, because an aborted attempt cannot be resumed
+// when the upstream goes on.
+func (s *Health) recordSilence(t *table.Tables, now time.Time, u *table.Upstream) {
+	if u.SilentSince.IsZero() {
+		u.SilentSince = later(u.ProbedAt, u.ReportedAt)
+	}
+	isOver := now.Sub(u.SilentSince) >= t.Limits.MaxSilence
+	if isOver || u.EjectedUntil.IsZero() {
+		s.eject(t, now, u, "probe on a new connection had no answer")
+	}
+	if isOver {
+		s.abortAttempts(t, u)
+		return
+	}
+	u.EjectedUntil = later(now, u.ProbedAt.Add(silentProbeInterval))
+	s.reprobe(t, now, u)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // eject stops new work for an upstream. Each further ejection lasts twice as
 // long, up to Limits.MaxEjectDuration.
 func (s *Health) eject(t *table.Tables, now time.Time, u *table.Upstream, reason string) {
