End the quarantine of a request when its crashes are no longer remembered

Callers whose request had crashed upstreams three times were refused as quarantined until some other request crashed one, however long that took.

Evidence: scenario quarantine_end on the code before refuses the request two minutes and two seconds after its last crash, with a retention of two minutes; it is admitted now, and still refused within the two minutes.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -85,7 +85,7 @@
 	if !route.Anonymous && len(t.Rules.Workspaces) > 0 && stale {
 		return nil, t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old to honour keys")
 	}
-	if suspect := t.CrashSuspects.Find(inbound.Fingerprint); suspect != nil && suspect.Crashes >= t.Limits.MaxCrashes {
+	if suspect := t.CrashSuspects.Find(inbound.Fingerprint, now, t.Limits.CrashRetention); suspect != nil && suspect.Crashes >= t.Limits.MaxCrashes {
 		return nil, t.notRunRefusal(lentilmux.ReasonQuarantined, fmt.Sprintf("crashed upstreams %d times", suspect.Crashes))
 	}
 	if row := t.heldPart(inbound.SharedParts, now); row != nil {
--- a/fleet/crashsuspects.go
+++ b/fleet/crashsuspects.go
@@ -20,10 +20,11 @@
 	Rows []CrashSuspectRow
 }
 
-// Find returns the row of a fingerprint, or nil if no crash is recorded.
-func (c *CrashSuspects) Find(fingerprint lentilmux.Fingerprint) *CrashSuspectRow {
+// Find returns the row of a fingerprint, or nil if there was no crash within the
+// retention.
+func (c *CrashSuspects) Find(fingerprint lentilmux.Fingerprint, now time.Time, retention time.Duration) *CrashSuspectRow {
 	for i := range c.Rows {
-		if c.Rows[i].Fingerprint == fingerprint {
+		if c.Rows[i].Fingerprint == fingerprint && now.Sub(c.Rows[i].LastCrashAt) <= retention {
 			return &c.Rows[i]
 		}
 	}
@@ -40,7 +41,7 @@
 		}
 	}
 	c.Rows = recent
-	row := c.Find(fingerprint)
+	row := c.Find(fingerprint, now, retention)
 	if row == nil {
 		c.Rows = append(c.Rows, CrashSuspectRow{Fingerprint: fingerprint})
 		row = &c.Rows[len(c.Rows)-1]
