Pause before a restored log is read again that gave nothing

A VM read a faulty log of its own without pause: while it compares a restored log with what it has read, it does not wait for entries, and an empty page short of the log's end moves it nowhere. Found by a review of the restore.

Evidence: TestTailerOfFaultyLog counted 2000 reads in 2 s on the code before, one for each answer; now the tailer waits as after a failed read, and makes 20 at most.

--- a/platformlog/tailer.go
+++ b/platformlog/tailer.go
@@ -67,7 +67,11 @@
 			position.restored(page.Timeline)
 			continue
 		}
+		asked := position.next()
 		if position.comparing && !position.compare(&page) {
+			if position.next() == asked { // a faulty log: nothing of what was asked for
+				sleep(ctx, retryDelay)
+			}
 			continue
 		}
 		if t.node.Send(ctx, decode(page, position.end())) != nil {
