Ignore entries that a restored log was not asked for

A process ended when its restored log answered with entries from before those that it keeps checksums of: "index out of range [] with length 2" in the goroutine that reads the log.

Evidence: the case "entries before those that were read" of TestTailerOfFaultyLog panics on the code before and passes now: such entries are passed over, and reading pauses.

--- a/platformlog/oddlog_test.go
+++ b/platformlog/oddlog_test.go
@@ -50,7 +50,8 @@
 	}
 	first := lentilmux.LogPage{Start: 5, End: 7, Entries: entries(5, 6)}
 	for name, later := range map[string]lentilmux.LogPage{
-		"no entries before the end": {Timeline: 1, Start: 5, End: 100},
+		"no entries before the end":           {Timeline: 1, Start: 5, End: 100},
+		"entries before those that were read": {Timeline: 1, Start: 3, End: 100, Entries: entries(3, 4)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/platformlog/readposition.go
+++ b/platformlog/readposition.go
@@ -47,6 +47,9 @@
 func (p *readPosition) compare(page *lentilmux.LogPage) (done bool) {
 	p.matched = min(max(p.matched, page.Start), p.end(), page.End)
 	for i, entry := range page.Entries {
+		if entry.Offset < p.first {
+			continue // a faulty log: it was asked for later ones
+		}
 		if entry.Offset >= p.end() || p.sums[entry.Offset-p.first] != xxhash.Sum64(entry.Data) {
 			page.Entries = page.Entries[i:]
 			p.truncate(p.matched)
