Order drains by age without a difference that may overflow

The order of the drains in a full digest came from a difference of durations cut to an int, which is 32 bits wide on some machines. It is compared now; results are the same on 64 bits, and the scenarios of drains pass.

--- a/fleet/drains.go
+++ b/fleet/drains.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -149,7 +150,7 @@
 		}
 	}
 	if len(drains) > maxDrainsInDigest {
-		slices.SortFunc(drains, func(a, b lentilmux.UpstreamDrain) int { return int(a.Age - b.Age) })
+		slices.SortFunc(drains, func(a, b lentilmux.UpstreamDrain) int { return cmp.Compare(a.Age, b.Age) })
 		drains = drains[:maxDrainsInDigest]
 	}
 	return drains
