Forget the path of an attempt that has ended

Cause: a failed attempt gave up its reservations and kept its path. If the request got no other attempt, its row stayed until the relay reported the end, and a tick in between in which an upstream of that path was dead moved it: the path had hops for which there were no reservations. Any refusal after a failure leads there (attempts used up, retry budget spent, no room); the race of attempts is not needed. Change: an attempt ends as a whole, reservations, path and move together.

--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -39,7 +39,7 @@
 			t.clearEjection(request)
 			t.clearParts(request, now)
 		}
-		t.release(request)
+		t.endAttempt(request)
 		t.Requests.Remove(request.ID)
 		t.RecordDecision(lentilmux.Decision{
 			What: "request_done", Subject: string(msg.Request), Chosen: fmt.Sprint(msg.Status),
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -119,6 +119,14 @@
 	t.endTrial(request)
 }
 
+// endAttempt ends a request's newest attempt: it holds no reservations, and no path
+// that could be moved.
+func (t *Tables) endAttempt(request *RequestRow) {
+	t.release(request)
+	request.Hops, request.HopsBefore, request.HeldBefore, request.LostHops = nil, nil, nil, nil
+	request.Move = MoveIdle
+}
+
 // markAnswerStarted records that an attempt's prefill is complete and its answer
 // has begun.
 func (t *Tables) markAnswerStarted(request *RequestRow) {
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -23,7 +23,7 @@
 		t.Answer(failed.CorrelationID, lentilmux.RefusalAnswer{Refusal: lentilmux.Refusal{Reason: lentilmux.ReasonOutcomeUnknown, Detail: "the leg is not known"}})
 		return
 	}
-	t.release(request)
+	t.endAttempt(request)
 	if failed.NotRun && failed.Answered {
 		t.markFull(request, failed.BlamedUpstream, now)
 	}
