Hold nothing against upstreams that this VM cannot reach

Cause: a VM took the loss of its own links for the death of upstreams, told its peers, which believed it, and went on leading: it ordered layers to other upstreams. The class: a fact about one link taken for a fact about the upstream, by one VM and then by all. Change: TrackReach. Three upstreams that fail within a second are a reason to doubt the links; new connections to four upstreams of all zones tell. While in doubt, nothing is held against an upstream; a VM without links takes back its verdicts, neither leads nor probes nor testifies until a second after its links are back, and says so in its digests. A peer's report that an upstream is dead keeps new requests away and starts a probe; only a probe that the VM misses itself makes it dead.

--- a/entryvm/gatewayeffects.go
+++ b/entryvm/gatewayeffects.go
@@ -15,6 +15,9 @@
 	// reportTimeout bounds an upstream's report. A late report is itself a sign
 	// that the upstream has failed.
 	reportTimeout = 250 * time.Millisecond
+	// connectTimeout bounds the opening of a connection that tests whether an
+	// upstream can be reached.
+	connectTimeout = 250 * time.Millisecond
 	// putTimeout bounds the write of a record to the store.
 	putTimeout = 2 * time.Second
 )
@@ -39,6 +42,8 @@
 		g.log.SetSources(x.VMs)
 	case lentilmux.FetchReportEffect:
 		g.run(effect, func() { g.fetchReport(x) })
+	case lentilmux.ConnectEffect:
+		g.run(effect, func() { g.connect(x) })
 	case lentilmux.RangeOrderEffect:
 		g.run(effect, func() { g.sendOrder(x) })
 	case lentilmux.PlanRangesEffect:
@@ -64,6 +69,14 @@
 	g.sendToNode(lentilmux.UpstreamReportMsg{Upstream: effect.Upstream, Report: report, Err: err})
 }
 
+// connect tests whether an upstream accepts a connection and passes the result to
+// the node.
+func (g *Gateway) connect(effect lentilmux.ConnectEffect) {
+	ctx, cancel := context.WithTimeout(g.ctx, connectTimeout)
+	defer cancel()
+	g.sendToNode(lentilmux.ConnectResultMsg{Upstream: effect.Upstream, Err: g.dependencies.Engine.Connect(ctx, effect.Addr)})
+}
+
 // sendOrder sends a layer order to an upstream and passes the result to the
 // node.
 func (g *Gateway) sendOrder(effect lentilmux.RangeOrderEffect) {
--- a/fleet/crashsuspects.go
+++ b/fleet/crashsuspects.go
@@ -31,6 +31,16 @@
 	return nil
 }
 
+// withdrawSince takes back the last crash of each fingerprint for which it was
+// recorded at or after a time.
+func (c *CrashSuspects) withdrawSince(first time.Time) {
+	for i := range c.Rows {
+		if !c.Rows[i].LastCrashAt.Before(first) {
+			c.Rows[i].Crashes--
+		}
+	}
+}
+
 // RecordCrash counts a crash and returns the number of crashes so far. It
 // removes rows whose last crash is older than retention.
 func (c *CrashSuspects) RecordCrash(fingerprint lentilmux.Fingerprint, now time.Time, retention time.Duration) int {
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -133,6 +133,9 @@
 		VM: t.Self.Name, VMCount: 1, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
 		Draining: t.Self.Draining, Stale: t.ConfigStale(now),
 	}
+	if t.isIsolated(now) {
+		digest.IsolatedVMs = []lentilmux.VMHash{lentilmux.HashVM(t.Self.Name)}
+	}
 	for _, row := range t.Upstreams.Rows {
 		slowdown := 0.0
 		if now.Sub(row.ReportedAt) < t.Limits.MaxReportAge {
@@ -143,7 +146,7 @@
 				Upstream: row.Hash, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
 			})
 		}
-		if row.Dead && !row.ReportedByPeer {
+		if row.Dead && !row.ReportedByPeer && t.trustsLinks() && !t.isIsolated(now) {
 			digest.Suspects = append(digest.Suspects, row.ID)
 		}
 	}
@@ -162,6 +165,7 @@
 	sum = own
 	sum.Scope = scope
 	sum.Loads, sum.RetryCounts, sum.Suspects = slices.Clone(own.Loads), slices.Clone(own.RetryCounts), slices.Clone(own.Suspects)
+	sum.IsolatedVMs = slices.Clone(own.IsolatedVMs)
 	indexByUpstream := make(map[lentilmux.UpstreamHash]int, len(sum.Loads))
 	for i, load := range sum.Loads {
 		indexByUpstream[load.Upstream] = i
@@ -171,6 +175,7 @@
 			continue
 		}
 		sum.VMCount += vm.VMCount
+		sum.IsolatedVMs = append(sum.IsolatedVMs, vm.IsolatedVMs...)
 		mergeLoads(&sum, indexByUpstream, vm.Loads)
 		mergeRetryCounts(&sum, vm.RetryCounts)
 		for _, id := range vm.Suspects {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -51,6 +51,7 @@
 	UpstreamLimits  []lentilmux.UpstreamLimitMsg
 	UpstreamDrains  []lentilmux.UpstreamDrainMsg
 	BackOffs        []lentilmux.UpstreamBackOffMsg
+	ConnectResults  []lentilmux.ConnectResultMsg
 	Limits          *Limits
 	BeginDrain      bool
 }
@@ -91,6 +92,8 @@
 		e.UpstreamDrains = append(e.UpstreamDrains, x)
 	case lentilmux.UpstreamBackOffMsg:
 		e.BackOffs = append(e.BackOffs, x)
+	case lentilmux.ConnectResultMsg:
+		e.ConnectResults = append(e.ConnectResults, x)
 	case LimitsMsg:
 		e.Limits = &x.Limits
 	case lentilmux.BeginDrainMsg:
@@ -115,6 +118,6 @@
 		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
 		PartReleases: e.PartReleases[:0], UpstreamLimits: e.UpstreamLimits[:0], UpstreamDrains: e.UpstreamDrains[:0],
-		BackOffs: e.BackOffs[:0],
+		BackOffs: e.BackOffs[:0], ConnectResults: e.ConnectResults[:0],
 	}
 }
--- a/fleet/failures.go
+++ b/fleet/failures.go
@@ -18,6 +18,9 @@
 
 // Run implements [System].
 func (d *DetectFailures) Run(t *Tables, now time.Time) {
+	if !t.trustsLinks() {
+		return
+	}
 	for _, msg := range t.Events.FailedAttempts {
 		if request := t.findAttempt(msg.Request, msg.Epoch); request != nil && len(request.Reservations) > 0 {
 			d.handleFailure(t, request, msg.ForwardFailedMsg, now)
@@ -93,7 +96,7 @@
 // probed within MinProbeInterval or this VM's share of MaxProbesPerSecond is
 // used up.
 func (t *Tables) probe(row *UpstreamRow, now time.Time) {
-	if now.Sub(row.ProbedAt) < t.Limits.MinProbeInterval {
+	if t.Reach.State == ReachLost || now.Sub(row.ProbedAt) < t.Limits.MinProbeInterval {
 		return
 	}
 	if model, _ := t.ModelAndAccelerator(row); model == nil || !t.ProbeBucket.take(now, t.Limits.MaxProbesPerSecond/float64(t.LiveVMs(now)), probeBurst, 1) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -73,6 +73,7 @@
 	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch}
 	s.systems = []System{
 		&ApplyStoreUpdates{},
+		&TrackReach{},
 		&ApplyReports{},
 		&FinishRequests{},
 		&TrackPartCrashes{},
--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -83,7 +83,7 @@
 // probe tells.
 func (c *TrackPartCrashes) recordBreak(t *Tables, request *RequestRow, now time.Time) {
 	row := t.Upstreams.Find(request.LastUpstream)
-	if len(request.SharedParts) == 0 || row == nil {
+	if len(request.SharedParts) == 0 || row == nil || t.Reach.State == ReachLost {
 		return
 	}
 	broken := BrokenAttempt{Upstream: row.ID, StartedAt: row.StartedAt, At: now, Parts: request.SharedParts, AtSend: request.PartsAtSend}
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -14,7 +14,7 @@
 
 // Run implements [System].
 func (p *ProbeUpstreams) Run(t *Tables, now time.Time) {
-	if t.Self.Draining || !t.Rules.Loaded {
+	if t.Self.Draining || !t.Rules.Loaded || !t.trustsLinks() {
 		return
 	}
 	rank, count, ok := t.proberRank(now)
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -131,6 +131,10 @@
 			}
 		}
 	}
+	names = slices.DeleteFunc(names, func(name string) bool {
+		vm := t.VMs.Find(name)
+		return vm != nil && vm.Isolated
+	})
 	slices.SortFunc(names, cmp.Compare)
 	rank = slices.Index(names, t.Self.Name)
 	return rank, len(names), rank >= 0
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,6 +31,7 @@
 		}
 	}
 	if anyLost || len(t.Events.Digests) > 0 {
+		t.markIsolated(now)
 		a.recountPeerLoads(t, now)
 	}
 	for _, msg := range t.Events.Reports {
@@ -56,29 +58,51 @@
 	vm.Incarnation, vm.Sequence, vm.LastDigestAt, vm.UnansweredSince = digest.Incarnation, digest.Sequence, now, time.Time{}
 	vm.Zone, vm.Addr, vm.Draining, vm.Stale, vm.RetryCounts = digest.Zone, digest.Addr, digest.Draining, digest.Stale, digest.RetryCounts
 	t.Zones.Index(vm.Zone)
+	known := vm.Suspects
 	if digest.Scope == lentilmux.ScopeFleet {
+		known = vm.FleetSuspects
+		vm.FleetSuspects = digest.Suspects
 		a.applyFleetLoads(t, digest, now)
 	} else {
 		vm.Scope, vm.VMCount, vm.Loads, vm.Suspects = digest.Scope, digest.VMCount, digest.Loads, digest.Suspects
+		vm.IsolatedVMs = digest.IsolatedVMs
 	}
 	for _, id := range digest.Suspects {
-		if row := t.Upstreams.Find(id); row != nil && !row.Dead {
+		if row := t.Upstreams.Find(id); row != nil && !row.Dead && !slices.Contains(known, id) {
 			a.applyPeerSuspicion(t, row, digest.VM, now)
 		}
 	}
 }
 
-// applyPeerSuspicion handles a peer's report that an upstream is dead. The
-// report is ignored if this VM recently saw progress at the upstream or got a
-// report from it.
+// applyPeerSuspicion handles a peer's new report that an upstream is dead. A peer
+// sees only its own link to the upstream, so the report keeps new requests away and
+// starts a probe, but only a probe that this VM misses itself makes the upstream
+// dead. If this VM recently saw progress at the upstream or got a report from it, it
+// goes on using it until the probe tells.
 func (a *ApplyReports) applyPeerSuspicion(t *Tables, row *UpstreamRow, vm string, now time.Time) {
-	if now.Sub(row.Progress.Last()) < t.Limits.ProgressTimeout || now.Sub(row.ReportedAt) < t.Limits.MinProbeInterval {
+	if !t.trustsLinks() {
 		return
 	}
-	row.Dead, row.ReportedByPeer = true, true
-	t.NewSuspects = t.NewSuspects || t.usesRelays() && t.isRelay(now) // which passes it on
-	t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: "reported by " + vm})
-	t.markSuspected(row, now, "reported by "+vm)
+	if now.Sub(row.Progress.Last()) >= t.Limits.ProgressTimeout && now.Sub(row.ReportedAt) >= t.Limits.MinProbeInterval {
+		row.ReportedByPeer = true
+		t.NewSuspects = t.NewSuspects || t.usesRelays() && t.isRelay(now) // which passes it on
+		t.markSuspected(row, now, "reported by "+vm)
+	}
+	t.probeReported(row, now)
+}
+
+// probeReported probes an upstream that a peer reported as dead. One on which this
+// VM has work in flight is probed at once, whatever the share of MaxProbesPerSecond
+// that is left: the work has to move if the report is true.
+func (t *Tables) probeReported(row *UpstreamRow, now time.Time) {
+	if row.OwnLoad.Streams == 0 {
+		t.probe(row, now)
+		return
+	}
+	if model, _ := t.ModelAndAccelerator(row); model != nil && now.Sub(row.ProbedAt) >= t.Limits.MinProbeInterval {
+		row.ProbedAt = now
+		t.AddEffect(lentilmux.FetchReportEffect{Upstream: row.ID, Addr: row.Addr})
+	}
 }
 
 // applyFleetLoads stores a relay's fleet-wide sum. While the sums of the relay
@@ -87,7 +111,7 @@
 	if t.FleetLoads.Relay < digest.VM && t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
 		return
 	}
-	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts}
+	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts, IsolatedVMs: digest.IsolatedVMs}
 	for _, row := range t.Upstreams.Rows {
 		if covers(&digest, row) {
 			row.FleetLoad = Load{}
@@ -211,12 +235,21 @@
 
 // recordMissedProbe counts a failed probe. A refused connection proves that no
 // process listens, so the upstream is dead. Any other failure may be a lost
-// answer, so the upstream is dead only after MaxMissedProbes failures in a row.
+// answer, so the upstream is dead only after MaxMissedProbes failures in a row, or
+// after one if a peer reported it as dead too. While this VM doubts its links, the
+// failure says nothing of the upstream.
 func (a *ApplyReports) recordMissedProbe(t *Tables, row *UpstreamRow, err error, now time.Time) {
 	row.MissedProbes++
+	if !t.trustsLinks() {
+		return
+	}
 	var upstreamErr *lentilmux.UpstreamError
 	refused := errors.As(err, &upstreamErr) && upstreamErr.Kind == lentilmux.FailureDial && !errors.Is(err, context.DeadlineExceeded)
-	if !refused && row.MissedProbes < t.Limits.MaxMissedProbes {
+	missed := row.MissedProbes
+	if row.ReportedByPeer {
+		missed++
+	}
+	if !refused && missed < t.Limits.MaxMissedProbes {
 		row.ProbedAt = time.Time{}
 		t.probe(row, now)
 		return
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -30,7 +30,7 @@
 	if !failed.NotRun {
 		request.countRun()
 	}
-	if failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered {
+	if failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered && t.Reach.State != ReachLost {
 		t.CrashSuspects.RecordCrash(request.Fingerprint, now, t.Limits.CrashRetention)
 	}
 	if len(request.Older) > 0 {
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -49,6 +49,7 @@
 	epochs      map[string]lentilmux.Epoch
 	tables      *fleet.Tables
 	lastDigests []string // digests of the last tick that sent any
+	linksLost   bool     // whether no upstream accepts a connection of the VM
 	out         strings.Builder
 }
 
@@ -178,6 +179,9 @@
 		return s.moveResult(name, fields), nil
 	case "limit":
 		return upstreamLimit(name, fields), nil
+	case "links":
+		s.linksLost = name == "lost"
+		return nil, nil
 	case "drains":
 		return upstreamDrain(name, fields), nil
 	case "refused":
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"lentilmux.example/lentilmux"
 )
 
@@ -17,6 +19,9 @@
 		Scope: map[string]lentilmux.DigestScope{"zone": lentilmux.ScopeZone, "fleet": lentilmux.ScopeFleet}[fields["scope"]],
 	}
 	digest.Stale = fields["stale"] == "true"
+	for _, vm := range strings.FieldsFunc(fields["isolated"], func(r rune) bool { return r == ',' }) {
+		digest.IsolatedVMs = append(digest.IsolatedVMs, lentilmux.HashVM(vm))
+	}
 	digest.Parts = partSuspicions(fields)
 	digest.Drains = announcedDrains(fields)
 	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
@@ -31,6 +36,15 @@
 	return digest
 }
 
+// connectResult returns the result of a test of an upstream's link.
+func (s *scenario) connectResult(upstream string) lentilmux.Envelope {
+	msg := lentilmux.ConnectResultMsg{Upstream: upstream}
+	if s.linksLost {
+		msg.Err = errors.New("no answer")
+	}
+	return lentilmux.Envelope{Msg: msg}
+}
+
 // vmAddr returns the address of a VM with a name such as entry-3.
 func vmAddr(name string) netip.AddrPort {
 	_, number, _ := strings.Cut(name, "-")
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -34,6 +35,9 @@
 	for _, drain := range effect.Digest.Drains {
 		text += fmt.Sprintf(" drain of %s, started at %d, %s ago", s.nameOf(drain.Upstream), drain.StartedAt.Unix(), drain.Age)
 	}
+	if slices.Contains(effect.Digest.IsolatedVMs, lentilmux.HashVM(effect.Digest.VM)) {
+		text += " isolated"
+	}
 	s.lastDigests = append(s.lastDigests, text)
 }
 
@@ -46,11 +50,14 @@
 		s.nextTick = now.Add(time.Millisecond)
 	}
 	first := true
-	var plans []lentilmux.Envelope
+	var results []lentilmux.Envelope
 	for _, effect := range effects {
 		if x, ok := effect.(lentilmux.PlanRangesEffect); ok {
 			ranges := placement.ZoneSearch{}.Place(x.Model, x.Zones, x.Nodes)
-			plans = append(plans, lentilmux.Envelope{Msg: lentilmux.RangesPlannedMsg{Service: x.Service, Nodes: x.Nodes, Ranges: ranges}})
+			results = append(results, lentilmux.Envelope{Msg: lentilmux.RangesPlannedMsg{Service: x.Service, Nodes: x.Nodes, Ranges: ranges}})
+		}
+		if x, ok := effect.(lentilmux.ConnectEffect); ok {
+			results = append(results, s.connectResult(x.Upstream))
 		}
 		if x, ok := effect.(lentilmux.LoadDigestEffect); ok {
 			if first {
@@ -62,8 +69,8 @@
 			fmt.Fprintf(&s.out, "%8s %s\n", now.Sub(s.start), text)
 		}
 	}
-	if len(plans) > 0 {
-		s.tick(now, plans...)
+	if len(results) > 0 {
+		s.tick(now, results...)
 	}
 }
 
@@ -79,6 +86,8 @@
 		return fmt.Sprintf("order %s to load %d-%d after %d accepted orders", x.Upstream, x.Order.Layers.First, x.Order.Layers.Last, x.Order.ExpectedOrders)
 	case lentilmux.FetchReportEffect:
 		return "fetch report of " + x.Upstream
+	case lentilmux.ConnectEffect:
+		return "connect to " + x.Upstream
 	case lentilmux.MoveEffect:
 		return fmt.Sprintf("move %s to %s", x.Request, formatHops(x.Path))
 	case lentilmux.ReadinessEffect:
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -251,6 +251,8 @@
 			}
 		case lentilmux.FetchReportEffect:
 			s.after(simulatedLatency, func() { s.report(vm, x.Upstream) })
+		case lentilmux.ConnectEffect:
+			s.after(simulatedLatency, func() { s.connect(vm, x.Upstream) })
 		case lentilmux.PutEffect:
 			s.store[x.Key] = x
 		case lentilmux.DecisionEffect:
@@ -261,6 +263,15 @@
 	}
 }
 
+// connect answers a test of the link to an upstream.
+func (s *simulation) connect(vm *simulatedVM, id string) {
+	msg := lentilmux.ConnectResultMsg{Upstream: id}
+	if s.now.Before(s.byID[id].downUntil) {
+		msg.Err = fmt.Errorf("refused")
+	}
+	s.deliver(vm, msg)
+}
+
 // report answers a probe of an upstream.
 func (s *simulation) report(vm *simulatedVM, id string) {
 	upstream := s.byID[id]
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -30,6 +30,7 @@
 	Rules           Rules
 	Upstreams       Upstreams
 	Departures      Departures
+	Reach           Reach
 	VMs             VMs
 	FleetLoads      FleetLoads
 	Requests        Requests
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -30,7 +30,7 @@
 	Trials              int           // trials of this VM that have not begun to answer; no other request starts here if there is an alternative
 	MissedProbes        int           // unanswered probes in a row
 	Dead                bool          // whether requests in flight on it have to move
-	ReportedByPeer      bool          // whether Dead was reported by a peer
+	ReportedByPeer      bool          // whether a peer reported it as dead before this VM found out
 
 	RequestLimit    RequestLimitState
 	BackOffUntil    time.Time // named in an answer to this VM: nothing new starts here until then
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -21,14 +21,18 @@
 	VMCount         int                   // number of VMs that its last digest covers
 	Loads           []lentilmux.UpstreamLoad
 	RetryCounts     []lentilmux.RetryCounts
-	Suspects        []string  // IDs of upstreams that it considers dead
-	UnansweredSince time.Time // when the first digest was sent to it while it was not live; zero while it is live
+	Suspects        []string           // IDs of upstreams that it considers dead
+	FleetSuspects   []string           // the same by its last fleet-wide sum
+	IsolatedVMs     []lentilmux.VMHash // VMs that reach no upstream, by its last digest
+	Isolated        bool               // whether the digests of any VM list this one as isolated
+	UnansweredSince time.Time          // when the first digest was sent to it while it was not live; zero while it is live
 }
 
 // VMs is the table of peers.
 type VMs struct {
 	Rows        []*VMRow
 	indexByName map[string]int
+	rowByHash   map[lentilmux.VMHash]*VMRow
 }
 
 // Find returns a peer's row, or nil if the peer is unknown.
@@ -46,13 +50,40 @@
 	}
 	if v.indexByName == nil {
 		v.indexByName = make(map[string]int)
+		v.rowByHash = make(map[lentilmux.VMHash]*VMRow)
 	}
 	row := &VMRow{Name: name}
 	v.indexByName[name] = len(v.Rows)
+	v.rowByHash[lentilmux.HashVM(name)] = row
 	v.Rows = append(v.Rows, row)
 	return row
 }
 
+// markIsolated records which peers are isolated, by the last digests of those that
+// are live.
+func (t *Tables) markIsolated(now time.Time) {
+	for _, vm := range t.VMs.Rows {
+		vm.Isolated = false
+	}
+	for _, vm := range t.VMs.Rows {
+		if t.isLive(vm, now) {
+			t.VMs.markIsolated(vm.IsolatedVMs)
+		}
+	}
+	if t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
+		t.VMs.markIsolated(t.FleetLoads.IsolatedVMs)
+	}
+}
+
+// markIsolated marks VMs as isolated.
+func (v *VMs) markIsolated(hashes []lentilmux.VMHash) {
+	for _, hash := range hashes {
+		if vm := v.rowByHash[hash]; vm != nil {
+			vm.Isolated = true
+		}
+	}
+}
+
 // FleetLoads is what the fleet-wide sum that was last received from a relay says
 // of the fleet. The loads of its upstreams are in their rows.
 type FleetLoads struct {
@@ -60,6 +91,7 @@
 	ReceivedAt  time.Time
 	VMCount     int // number of VMs in the sum
 	RetryCounts []lentilmux.RetryCounts
+	IsolatedVMs []lentilmux.VMHash // VMs of the fleet that reach no upstream
 }
 
 // isFresh reports whether the sum was received at most maxAge ago.
@@ -87,17 +119,17 @@
 }
 
 // IsLeader reports whether this VM places layers and sends orders. The leader is
-// the VM with the lowest name among those that are live, not draining and in
-// contact with the store; where relays are used, only they know enough of the
+// the VM with the lowest name among those that are live, not draining, in contact
+// with the store and not isolated from the upstreams; where relays are used, only they know enough of the
 // others to lead. Two VMs may both consider themselves leader for a while. That is
 // safe: an order names the number of orders that the upstream has accepted, so
 // the upstream refuses the second one.
 func (t *Tables) IsLeader(now time.Time) bool {
-	if t.Self.Draining || t.ConfigStale(now) || t.usesRelays() && !t.isRelay(now) {
+	if t.Self.Draining || t.ConfigStale(now) || t.isIsolated(now) || t.usesRelays() && !t.isRelay(now) {
 		return false
 	}
 	for _, vm := range t.VMs.Rows {
-		if vm.Name < t.Self.Name && t.isLive(vm, now) && !vm.Draining && !vm.Stale {
+		if vm.Name < t.Self.Name && t.isLive(vm, now) && !vm.Draining && !vm.Stale && !vm.Isolated {
 			return false
 		}
 	}
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -87,6 +87,8 @@
 			}
 			_ = f.node.Send(f.t.Context(), msg)
 		}()
+	case lentilmux.ConnectEffect:
+		go func() { _ = f.node.Send(f.t.Context(), lentilmux.ConnectResultMsg{Upstream: x.Upstream}) }()
 	case lentilmux.DecisionEffect:
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -107,6 +107,9 @@
 	for _, drain := range digest.Drains {
 		message.Drains = append(message.Drains, &peerpb.UpstreamDrain{Upstream: uint32(drain.Upstream), StartedAtMs: drain.StartedAt.UnixMilli(), AgeMs: uint64(drain.Age.Milliseconds())})
 	}
+	for _, vm := range digest.IsolatedVMs {
+		message.IsolatedVms = append(message.IsolatedVms, uint32(vm))
+	}
 	return message
 }
 
@@ -183,6 +186,9 @@
 			Upstream: lentilmux.UpstreamHash(drain.GetUpstream()), StartedAt: time.UnixMilli(drain.GetStartedAtMs()), Age: ageFromProto(drain.GetAgeMs()),
 		})
 	}
+	for _, vm := range message.GetIsolatedVms() {
+		digest.IsolatedVMs = append(digest.IsolatedVMs, lentilmux.VMHash(vm))
+	}
 	return digest, nil
 }
 
--- a/streams.go
+++ b/streams.go
@@ -173,6 +173,8 @@
 	// MoveRequest moves a request in flight to another path with the same first
 	// hop. The error says why there is no answer.
 	MoveRequest(ctx context.Context, request RequestID, path []Hop) (answer MoveAnswer, err error)
+	// Connect opens a new connection to an upstream and closes it again.
+	Connect(ctx context.Context, addr netip.AddrPort) (err error)
 }
 
 // FetchReportEffect fetches the state of an upstream.
@@ -258,6 +260,12 @@
 // HashUpstream returns the hash of an upstream's ID.
 func HashUpstream(id string) UpstreamHash { return UpstreamHash(ComputeFingerprint(id)) }
 
+// VMHash identifies an entry VM in load digests, by a hash of its name.
+type VMHash uint32
+
+// HashVM returns the hash of the name of an entry VM.
+func HashVM(name string) VMHash { return VMHash(ComputeFingerprint(name)) }
+
 // UpstreamLoad is the work in flight at one upstream, summed over the VMs of a
 // load digest.
 type UpstreamLoad struct {
@@ -302,6 +310,7 @@
 	Parts       []PartSuspicion // prompt parts that may crash upstreams, as the sender knows them
 	Limits      []UpstreamLimit // limits that upstreams named, as the sender knows them
 	Drains      []UpstreamDrain // drains that upstreams announced, as the sender knows them
+	IsolatedVMs []VMHash        // VMs that the digest covers and that reach no upstream
 }
 
 // RetryCounts counts the sends to one service in the retry window, for the retry
