Forward requests to a peer while this VM reaches no upstream

Cause: a VM had one way to an upstream, its own links, although every other VM reached the upstreams. Change: while a VM doubts its links or has none, it forwards its callers' requests to a peer that is live, not isolated, not draining and in contact with the store, in its own zone unless most VMs there are isolated. The peer selects the upstream as for its own callers, so back-offs, drains, limits, trials and the retry budget are those of the VM that sends. A request is forwarded once only; the caller's key is not passed on, but the workspace. A stream goes on at another peer after its last event; a call that may run once is not sent again when the peer's answer is lost. Weighed: not ready in place of this takes two seconds and does nothing where fewer than half of a zone's VMs stay in rotation, nor for open connections; forwarding bytes only would hide from the peer what upstreams tell it.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -47,6 +47,9 @@
 	Placement  lentilmux.RangePlacement // nil for [placement.ZoneSearch]
 	// NewCallerHandler returns the handler of callers' requests.
 	NewCallerHandler func(relay *forward.Relay, state *GatewayState) http.Handler
+	// NewPeerHandler returns the handler of requests that peers forward. If it is
+	// nil, peers cannot forward any.
+	NewPeerHandler func(relay *forward.Relay, state *GatewayState) http.Handler
 }
 
 // GatewayState is the part of a [Gateway]'s state that front ends read. Its
@@ -188,7 +191,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limits.MaxDrainDuration-limits.MinDrainDuration)
 	defer cancel()
-	if err := servers.caller.Shutdown(ctx); err != nil {
+	err := servers.caller.Shutdown(ctx)
+	if err == nil {
+		err = servers.forwarded.wait(ctx)
+	}
+	if err != nil {
 		g.decisionLog.enqueue(lentilmux.Decision{What: "drain_incomplete", Subject: g.config.Name, Reason: err.Error()})
 		servers.abortRequests()
 	}
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -27,7 +27,8 @@
 	caller    *http.Server
 	readiness *http.Server
 	metrics   *http.Server
-	copies    *http.Server
+	peers     *http.Server
+	forwarded forwardedRequests
 
 	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
@@ -64,8 +65,15 @@
 	}
 	copies := http.NewServeMux()
 	copies.Handle(peer.NewCopyHandler(g.copies))
-	s.copies = &http.Server{Handler: copies, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout}
-	if err := g.serve(s.copies, g.config.PeerAddr); err != nil {
+	s.forwarded.other = copies
+	if g.dependencies.NewPeerHandler != nil {
+		s.forwarded.handler = g.dependencies.NewPeerHandler(relay, &g.state)
+	}
+	s.peers = &http.Server{
+		Handler: &s.forwarded, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
+		MaxHeaderBytes: g.config.MaxHeaderBytes + forwardedHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
+	}
+	if err := g.serve(s.peers, g.config.PeerAddr); err != nil {
 		return err
 	}
 	return g.serve(s.caller, g.config.CallerAddr)
@@ -97,7 +105,7 @@
 
 // close closes all opened servers and their connections immediately.
 func (s *gatewayServers) close() {
-	for _, server := range []*http.Server{s.caller, s.readiness, s.metrics, s.copies} {
+	for _, server := range []*http.Server{s.caller, s.readiness, s.metrics, s.peers} {
 		if server != nil {
 			_ = server.Close() // the process or test is ending
 		}
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -42,7 +42,7 @@
 func (a *AdmitRequests) admitOrRefuse(t *Tables, row PendingRow, now time.Time) {
 	request, refusal := a.admit(t, &row.Inbound, now)
 	if refusal == nil {
-		if !row.Admitted {
+		if !row.Admitted && !t.forwards(request) { // a peer counts what is forwarded to it
 			t.RetryBudgets.GetOrCreate(request.Service).countRequest(now, t.Limits.RetryWindow)
 		}
 		t.Requests.Put(request)
@@ -66,12 +66,15 @@
 	route := t.Rules.Route(inbound.Host, inbound.Path)
 	stale := t.ConfigStale(now)
 	if route == nil {
-		if stale {
+		if stale || inbound.Forwarded.IsForwarded() { // the peer that forwards it knows the route
 			return nil, t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old to know the route")
 		}
 		return nil, t.notRunRefusal(lentilmux.ReasonUnknownRoute, "no route")
 	}
 	request = &RequestRow{InboundRequest: *inbound, Route: route, Priority: route.Priority, Service: selectService(route, lentilmux.ComputeFingerprint(string(inbound.ID)))}
+	if inbound.Forwarded.IsForwarded() {
+		return request, t.admitForwarded(request, now)
+	}
 	workspace := t.Rules.Workspace(inbound.Key)
 	switch {
 	case workspace != nil:
@@ -85,16 +88,47 @@
 	if !route.Anonymous && len(t.Rules.Workspaces) > 0 && stale {
 		return nil, t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old to honour keys")
 	}
-	if suspect := t.CrashSuspects.Find(inbound.Fingerprint, now, t.Limits.CrashRetention); suspect != nil && suspect.Crashes >= t.Limits.MaxCrashes {
-		return nil, t.notRunRefusal(lentilmux.ReasonQuarantined, fmt.Sprintf("crashed upstreams %d times", suspect.Crashes))
-	}
-	if row := t.heldPart(inbound.SharedParts, now); row != nil {
-		return nil, t.heldPartRefusal(row, now)
+	if refusal = t.checkCrashes(request, now); refusal != nil {
+		return nil, refusal
 	}
 	request.Deadline = earliest(request.Deadline, request.ReceivedAt.Add(route.Timeout))
 	return request, nil
 }
 
+// admitForwarded completes the row of a request that a peer forwarded, which has
+// checked the caller's key. This VM refuses it if it cannot serve its own callers.
+func (t *Tables) admitForwarded(request *RequestRow, now time.Time) (refusal *lentilmux.Refusal) {
+	forwarded := &request.Forwarded
+	switch {
+	case t.Self.Draining:
+		return t.notRunRefusal(lentilmux.ReasonDraining, "this VM drains")
+	case t.Reach.State == ReachLost:
+		return t.notRunRefusal(lentilmux.ReasonNotReady, "this VM reaches no upstream either")
+	case t.ConfigStale(now):
+		return t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old")
+	}
+	for i := range t.Rules.Workspaces {
+		if workspace := &t.Rules.Workspaces[i]; workspace.Name == forwarded.Workspace && workspace.HasPriority {
+			request.Priority = workspace.Priority
+		}
+	}
+	request.Workspace, request.PossibleRuns, request.MayHaveRun = forwarded.Workspace, forwarded.PossibleRuns, forwarded.PossibleRuns > 0
+	request.Deadline = earliest(request.Deadline, request.ReceivedAt.Add(request.Route.Timeout))
+	return t.checkCrashes(request, now)
+}
+
+// checkCrashes refuses a request that crashed upstreams, or that has a prompt part
+// which does.
+func (t *Tables) checkCrashes(request *RequestRow, now time.Time) (refusal *lentilmux.Refusal) {
+	if suspect := t.CrashSuspects.Find(request.Fingerprint, now, t.Limits.CrashRetention); suspect != nil && suspect.Crashes >= t.Limits.MaxCrashes {
+		return t.notRunRefusal(lentilmux.ReasonQuarantined, fmt.Sprintf("crashed upstreams %d times", suspect.Crashes))
+	}
+	if row := t.heldPart(request.SharedParts, now); row != nil {
+		return t.heldPartRefusal(row, now)
+	}
+	return nil
+}
+
 // notRunRefusal returns the refusal of a request that no upstream has run.
 func (t *Tables) notRunRefusal(reason lentilmux.Reason, detail string) *lentilmux.Refusal {
 	return &lentilmux.Refusal{Outcome: lentilmux.OutcomeNotRun, Reason: reason, Detail: detail, RetryAfter: t.Limits.RefusalRetryAfter}
@@ -106,6 +140,12 @@
 	if !now.Before(request.Deadline) {
 		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonDeadline, "no time left"))
 	}
+	if t.forwards(request) && a.forwardToPeer(t, request, correlationID, now) {
+		return nil
+	}
+	if t.Reach.State == ReachLost {
+		return a.adjustOutcome(request, t.unreachableRefusal())
+	}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: lentilmux.Epoch(request.Attempts + 1), Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
 	}
@@ -124,7 +164,7 @@
 	}
 	request.Move, request.HopsBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.RunCounted = attempt.Epoch, false, false
-	request.SentAt, request.LastUpstream = now, attempt.Upstream
+	request.SentAt, request.LastUpstream, request.Peer = now, attempt.Upstream, ""
 	request.Attempts++
 	t.reserve(request)
 	t.startTrial(request, now)
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -45,7 +45,7 @@
 			What: "request_done", Subject: string(msg.Request), Chosen: fmt.Sprint(msg.Status),
 			// legs is the number of attempts, first the time to the first byte, pause the
 			// longest gap between events and took the total duration.
-			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()),
+			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + request.describeForwarding(),
 		})
 	}
 }
@@ -71,3 +71,15 @@
 			t.Rules.Version, now.Sub(t.Rules.InstalledAt).Milliseconds()),
 	})
 }
+
+// describeForwarding returns by which other VM a request came or went, for the log.
+// It is empty if there is none.
+func (r *RequestRow) describeForwarding() (text string) {
+	if r.Peer != "" {
+		text += " peer=" + r.Peer
+	}
+	if r.Forwarded.IsForwarded() {
+		text += " forwarded_by=" + r.Forwarded.VM
+	}
+	return text
+}
--- /dev/null
+++ b/fleet/peerforward.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// A VM that does not trust its links to upstreams forwards the requests of its
+// callers to a peer, which selects the upstream as for its own callers. A request is
+// forwarded once only: a VM that gets one from a peer either sends it to an upstream
+// or refuses it.
+
+const (
+	// peerAvoidDuration is how long a peer that could not be reached, or that refused
+	// a request since it cannot serve any, gets no forwarded ones.
+	peerAvoidDuration = 2 * time.Second
+	// maxPeerSilence is the time without a digest of a peer after which a stalled
+	// request that was forwarded to it is given another attempt.
+	maxPeerSilence = 700 * time.Millisecond
+	// maxPeerRefusals is the number of peers that may refuse one request since they
+	// cannot serve any, without this counting as an attempt.
+	maxPeerRefusals = 4
+)
+
+// forwards reports whether the next attempt of a request goes to a peer, if one is
+// usable.
+func (t *Tables) forwards(request *RequestRow) bool {
+	return !t.trustsLinks() && !request.Forwarded.IsForwarded()
+}
+
+// selectPeer returns the peer to forward a request to, or nil if none is usable: the
+// one of this VM's zone to which the last request went longest ago. If most VMs of
+// the zone are isolated, it chooses among those of all zones, so that the few do not
+// carry the load of the zone alone.
+func (t *Tables) selectPeer(now time.Time) (peer *VMRow) {
+	var nearest, any *VMRow
+	usable, isolated := 0, 1 // in this VM's zone
+	for _, vm := range t.VMs.Rows {
+		sameZone := vm.Zone == t.Self.Zone
+		if !t.isUsablePeer(vm, now) {
+			if sameZone && vm.Isolated {
+				isolated++
+			}
+			continue
+		}
+		if sameZone {
+			usable++
+			nearest = longerUnused(nearest, vm)
+		}
+		any = longerUnused(any, vm)
+	}
+	if nearest != nil && usable >= isolated {
+		return nearest
+	}
+	return any
+}
+
+// longerUnused returns the one of two peers to which the last request was forwarded
+// earlier. The first may be nil.
+func longerUnused(a, b *VMRow) *VMRow {
+	if a == nil || b.ForwardedAt.Before(a.ForwardedAt) {
+		return b
+	}
+	return a
+}
+
+// isUsablePeer reports whether requests may be forwarded to a peer. In a fleet that
+// uses relays a VM gets no digests of most peers, and knows only which are isolated.
+func (t *Tables) isUsablePeer(vm *VMRow, now time.Time) bool {
+	if !vm.Addr.IsValid() || vm.Isolated || vm.Draining || vm.Stale || now.Before(vm.AvoidUntil) {
+		return false
+	}
+	return t.isLive(vm, now) || t.usesRelays() && !t.isUnresponsive(vm, now)
+}
+
+// forwardToPeer makes a peer the target of the next attempt of a request and answers
+// with it. It returns false if no peer is usable.
+func (a *AdmitRequests) forwardToPeer(t *Tables, request *RequestRow, correlationID lentilmux.CorrelationID, now time.Time) (forwarded bool) {
+	peer := t.selectPeer(now)
+	if peer == nil {
+		return false
+	}
+	peer.ForwardedAt = now
+	request.Attempts++
+	request.AttemptState = AttemptState{Epoch: lentilmux.Epoch(request.Attempts), Peer: peer.Name, SentAt: now}
+	attempt := lentilmux.Attempt{
+		Request: request.ID, Epoch: request.Epoch, Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
+		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns,
+	}
+	if request.Route.Kind.Repeatable() {
+		attempt.FirstEventTimeout, attempt.EventGapTimeout = t.Limits.MaxStallTimeout, t.Limits.MaxStallTimeout
+	}
+	t.Answer(correlationID, lentilmux.AttemptAnswer{Attempt: attempt})
+	t.RecordDecision(lentilmux.Decision{
+		What: "request_forwarded", Subject: string(request.ID), Chosen: peer.Name,
+		Reason: fmt.Sprintf("leg=%d links=%s for %s, peer of zone %s", request.Epoch, t.Reach.State, now.Sub(t.Reach.Since).Round(time.Millisecond), peer.Zone),
+	})
+	return true
+}
+
+// unreachableRefusal returns the refusal of a request that neither this VM nor a peer
+// can send to an upstream.
+func (t *Tables) unreachableRefusal() *lentilmux.Refusal {
+	return t.notRunRefusal(lentilmux.ReasonNotReady, "no upstream can be reached, and no usable peer")
+}
+
+// recordFailedForward handles the failure of an attempt at a peer. One that cannot
+// serve requests at the moment gets no further ones for a while.
+func (t *Tables) recordFailedForward(request *RequestRow, failed FailedAttemptRow, now time.Time) {
+	peer := t.VMs.Find(request.Peer)
+	switch {
+	case peer == nil:
+	case !failed.Answered, failed.peerCannotServe():
+		peer.AvoidUntil = now.Add(peerAvoidDuration)
+	}
+	if failed.peerCannotServe() {
+		request.PeerRefusals++
+	}
+}
+
+// peerCannotServe reports whether a peer refused a request for a reason that does not
+// concern the request.
+func (f *FailedAttemptRow) peerCannotServe() bool {
+	return f.PeerRefusal != nil && f.PeerRefusal.Outcome == lentilmux.OutcomeNotRun && (f.PeerRefusal.Reason == lentilmux.ReasonNotReady || f.PeerRefusal.Reason == lentilmux.ReasonDraining)
+}
+
+// checkForwardRetry decides whether a request whose attempt at a peer failed may have
+// another attempt. decided is false if the rules for all attempts decide.
+func (a *AdmitRequests) checkForwardRetry(request *RequestRow, failed FailedAttemptRow) (reason lentilmux.Reason, detail string, decided bool) {
+	switch {
+	case failed.peerCannotServe():
+		if request.PeerRefusals > maxPeerRefusals {
+			return failed.PeerRefusal.Reason, "peers cannot serve it: " + failed.PeerRefusal.Detail, true
+		}
+		return "", "", true
+	case failed.PeerRefusal != nil:
+		return failed.PeerRefusal.Reason, request.Peer + ": " + failed.PeerRefusal.Detail, true
+	case failed.Answered:
+		return lentilmux.ReasonUpstreamFailed, request.Peer + " has retried it", true
+	default:
+		return "", "", false
+	}
+}
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -50,6 +50,18 @@
 	ReachLost
 )
 
+// String returns the state in snake case, for the log.
+func (s ReachState) String() string {
+	switch s {
+	case ReachDoubtful:
+		return "doubtful"
+	case ReachLost:
+		return "lost"
+	default:
+		return "sound"
+	}
+}
+
 // Reach is what this VM knows of its links to upstreams.
 type Reach struct {
 	State       ReachState
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -20,6 +20,7 @@
 	MayHaveRun   bool // whether any attempt may have run the request
 	Delivered    int  // events that the caller had when the last attempt began
 	Moves        int  // moves so far, also refused ones
+	PeerRefusals int  // peers that refused the request since they cannot serve any
 }
 
 // AttemptState is the state of one attempt of a request.
@@ -27,7 +28,8 @@
 	Epoch         lentilmux.Epoch
 	AnswerStarted bool   // whether it has delivered an event
 	RunCounted    bool   // whether PossibleRuns counts it already
-	LastUpstream  string // its first hop
+	LastUpstream  string // its first hop; empty if a peer selects it
+	Peer          string // that it was forwarded to; empty for none
 	Reservations  []Reservation
 	Hops          []lentilmux.Hop // its path
 	Move          MoveState
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -24,13 +24,16 @@
 		return
 	}
 	t.endAttempt(request)
-	if failed.NotRun && failed.Answered {
+	switch {
+	case request.Peer != "":
+		t.recordFailedForward(request, failed, now)
+	case failed.NotRun && failed.Answered:
 		t.markFull(request, failed.BlamedUpstream, now)
 	}
 	if !failed.NotRun {
 		request.countRun()
 	}
-	if failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered && t.Reach.State != ReachLost {
+	if failed.Kind == lentilmux.FailureCrash && !failed.NotRun && !failed.Answered && request.Peer == "" && t.Reach.State != ReachLost {
 		t.CrashSuspects.RecordCrash(request.Fingerprint, now, t.Limits.CrashRetention)
 	}
 	if len(request.Older) > 0 {
@@ -45,6 +48,9 @@
 		refusal = a.sendAttempt(t, request, failed.CorrelationID, now)
 	} else {
 		refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+		if failed.PeerRefusal != nil {
+			refusal.RetryAfter = failed.PeerRefusal.RetryAfter
+		}
 	}
 	if refusal != nil {
 		a.refuse(t, request.ID, failed.CorrelationID, refusal, now)
@@ -67,7 +73,7 @@
 		// attempts that may have run the request and sends the number of all attempts.
 		// started tells whether the attempt had begun to answer; parts are the first
 		// shared parts of the prompt.
-		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), detail),
+		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream+request.Peer, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), detail),
 	})
 }
 
@@ -93,16 +99,24 @@
 // continue and a retry after failed is allowed, and else lets the attempts in
 // flight go on.
 func (a *AdmitRequests) replaceOrKeep(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) {
-	if !t.cannotContinue(request) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
+	if !t.cannotContinue(request, now) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
 		t.Answer(failed.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
 	}
 }
 
 // cannotContinue reports whether a stalled attempt has no chance to continue at
 // the moment. That is the case if its first hop is dead, if it cannot be moved
-// (again), or if it waits for a place to move to. An attempt without a path
-// cannot be moved; its stall is always final.
-func (t *Tables) cannotContinue(request *RequestRow) bool {
+// (again), if it waits for a place to move to, or if this VM reaches no upstream. An
+// attempt without a path cannot be moved; its stall is always final. An attempt at a
+// peer cannot continue if the peer is isolated or silent.
+func (t *Tables) cannotContinue(request *RequestRow, now time.Time) bool {
+	if request.Peer != "" {
+		peer := t.VMs.Find(request.Peer)
+		return peer == nil || peer.Isolated || !t.usesRelays() && now.Sub(peer.LastDigestAt) > maxPeerSilence
+	}
+	if t.Reach.State == ReachLost {
+		return true
+	}
 	if len(request.Hops) == 0 || t.isDead(request.Hops[0].Upstream) {
 		return true
 	}
@@ -142,7 +156,7 @@
 		request.continueAfter(t, failed.Delivered)
 		if a.sendAttempt(t, request, failed.CorrelationID, now) == nil {
 			request.Older = append(request.Older, older)
-			t.RecordDecision(lentilmux.Decision{What: "attempt_replaced", Subject: string(request.ID), Chosen: request.LastUpstream, Reason: fmt.Sprintf("stalled at %s, delivered=%d", formatPath(older.Hops), failed.Delivered)})
+			t.RecordDecision(lentilmux.Decision{What: "attempt_replaced", Subject: string(request.ID), Chosen: request.LastUpstream + request.Peer, Reason: fmt.Sprintf("stalled at %s, delivered=%d", formatPath(older.Hops)+older.Peer, failed.Delivered)})
 			return true
 		}
 		stalled.Reservations = older.Reservations
@@ -150,7 +164,7 @@
 		detail = "no alternative upstream or path"
 	}
 	request.MayHaveRun, request.PossibleRuns, request.AttemptState = mayHaveRun, possibleRuns, stalled
-	t.RecordDecision(lentilmux.Decision{What: "attempt_kept", Subject: string(request.ID), Chosen: request.LastUpstream, Reason: detail})
+	t.RecordDecision(lentilmux.Decision{What: "attempt_kept", Subject: string(request.ID), Chosen: request.LastUpstream + request.Peer, Reason: detail})
 	return false
 }
 
@@ -172,12 +186,17 @@
 // means that it may; otherwise reason and detail go into the refusal. An allowed
 // retry is charged to the retry budget.
 func (a *AdmitRequests) checkRetry(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (reason lentilmux.Reason, detail string) {
+	if request.Peer != "" {
+		if reason, detail, decided := a.checkForwardRetry(request, failed); decided {
+			return reason, detail
+		}
+	}
 	switch {
 	case request.MayHaveRun && !request.Route.Kind.Repeatable():
 		return lentilmux.ReasonOutcomeUnknown, "it may have run and may not run again"
 	case !failed.NotRun && request.PossibleRuns >= a.maxRuns(request, failed):
 		return lentilmux.ReasonUpstreamFailed, "all attempts are used up"
-	case request.Attempts >= t.Limits.MaxAttempts:
+	case request.Attempts-request.PeerRefusals >= t.Limits.MaxAttempts:
 		return lentilmux.ReasonUpstreamFailed, "sent too often"
 	case t.heldPart(request.SharedParts, now) != nil:
 		return lentilmux.ReasonQuarantined, "it has a prompt part that crashes upstreams"
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -278,6 +278,12 @@
 	if row := s.tables.Upstreams.Find(fields["blamed"]); row != nil {
 		msg.BlamedUpstream = row.Addr
 	}
+	if reason := lentilmux.Reason(fields["peer_refusal"]); reason != "" {
+		msg.PeerRefusal = &lentilmux.Refusal{Reason: reason, Detail: "refused by the peer", RetryAfter: parseDuration(fields["retry_after"])}
+		if msg.Kind, msg.Answered = lentilmux.FailureRefused, true; msg.NotRun {
+			msg.PeerRefusal.Outcome = lentilmux.OutcomeNotRun
+		}
+	}
 	return msg
 }
 
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -119,7 +119,8 @@
 		timeout = parseDuration(fields["timeout"])
 	}
 	return lentilmux.InboundRequest{
-		ID: lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
+		Forwarded: lentilmux.ForwardedRequest{VM: fields["from"], Workspace: fields["workspace"], PossibleRuns: parseInt(fields["runs"])},
+		ID:        lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
 		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
 	}
 }
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -110,6 +110,9 @@
 	switch answer := x.Answer.(type) {
 	case lentilmux.AttemptAnswer:
 		s.epochs[string(answer.Attempt.Request)] = answer.Attempt.Epoch
+		if answer.Attempt.Peer != "" {
+			return fmt.Sprintf("answer %s: attempt %d at peer %s, workspace=%q possible_runs=%d deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Peer, answer.Attempt.Workspace, answer.Attempt.PossibleRuns, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
+		}
 		return fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
 	case lentilmux.RefusalAnswer:
 		text := fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -60,6 +60,16 @@
 	began    bool // whether its first attempt began to answer
 	delivery int  // events delivered
 	done     bool
+	origin   *simulatedRequest // that a VM forwarded to this one's; nil for the request of a caller
+}
+
+// callers returns the request of the caller: the request itself, or the one as which
+// it was forwarded.
+func (r *simulatedRequest) callers() *simulatedRequest {
+	if r.origin != nil {
+		return r.origin
+	}
+	return r
 }
 
 // simulation plays several entry VMs that share upstreams, without network or
@@ -75,7 +85,8 @@
 	byAddr    map[netip.AddrPort]*simulatedVM
 	upstreams []*simulatedUpstream
 	byID      map[string]*simulatedUpstream
-	requests  []*simulatedRequest
+	requests  []*simulatedRequest // of callers
+	forwarded []*simulatedRequest // by one VM to another
 	crashes   []time.Time
 	losesOn   func(request *simulatedRequest) bool // whether the connection breaks in place of an answer, without a crash
 	crashesOn func(request *simulatedRequest) bool // whether an upstream crashes when it begins to answer the request
@@ -302,16 +313,40 @@
 	switch x := answer.(type) {
 	case lentilmux.RefusalAnswer:
 		s.finish(request, x.Refusal.Outcome)
+		if origin := request.origin; origin != nil && !origin.done {
+			s.ask(origin, lentilmux.ForwardFailedMsg{
+				Request: origin.inbound.ID, Epoch: origin.attempt.Epoch, Kind: lentilmux.FailureRefused, NotRun: x.Refusal.Outcome == lentilmux.OutcomeNotRun, Answered: true,
+				Delivered: origin.delivery, PeerRefusal: &x.Refusal,
+			})
+		}
 	case lentilmux.AttemptAnswer:
 		request.attempt = x.Attempt
+		if x.Attempt.Peer != "" {
+			s.after(simulatedLatency, func() { s.forward(request, x.Attempt) })
+			return
+		}
 		request.sends = append(request.sends, s.now)
+		if request.origin != nil {
+			request.origin.sends = append(request.origin.sends, s.now)
+		}
 		s.send(request, x.Attempt)
 	}
 }
 
+// forward sends a request to another VM.
+func (s *simulation) forward(request *simulatedRequest, attempt lentilmux.Attempt) {
+	forwarded := &simulatedRequest{vm: s.byAddr[attempt.Addr], inbound: request.inbound, origin: request}
+	forwarded.inbound.Forwarded = lentilmux.ForwardedRequest{VM: request.vm.name, Workspace: attempt.Workspace, PossibleRuns: attempt.PossibleRuns}
+	s.forwarded = append(s.forwarded, forwarded)
+	s.ask(forwarded, lentilmux.ForwardMsg{Inbound: forwarded.inbound})
+}
+
 // finish ends a request.
 func (s *simulation) finish(request *simulatedRequest, outcome lentilmux.Outcome) {
 	request.done = true
+	if request.origin != nil && outcome == lentilmux.OutcomeAnswered {
+		s.finish(request.origin, outcome)
+	}
 	s.after(0, func() {
 		s.deliver(request.vm, lentilmux.ForwardDoneMsg{Request: request.inbound.ID, Outcome: outcome})
 	})
@@ -344,8 +379,13 @@
 			s.fail(request, attempt, lentilmux.FailureCrash)
 			return
 		}
-		request.began = request.began || len(request.sends) == 1
-		request.delivery++
+		callers := request.callers()
+		callers.began = callers.began || len(callers.sends) == 1
+		callers.delivery++
+		if request.origin != nil {
+			request.delivery++
+			s.deliver(callers.vm, lentilmux.ForwardStartedMsg{Request: callers.inbound.ID, Epoch: callers.attempt.Epoch})
+		}
 		if limit := upstream.namedLimit(); limit.Named || attempt.Limited {
 			s.deliver(request.vm, lentilmux.UpstreamLimitMsg{Request: request.inbound.ID, Upstream: attempt.Upstream, Limit: limit})
 			if s.onLimit != nil && limit.Named {
@@ -373,7 +413,7 @@
 func (s *simulation) lose(upstream *simulatedUpstream) {
 	upstream.downUntil = s.now.Add(simulatedDowntime)
 	victims := make([]*simulatedRequest, 0, len(upstream.active))
-	for _, request := range s.requests { // in a fixed order
+	for _, request := range slices.Concat(s.requests, s.forwarded) { // in a fixed order
 		if upstream.active[request] {
 			victims = append(victims, request)
 		}
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -23,6 +23,8 @@
 	RetryCounts     []lentilmux.RetryCounts
 	Suspects        []string           // IDs of upstreams that it considers dead
 	FleetSuspects   []string           // the same by its last fleet-wide sum
+	ForwardedAt     time.Time          // when a request was last forwarded to it
+	AvoidUntil      time.Time          // until then no request is forwarded to it, since it failed
 	IsolatedVMs     []lentilmux.VMHash // VMs that reach no upstream, by its last digest
 	Isolated        bool               // whether the digests of any VM list this one as isolated
 	UnansweredSince time.Time          // when the first digest was sent to it while it was not live; zero while it is live
--- a/forward.go
+++ b/forward.go
@@ -21,8 +21,21 @@
 	MaxTokens      int   // maximum number of completion tokens
 	ExpectedTokens int   // completion tokens that the caller expects; 0 if it gave no hint
 	ResumeAfter    int64 // number of the event after which the stream resumes; negative to start at the first
+	Forwarded      ForwardedRequest
 }
 
+// ForwardedRequest is what a VM tells a peer of a request that it forwards to it. The
+// zero value stands for a request that came from a caller.
+type ForwardedRequest struct {
+	VM           string      // that got the request from its caller
+	Workspace    string      // that the caller's key belongs to; empty for an anonymous request
+	Fingerprint  Fingerprint // of the request
+	PossibleRuns int         // attempts so far that may have run it
+}
+
+// IsForwarded reports whether the request came from a peer.
+func (f *ForwardedRequest) IsForwarded() bool { return f.VM != "" }
+
 // MaxSharedParts bounds the prompt parts that are kept of a request, so that a long
 // header can neither fill the memory of a VM nor keep its control goroutine busy.
 const MaxSharedParts = 64
@@ -39,6 +52,8 @@
 	Epoch             Epoch
 	Kind              CallKind
 	Upstream          string
+	Peer              string // VM that the request is forwarded to, which selects the upstream; empty for none
+	PossibleRuns      int    // earlier attempts that may have run the request, if it is forwarded
 	Addr              netip.AddrPort
 	Path              []Hop // empty if the upstream runs all layers itself
 	Workspace         string
@@ -71,6 +86,7 @@
 	Answered       bool           // whether the upstream itself answered with an error
 	BlamedUpstream netip.AddrPort // hop that the error answer names as the cause, if any
 	Delivered      int            // events delivered to the caller
+	PeerRefusal    *Refusal       // of the peer that the request was forwarded to; nil if it did not refuse the request
 }
 
 // ForwardStalledMsg reports a stalled attempt, which is still in flight. The
@@ -142,6 +158,9 @@
 	// AnnouncesDrain reports whether the answer verifiably comes from the
 	// attempt's upstream and announces that the upstream drains.
 	AnnouncesDrain() (drains bool)
+	// PeerRefusal returns the refusal of the peer that the request was forwarded
+	// to, or nil if the answer is an upstream's.
+	PeerRefusal() (refusal *Refusal)
 	// Next returns the next complete event and its number. It returns [io.EOF]
 	// after the last event of a complete response stream, and another error if
 	// the stream breaks off. The bytes are valid until the next call.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -67,7 +67,9 @@
 		a.response = nil
 		return err
 	}
-	r.reportAnnouncements(a)
+	if a.Peer == "" {
+		r.reportAnnouncements(a)
+	}
 	a.verdict = r.race.verdict(a.response)
 	switch {
 	case a.verdict == lentilmux.VerdictSuccess && a.Kind.Streams():
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -22,7 +22,7 @@
 		return nil
 	}
 	failure = r.describeFailure(a, err)
-	if failure.Answered && !failure.NotRun && !a.Kind.Repeatable() && !r.headersSent {
+	if failure.Answered && !failure.NotRun && failure.PeerRefusal == nil && !a.Kind.Repeatable() && !r.headersSent {
 		r.recordAnswer(r.sink.WriteReply(a.response, a.body))
 		return nil
 	}
@@ -45,6 +45,7 @@
 		if failure.Answered {
 			failure.Kind = lentilmux.FailureRefused
 		}
+		failure.PeerRefusal = a.response.PeerRefusal()
 	case errors.As(err, &upstreamErr):
 		failure.Kind = upstreamErr.Kind
 		failure.NotRun = failure.Kind == lentilmux.FailureDial
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -163,6 +163,7 @@
 func (r *scriptedResponse) Continues(lentilmux.UpstreamResponse) bool { return true }
 func (r *scriptedResponse) AnnouncesDrain() bool                      { return r.script.drains }
 func (r *scriptedResponse) RetryAfter() lentilmux.RetryAfter          { return r.script.retryAfter }
+func (r *scriptedResponse) PeerRefusal() *lentilmux.Refusal           { return nil }
 func (r *scriptedResponse) BlamedUpstream() netip.AddrPort            { return netip.AddrPort{} }
 func (r *scriptedResponse) Close()                                    { r.script.logf("upstream: attempt %d closed", r.epoch) }
 
--- a/forward/race.go
+++ b/forward/race.go
@@ -137,7 +137,7 @@
 	failure.Delivered = r.delivered
 	r.end.Failures++
 	r.end.LastFailure = failure.Kind
-	if failure.Answered && !failure.NotRun {
+	if failure.Answered && !failure.NotRun && failure.PeerRefusal == nil {
 		r.failedResponse, r.failedBody = a.response, a.body
 	}
 }
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -143,6 +143,7 @@
 
 func (r *raceResponse) Verdict() lentilmux.Verdict                { return r.verdict }
 func (r *raceResponse) RequestLimit() lentilmux.RequestLimit      { return lentilmux.RequestLimit{} }
+func (r *raceResponse) PeerRefusal() *lentilmux.Refusal           { return nil }
 func (r *raceResponse) Continues(lentilmux.UpstreamResponse) bool { return true }
 func (r *raceResponse) AnnouncesDrain() bool                      { return false }
 func (r *raceResponse) RetryAfter() lentilmux.RetryAfter          { return lentilmux.RetryAfter{} }
