--- a/service/service.go
+++ b/service/service.go
@@ -45,6 +45,7 @@
 // use.
 type Client struct {
 	client *http.Client
+	dialer *net.Dialer
 }
 
 // Option configures a [Client] in [NewClient].
@@ -93,7 +94,7 @@
 	for _, option := range options {
 		option(transport, dialer)
 	}
-	return &Client{client: &http.Client{
+	return &Client{dialer: dialer, client: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -205,8 +206,7 @@
 // Probe checks that the upstream accepts a new TCP connection.
 func (c *Client) Probe(ctx context.Context, upstream netip.AddrPort) (err error) {
 	defer errors.DeferredAnnotatef(&err, "probing %s", upstream)
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	connection, err := dialer.DialContext(ctx, "tcp", upstream.String())
+	connection, err := c.dialer.DialContext(ctx, "tcp", upstream.String())
 	if err != nil {
 		return err
 	}
