--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -118,19 +118,19 @@
 			continue
 		}
 		if request := t.Requests.Find(failed.Request); request != nil && request.Epoch == failed.Epoch {
-			t.Reach.addFailure(request.LastUpstream, now)
+			t.addLinkFailure(request.LastUpstream, now)
 		}
 	}
 	for _, msg := range t.Events.Reports {
 		var upstreamErr *lentilmux.UpstreamError
 		if errors.As(msg.Err, &upstreamErr) && upstreamErr.Kind != lentilmux.FailureProtocol {
-			t.Reach.addFailure(msg.Upstream, now)
+			t.addLinkFailure(msg.Upstream, now)
 		}
 	}
 	if len(t.Events.StalledAttempts) > 0 && !t.anyProgress(now) {
 		for _, stalled := range t.Events.StalledAttempts {
 			if request := t.Requests.Find(stalled.Request); request != nil && request.Epoch == stalled.Epoch {
-				t.Reach.addFailure(request.LastUpstream, now)
+				t.addLinkFailure(request.LastUpstream, now)
 			}
 		}
 	}
@@ -141,11 +141,13 @@
 	return slices.ContainsFunc(t.Upstreams.Rows, func(row *UpstreamRow) bool { return now.Sub(row.Progress.Last()) < t.Limits.ProgressTimeout })
 }
 
-// addFailure records that the link to an upstream failed.
-func (r *Reach) addFailure(upstream string, now time.Time) {
-	if upstream == "" {
+// addLinkFailure records that the link to an upstream failed. One that is dead proves
+// nothing by failing again.
+func (t *Tables) addLinkFailure(upstream string, now time.Time) {
+	if row := t.Upstreams.Find(upstream); row == nil || row.Dead {
 		return
 	}
+	r := &t.Reach
 	for i := range r.failures {
 		if r.failures[i].upstream == upstream {
 			r.failures[i].at = now
