Tell peers of back-offs as a hint

Cause: a back-off binds one VM, and each VM learned of each upstream by a refusal of its own, again at each end of the back-off, and paid for it from the retry budget. Change: digests carry the back-offs in force. For the other VMs such an upstream is a last choice as the beginning of a path, until shortly after the end: VMs return one after the other, so that the first learns for all. The back-off itself still binds only the VM that was asked.

--- a/fleet/backoffs.go
+++ b/fleet/backoffs.go
@@ -9,9 +9,11 @@
 )
 
 // An upstream that turns a request away may name the time for which it wants no
-// more requests from this VM. Until then nothing new starts there. The time holds
-// for this VM alone, so peers are not told. A later answer of that kind may prolong it
-// but not shorten it, since each one holds for its time. A new process ends it.
+// more requests from this VM. Until then nothing new starts there. The time binds this
+// VM alone. Peers are told as a hint: for them the upstream is a last choice until then,
+// so that not each VM learns by a refusal of its own what the first one was told. A
+// later answer of that kind may prolong the time but not shorten it, since each one
+// holds for its time. A new process ends it.
 
 const (
 	// maxBackOff is the longest back-off. A longer one would take an upstream out of
@@ -19,6 +21,11 @@
 	maxBackOff = 2 * time.Minute
 	// backOffLogInterval bounds the log lines on the answers of one upstream.
 	backOffLogInterval = time.Second
+	// maxPauseSpread bounds the time after the end of a back-off over which the VMs
+	// return to the upstream, one after the other.
+	maxPauseSpread = 3 * time.Second
+	// pauseTurns is the number of different turns in which VMs return to an upstream.
+	pauseTurns = 1024
 )
 
 // BackOffRow is the back-off that one process of an upstream asked this VM for.
@@ -47,8 +54,8 @@
 }
 
 // ApplyBackOffs keeps the upstreams that turned a request away out of use for the
-// time that they named. It reads Events.BackOffs and writes BackOffs and
-// Upstreams.
+// time that they named. It reads Events.BackOffs and Events.Digests and writes
+// BackOffs and Upstreams.
 type ApplyBackOffs struct{}
 
 // Run implements [System].
@@ -56,11 +63,25 @@
 	for _, msg := range t.Events.BackOffs {
 		a.record(t, msg, now)
 	}
+	for _, digest := range t.Events.Digests {
+		if digest.VM != t.Self.Name {
+			a.applyHints(t, digest.BackOffs, now)
+		}
+	}
 	t.BackOffs.Rows = slices.DeleteFunc(t.BackOffs.Rows, func(backOff *BackOffRow) bool {
 		return !a.apply(t, backOff, now) && !now.Before(backOff.logNextAt)
 	})
 }
 
+// applyHints pauses the upstreams that asked other VMs for a back-off.
+func (a *ApplyBackOffs) applyHints(t *Tables, hints []lentilmux.BackOffHint, now time.Time) {
+	for _, hint := range hints {
+		if row := t.Upstreams.FindByHash(hint.Upstream); row != nil {
+			row.pause(now.Add(min(hint.Remaining, maxBackOff)))
+		}
+	}
+}
+
 // apply sets the end of a back-off at its upstream, and clears it if the process has
 // been replaced. It reports whether the back-off is in force.
 func (a *ApplyBackOffs) apply(t *Tables, backOff *BackOffRow, now time.Time) (inForce bool) {
@@ -91,6 +112,7 @@
 	}
 	if until := now.Add(min(msg.RetryAfter.Delay, maxBackOff)); !msg.RetryAfter.Invalid && until.After(backOff.Until) {
 		backOff.Until = until
+		row.pause(until)
 	}
 	if !now.Before(backOff.logNextAt) {
 		backOff.logNextAt = now.Add(backOffLogInterval)
@@ -147,3 +169,40 @@
 	}
 	return refusal
 }
+
+// pause makes an upstream a last choice until the end of a back-off that it asked some
+// VM for.
+func (u *UpstreamRow) pause(until time.Time) {
+	if !u.PausedProcess.Equal(u.StartedAt) {
+		u.PausedProcess, u.PausedUntil = u.StartedAt, time.Time{}
+	}
+	if until.After(u.PausedUntil) {
+		u.PausedUntil = until
+	}
+}
+
+// isPaused reports whether an upstream asked some VM for a back-off that has not ended,
+// or has ended just now: the VMs return to it one after the other, by a hash of their
+// names, so that the first ones learn for all whether it takes requests again.
+func (t *Tables) isPaused(row *UpstreamRow, now time.Time) bool {
+	if row.PausedUntil.IsZero() || !row.PausedProcess.Equal(row.StartedAt) {
+		return false
+	}
+	past := now.Sub(row.PausedUntil)
+	if past < 0 || past >= maxPauseSpread {
+		return past < 0
+	}
+	spread := min(time.Duration(t.LiveVMs(now))*t.Limits.DigestInterval, maxPauseSpread)
+	turn := float64(lentilmux.ComputeFingerprint(t.Self.Name, row.ID)%pauseTurns) / pauseTurns
+	return past < time.Duration(turn*float64(spread))
+}
+
+// knownBackOffs returns the back-offs to tell peers of.
+func (t *Tables) knownBackOffs(now time.Time) (hints []lentilmux.BackOffHint) {
+	for _, row := range t.Upstreams.Rows {
+		if remaining := row.PausedUntil.Sub(now); remaining > 0 && row.PausedProcess.Equal(row.StartedAt) {
+			hints = append(hints, lentilmux.BackOffHint{Upstream: row.Hash, Remaining: remaining})
+		}
+	}
+	return hints
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -15,7 +15,7 @@
 func (a *AdmitRequests) choosePath(t *Tables, request *RequestRow, model *lentilmux.ModelProfile, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
-	excluded := a.excludeFirstHops(request.LastUpstream, now)
+	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
 	if !ok && excluded {
 		a.collectNodes(t, request.Service, now)
@@ -185,7 +185,7 @@
 	if len(a.rows) == 0 {
 		return false
 	}
-	a.excludeEjected(request.LastUpstream, now)
+	a.excludeEjected(t, request.LastUpstream, now)
 	row := a.rows[a.Dispatch.Pick(a.candidates)]
 	attempt.Upstream, attempt.Addr = row.ID, row.Addr
 	attempt.Progress = append(attempt.Progress, row.Progress)
--- a/fleet/eject.go
+++ b/fleet/eject.go
@@ -39,13 +39,13 @@
 	}
 }
 
-// excludeEjected removes upstreams that are ejected, turned a request away lately or
-// run a trial, and the one of the last attempt, from the candidates, unless no
+// excludeEjected removes upstreams that are ejected or paused, turned a request away
+// lately or run a trial, and the one of the last attempt, from the candidates, unless no
 // candidate would be left.
-func (a *AdmitRequests) excludeEjected(lastUpstream string, now time.Time) {
+func (a *AdmitRequests) excludeEjected(t *Tables, lastUpstream string, now time.Time) {
 	keptCount := 0
 	for i, row := range a.rows {
-		if row.ID != lastUpstream && !now.Before(row.EjectedUntil) && !now.Before(row.FullUntil) && row.Trials == 0 {
+		if row.ID != lastUpstream && !now.Before(row.EjectedUntil) && !now.Before(row.FullUntil) && row.Trials == 0 && !t.isPaused(row, now) {
 			a.rows[keptCount], a.candidates[keptCount] = row, a.candidates[i]
 			keptCount++
 		}
@@ -55,12 +55,12 @@
 	}
 }
 
-// excludeFirstHops keeps ejected upstreams, those with a trial and the one of the
-// last attempt from being the first hop of a path. It reports whether there were
-// any.
-func (a *AdmitRequests) excludeFirstHops(lastUpstream string, now time.Time) (excluded bool) {
+// excludeFirstHops keeps ejected and paused upstreams, those with a trial and the one
+// of the last attempt from being the first hop of a path. It reports whether there
+// were any.
+func (a *AdmitRequests) excludeFirstHops(t *Tables, lastUpstream string, now time.Time) (excluded bool) {
 	for i, row := range a.rows {
-		if row.ID == lastUpstream || now.Before(row.EjectedUntil) || row.Trials > 0 {
+		if row.ID == lastUpstream || now.Before(row.EjectedUntil) || row.Trials > 0 || t.isPaused(row, now) {
 			a.nodes[i].Full, excluded = true, true
 		}
 	}
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -22,6 +22,9 @@
 	for _, vm := range strings.FieldsFunc(fields["isolated"], func(r rune) bool { return r == ',' }) {
 		digest.IsolatedVMs = append(digest.IsolatedVMs, lentilmux.HashVM(vm))
 	}
+	if upstream, remaining, ok := strings.Cut(fields["back_off"], ":"); ok {
+		digest.BackOffs = []lentilmux.BackOffHint{{Upstream: lentilmux.HashUpstream(upstream), Remaining: parseDuration(remaining)}}
+	}
 	digest.Parts = partSuspicions(fields)
 	digest.Drains = announcedDrains(fields)
 	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -35,6 +35,9 @@
 	for _, drain := range effect.Digest.Drains {
 		text += fmt.Sprintf(" drain of %s, started at %d, %s ago", s.nameOf(drain.Upstream), drain.StartedAt.Unix(), drain.Age)
 	}
+	for _, hint := range effect.Digest.BackOffs {
+		text += fmt.Sprintf(" back-off of %s for %s", s.nameOf(hint.Upstream), hint.Remaining)
+	}
 	if slices.Contains(effect.Digest.IsolatedVMs, lentilmux.HashVM(effect.Digest.VM)) {
 		text += " isolated"
 	}
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -34,6 +34,8 @@
 
 	RequestLimit    RequestLimitState
 	BackOffUntil    time.Time // named in an answer to this VM: nothing new starts here until then
+	PausedUntil     time.Time // end of the last back-off of any VM: a last choice as first hop until shortly after
+	PausedProcess   time.Time // start of the process that PausedUntil concerns
 	DrainingProcess time.Time // start of the process that announced its drain in an answer; zero for none
 
 	Slowdown   float64   // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -107,6 +107,9 @@
 	for _, drain := range digest.Drains {
 		message.Drains = append(message.Drains, &peerpb.UpstreamDrain{Upstream: uint32(drain.Upstream), StartedAtMs: drain.StartedAt.UnixMilli(), AgeMs: uint64(drain.Age.Milliseconds())})
 	}
+	for _, backOff := range digest.BackOffs {
+		message.BackOffs = append(message.BackOffs, &peerpb.UpstreamBackOff{Upstream: uint32(backOff.Upstream), RemainingMs: uint64(max(backOff.Remaining, 0).Milliseconds())})
+	}
 	for _, vm := range digest.IsolatedVMs {
 		message.IsolatedVms = append(message.IsolatedVms, uint32(vm))
 	}
@@ -186,6 +189,9 @@
 			Upstream: lentilmux.UpstreamHash(drain.GetUpstream()), StartedAt: time.UnixMilli(drain.GetStartedAtMs()), Age: ageFromProto(drain.GetAgeMs()),
 		})
 	}
+	for _, backOff := range message.GetBackOffs() {
+		digest.BackOffs = append(digest.BackOffs, lentilmux.BackOffHint{Upstream: lentilmux.UpstreamHash(backOff.GetUpstream()), Remaining: ageFromProto(backOff.GetRemainingMs())})
+	}
 	for _, vm := range message.GetIsolatedVms() {
 		digest.IsolatedVMs = append(digest.IsolatedVMs, lentilmux.VMHash(vm))
 	}
--- a/peer/loaddigest_test.go
+++ b/peer/loaddigest_test.go
@@ -60,6 +60,7 @@
 		Parts:       []lentilmux.PartSuspicion{{Part: 1<<63 + 5, Position: 2, Clears: 1, Round: 3, Crashes: []lentilmux.CrashID{7, 1 << 31}, Held: true, Age: 1500 * time.Millisecond}},
 		Limits:      []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream("w1"), Named: true, PerSecond: 6.9, Age: 250 * time.Millisecond}},
 		Drains:      []lentilmux.UpstreamDrain{{Upstream: lentilmux.HashUpstream("w1"), StartedAt: time.UnixMilli(1_790_000_000_123), Age: 70 * time.Millisecond}},
+		BackOffs:    []lentilmux.BackOffHint{{Upstream: lentilmux.HashUpstream("w3"), Remaining: 2500 * time.Millisecond}},
 		IsolatedVMs: []lentilmux.VMHash{lentilmux.HashVM("entry-1"), 1 << 31},
 		Slices:      8,
 		Slice:       5,
--- a/streams.go
+++ b/streams.go
@@ -311,6 +311,14 @@
 	Limits      []UpstreamLimit // limits that upstreams named, as the sender knows them
 	Drains      []UpstreamDrain // drains that upstreams announced, as the sender knows them
 	IsolatedVMs []VMHash        // VMs that the digest covers and that reach no upstream
+	BackOffs    []BackOffHint   // upstreams that asked a VM for a back-off, as the sender knows them
+}
+
+// BackOffHint tells that an upstream asked some VM for a back-off. It binds that VM
+// only, but is a sign that the upstream may turn the requests of others away too.
+type BackOffHint struct {
+	Upstream  UpstreamHash
+	Remaining time.Duration // until the back-off ends
 }
 
 // RetryCounts counts the sends to one service in the retry window, for the retry
