Charge the retry budget only for what is sent

Cause: a retry was charged before an upstream was chosen. One for which nothing had room was not sent and stayed charged, and a stalled attempt without an alternative was charged again at each report, five times a second. Change: the charge is taken back if nothing is sent. Result: scenario unsent_retry, 4 retries charged before, none now.

--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -40,12 +40,14 @@
 		a.continueOlder(t, request, failed, now)
 		return
 	}
-	reason, detail := a.checkRetry(t, request, failed, now)
+	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	t.recordFailedAttempt(request, failed, map[bool]string{true: "resend", false: "end"}[reason == ""], detail)
 	var refusal *lentilmux.Refusal
 	if reason == "" {
 		request.continueAfter(t, failed.Delivered)
-		refusal = a.sendAttempt(t, request, failed.CorrelationID, now)
+		if refusal = a.sendAttempt(t, request, failed.CorrelationID, now); refusal != nil && charged {
+			t.refundRetry(request.Service, now)
+		}
 	} else {
 		refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
 		if failed.PeerRefusal != nil {
@@ -146,7 +148,7 @@
 func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (sent bool) {
 	mayHaveRun, possibleRuns, stalled := request.MayHaveRun, request.PossibleRuns, request.AttemptState
 	request.countRun()
-	reason, detail := a.checkRetry(t, request, failed, now)
+	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	if reason == "" {
 		older := request.AttemptState
 		older.Reservations = slices.Clone(older.Reservations)
@@ -159,6 +161,9 @@
 			t.RecordDecision(lentilmux.Decision{What: "attempt_replaced", Subject: string(request.ID), Chosen: request.LastUpstream + request.Peer, Reason: fmt.Sprintf("stalled at %s, delivered=%d", formatPath(older.Hops)+older.Peer, failed.Delivered)})
 			return true
 		}
+		if charged {
+			t.refundRetry(request.Service, now)
+		}
 		stalled.Reservations = older.Reservations
 		t.addLoad(older.Reservations, 1)
 		detail = "no alternative upstream or path"
@@ -183,30 +188,30 @@
 }
 
 // checkRetry decides whether a request may have another attempt. An empty reason
-// means that it may; otherwise reason and detail go into the refusal. An allowed
-// retry is charged to the retry budget.
-func (a *AdmitRequests) checkRetry(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (reason lentilmux.Reason, detail string) {
+// means that it may; otherwise reason and detail go into the refusal. charged tells
+// whether the retry budget was charged, which is taken back if nothing is sent.
+func (a *AdmitRequests) checkRetry(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (reason lentilmux.Reason, detail string, charged bool) {
 	if request.Peer != "" {
 		if reason, detail, decided := a.checkForwardRetry(request, failed); decided {
-			return reason, detail
+			return reason, detail, false
 		}
 	}
 	switch {
 	case request.MayHaveRun && !request.Route.Kind.Repeatable():
-		return lentilmux.ReasonOutcomeUnknown, "it may have run and may not run again"
+		return lentilmux.ReasonOutcomeUnknown, "it may have run and may not run again", false
 	case !failed.NotRun && request.PossibleRuns >= a.maxRuns(request, failed):
-		return lentilmux.ReasonUpstreamFailed, "all attempts are used up"
+		return lentilmux.ReasonUpstreamFailed, "all attempts are used up", false
 	case request.Attempts-request.PeerRefusals >= t.Limits.MaxAttempts:
-		return lentilmux.ReasonUpstreamFailed, "sent too often"
+		return lentilmux.ReasonUpstreamFailed, "sent too often", false
 	case t.heldPart(request.SharedParts, now) != nil:
-		return lentilmux.ReasonQuarantined, "it has a prompt part that crashes upstreams"
+		return lentilmux.ReasonQuarantined, "it has a prompt part that crashes upstreams", false
 	case failed.Kind == lentilmux.FailureDial && failed.NotRun && !failed.Answered:
-		return "", "" // nothing reached the upstream, so the retry budget is not charged
-	}
-	if !t.spendRetry(request.Service, now) {
-		return lentilmux.ReasonRetryBudget, "the retry budget is spent"
+		return "", "", false // nothing reached the upstream
+	case !t.spendRetry(request.Service, now):
+		return lentilmux.ReasonRetryBudget, "the retry budget is spent", false
+	default:
+		return "", "", true
 	}
-	return "", ""
 }
 
 // maxRuns returns how many attempts may run a request. A resumable stream
--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -82,6 +82,14 @@
 	return true
 }
 
+// refundRetry takes back a charge for a retry that was not sent.
+func (t *Tables) refundRetry(service string, now time.Time) {
+	row := t.RetryBudgets.GetOrCreate(service)
+	if bucket := row.advanceBuckets(now, t.Limits.RetryWindow); row.retries[bucket] > 0 {
+		row.retries[bucket]--
+	}
+}
+
 const (
 	// maxBorrowFactor is the maximum use of the budget by one VM, as a multiple
 	// of its share. Together with retryRatioFraction and retrySlackFraction it
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -41,6 +41,7 @@
 type scenario struct {
 	model       *fleet.Schedule
 	start       time.Time
+	now         time.Time // of the last tick
 	nextTick    time.Time
 	labels      map[lentilmux.CorrelationID]string
 	lastID      lentilmux.CorrelationID
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -18,6 +18,12 @@
 		fmt.Fprintf(&s.out, "         %s: own %d, peers %d streams\n", name, row.OwnLoad.Streams, row.PeerLoad.Streams)
 		return
 	}
+	if name == "retries" {
+		for _, budget := range s.tables.RetryBudgets.Rows {
+			fmt.Fprintf(&s.out, "         %s: %d retries\n", budget.Service, budget.Retries(s.now, fleet.DefaultLimits().RetryWindow))
+		}
+		return
+	}
 	for _, sent := range s.lastDigests {
 		fmt.Fprintf(&s.out, "         %s\n", sent)
 	}
@@ -47,7 +53,7 @@
 // tick runs the model once and prints its effects.
 func (s *scenario) tick(now time.Time, batch ...lentilmux.Envelope) {
 	effects, nextTick := s.model.Tick(now, batch)
-	s.nextTick = nextTick
+	s.now, s.nextTick = now, nextTick
 	if !nextTick.After(now) {
 		fmt.Fprintf(&s.out, "  next tick is already due: the control goroutine would spin\n")
 		s.nextTick = now.Add(time.Millisecond)
