Send no retry to an upstream that asked peers for a back-off

Cause: once the sound first upstreams of paths were full, retries went to those that turn all requests away, and each refusal cost another retry. Change: an upstream that asked any VM for a back-off is a last choice for the first attempt of a request only.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -19,6 +19,9 @@
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
 	if !ok && excluded {
 		a.collectNodes(t, request.Service, now)
+		if request.Attempts > 0 { // a further refusal is not worth the retry
+			a.excludePaused(t, now)
+		}
 		hops, estimate, ok = a.selectPath(t, pathRequest, now)
 	}
 	if !ok {
--- a/fleet/eject.go
+++ b/fleet/eject.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// excludePaused keeps paused upstreams from being the first hop of a path.
+func (a *AdmitRequests) excludePaused(t *Tables, now time.Time) {
+	for i, row := range a.rows {
+		if t.isPaused(row, now) {
+			a.nodes[i].Full = true
+		}
+	}
+}
+
 // excludeFirstHops keeps ejected and paused upstreams, those with a trial and the one
 // of the last attempt from being the first hop of a path. It reports whether there
 // were any.
