Show in metrics and logs which VMs reach no upstream

On-call could not tell from the metrics that a VM has lost its links, nor from a peer's log that the peer knows. lentilmux_upstreams_reachable is 0 while no upstream accepts a connection; peer_isolated and peer_reachable are logged when digests say so, in a large fleet by digest relays only.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -76,6 +76,7 @@
 	metrics      *metrics
 	heldParts    heldParts
 	storeState   storeState
+	unreachable  atomic.Bool // whether this VM reaches no upstream
 	decisionLog  *decisionLog
 	digests      *peer.LoadDigestConn
 	copies       *platformlog.CopyCache
@@ -105,6 +106,9 @@
 	if err = g.metrics.observeStore(&g.storeState); err != nil {
 		return nil, err
 	}
+	if err = g.metrics.observeReachability(&g.unreachable); err != nil {
+		return nil, err
+	}
 	g.state.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.limits.Store(&config.Limits)
 	g.sharedReads.Store(true)
--- a/entryvm/gatewayeffects.go
+++ b/entryvm/gatewayeffects.go
@@ -54,6 +54,8 @@
 		g.run(effect, func() { g.putRecord(x) })
 	case lentilmux.HeldPartsEffect:
 		g.heldParts.publish(x.Parts)
+	case lentilmux.ReachabilityEffect:
+		g.unreachable.Store(!x.Reachable)
 	case lentilmux.RulesVersionEffect:
 		g.storeState.publishRules(x.Version)
 	case lentilmux.StreamTimelineEffect:
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -95,6 +96,20 @@
 	return err
 }
 
+// observeReachability adds whether this VM reaches its upstreams.
+func (m *metrics) observeReachability(unreachable *atomic.Bool) (err error) {
+	_, err = m.meter.Int64ObservableGauge("lentilmux_upstreams_reachable", metric.WithDescription("1 if some upstream accepts connections of this VM, as far as known, else 0."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			reachable := int64(1)
+			if unreachable.Load() {
+				reachable = 0
+			}
+			observer.Observe(reachable)
+			return nil
+		}))
+	return err
+}
+
 // countRequest records a finished request of a [VM].
 func (m *metrics) countRequest(observation caller.Observation) {
 	ctx := context.Background()
--- a/entryvm/metrics_test.go
+++ b/entryvm/metrics_test.go
@@ -6,8 +6,12 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/fleet"
 )
 
 // decisionCount matches a sample of lentilmux_decisions and captures the value
@@ -90,3 +94,21 @@
 		}
 	}
 }
+
+// TestReachabilityMetric guards against a VM that has lost its links to all upstreams
+// without its metrics saying so.
+func TestReachabilityMetric(t *testing.T) {
+	g, err := NewGateway(GatewayConfig{Name: "entry-1", Limits: fleet.DefaultLimits(), Logger: logrus.New(), Clock: time.Now}, GatewayDependencies{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, reachable := range []bool{false, true} {
+		g.Do(lentilmux.ReachabilityEffect{Reachable: reachable})
+		recorder := httptest.NewRecorder()
+		g.metrics.handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		expected := map[bool]string{false: "0", true: "1"}[reachable]
+		if !regexp.MustCompile(`(?m)^lentilmux_upstreams_reachable\{.*\} ` + expected + `$`).MatchString(recorder.Body.String()) {
+			t.Errorf("reachable=%t is not in the metrics:\n%s", reachable, recorder.Body.String())
+		}
+	}
+}
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -213,6 +213,7 @@
 			Reason: fmt.Sprintf("no new connection was accepted within %s, of %d upstreams", now.Sub(t.Reach.Since).Round(time.Millisecond), len(t.Upstreams.Rows)),
 		})
 		t.Reach.enter(ReachLost, now)
+		t.AddEffect(lentilmux.ReachabilityEffect{Reachable: false})
 		t.withdrawVerdicts(now)
 		r.test(t, now)
 	}
@@ -227,6 +228,7 @@
 		})
 		t.Reach.enter(ReachSound, now)
 		t.Reach.SoundAt = now
+		t.AddEffect(lentilmux.ReachabilityEffect{Reachable: true})
 		return
 	}
 	if !r.roundEnded(t, now) {
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -27,6 +27,7 @@
 	AvoidUntil      time.Time          // until then no request is forwarded to it, since it failed
 	IsolatedVMs     []lentilmux.VMHash // VMs that reach no upstream, by its last digest
 	Isolated        bool               // whether the digests of any VM list this one as isolated
+	wasIsolated     bool               // the same before the digests of this tick
 	UnansweredSince time.Time          // when the first digest was sent to it while it was not live; zero while it is live
 }
 
@@ -62,10 +63,10 @@
 }
 
 // markIsolated records which peers are isolated, by the last digests of those that
-// are live.
+// are live. It logs changes, in a fleet that uses relays on these only.
 func (t *Tables) markIsolated(now time.Time) {
 	for _, vm := range t.VMs.Rows {
-		vm.Isolated = false
+		vm.wasIsolated, vm.Isolated = vm.Isolated, false
 	}
 	for _, vm := range t.VMs.Rows {
 		if t.isLive(vm, now) {
@@ -75,6 +76,13 @@
 	if t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
 		t.VMs.markIsolated(t.FleetLoads.IsolatedVMs)
 	}
+	logs := !t.usesRelays() || t.isRelay(now)
+	for _, vm := range t.VMs.Rows {
+		if logs && vm.Isolated != vm.wasIsolated {
+			what := map[bool]string{true: "peer_isolated", false: "peer_reachable"}[vm.Isolated]
+			t.RecordDecision(lentilmux.Decision{What: what, Subject: vm.Name, Reason: "by the digests, zone " + vm.Zone})
+		}
+	}
 }
 
 // markIsolated marks VMs as isolated.
--- a/reach.go
+++ b/reach.go
@@ -9,6 +9,11 @@
 	Addr     netip.AddrPort
 }
 
+// ReachabilityEffect publishes whether this VM reaches its upstreams.
+type ReachabilityEffect struct {
+	Reachable bool
+}
+
 // ConnectResultMsg reports whether a [ConnectEffect] could open its connection. It
 // has no answer.
 type ConnectResultMsg struct {
