Exclude no engine on the word of a VM that reaches none

Change: the time for which an engine has to be ejected counts only while some engine answers this VM. Result: scenario isolated of package system; before, three of four engines were excluded as soon as the first one answered again, a sound one among them. Now the two that have died are, two seconds after the links are back. No other golden file changes.

--- a/system/exclude.go
+++ b/system/exclude.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lentilmux.example/lentilmux"
@@ -27,13 +28,16 @@
 // Only the entry VM with the lowest name does so. It appends the same commands
 // that an operator would use, so they are decided in log order together with
 // those of operators, and the history shows them.
-type ExcludeDeadEngines struct{}
+type ExcludeDeadEngines struct {
+	reachesSince time.Time // since when some engine answers this VM; zero while none does
+}
 
 // Run implements [System].
 func (s *ExcludeDeadEngines) Run(t *table.Tables, now time.Time) {
 	if !t.Due(&t.Timers.Replacement, now, replaceCheckInterval) {
 		return
 	}
+	s.trackReach(t, now)
 	if !t.Self.Synced || !t.Streams.Config.Healthy() || !hasLowestName(t, now, t.Limits.OwnerTimeout) {
 		return
 	}
@@ -65,6 +69,20 @@
 	})
 }
 
+// trackReach records since when some engine answers this VM. If none does, the links of
+// this VM may be the cause, and how long an engine has been ejected proves nothing.
+func (s *ExcludeDeadEngines) trackReach(t *table.Tables, now time.Time) {
+	reaches := slices.ContainsFunc(t.Upstreams.Rows, func(u table.Upstream) bool {
+		return u.Spec.Kind == lentilmux.KindEngine && u.EjectedUntil.IsZero()
+	})
+	switch {
+	case !reaches:
+		s.reachesSince = time.Time{}
+	case s.reachesSince.IsZero():
+		s.reachesSince = now
+	}
+}
+
 // potentialThroughput returns the tokens per second that the live engines of a
 // pipeline could make if its layers were spread evenly over them.
 func (s *ExcludeDeadEngines) potentialThroughput(t *table.Tables, p *table.Pipeline) float64 {
@@ -78,12 +96,13 @@
 	return float64(layerStepsPerSecond) / float64(p.Spec.Layers)
 }
 
-// ejectedFor reports whether an engine has been ejected for at least the delay.
+// ejectedFor reports whether an engine has been ejected for at least the delay, in
+// which other engines answered this VM.
 func (s *ExcludeDeadEngines) ejectedFor(t *table.Tables, now time.Time, u *table.Upstream, delay time.Duration) bool {
-	if u.EjectedUntil.IsZero() {
+	if u.EjectedUntil.IsZero() || s.reachesSince.IsZero() {
 		return false
 	}
-	return now.Sub(u.EjectedAt) >= delay
+	return now.Sub(later(u.EjectedAt, s.reachesSince)) >= delay
 }
 
 // appendCommands appends a command with the verb for each engine of the
