--- a/fleet/backoffs.go
+++ b/fleet/backoffs.go
@@ -24,6 +24,8 @@
 	// maxPauseSpread bounds the time after the end of a back-off over which the VMs
 	// return to the upstream, one after the other.
 	maxPauseSpread = 3 * time.Second
+	// maxBackOffsInDigest bounds the back-offs in one digest.
+	maxBackOffsInDigest = 512
 	// pauseTurns is the number of different turns in which VMs return to an upstream.
 	pauseTurns = 1024
 )
@@ -203,6 +205,9 @@
 		if remaining := row.PausedUntil.Sub(now); remaining > 0 && row.PausedProcess.Equal(row.StartedAt) {
 			hints = append(hints, lentilmux.BackOffHint{Upstream: row.Hash, Remaining: remaining})
 		}
+		if len(hints) == maxBackOffsInDigest {
+			break
+		}
 	}
 	return hints
 }
