Split large files by what they do

fleet/reach.go keeps the states, linktests.go the tests of links; the faults of the stand-in engine and the recorder of lentilload have files of their own. No golden file changes.

--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -162,22 +161,6 @@
 	return slices.ContainsFunc(r.failures, func(failure linkFailure) bool { return failure.upstream == upstream })
 }
 
-// applyResult records the result of a test.
-func (r *TrackReach) applyResult(t *Tables, msg lentilmux.ConnectResultMsg) {
-	i := slices.Index(t.Reach.awaited, msg.Upstream)
-	if i < 0 {
-		return // of an earlier round
-	}
-	t.Reach.awaited = slices.Delete(t.Reach.awaited, i, i+1)
-	if msg.Err != nil {
-		return
-	}
-	t.Reach.anyAccepted = true
-	if !slices.Contains(t.Reach.accepted, msg.Upstream) {
-		t.Reach.accepted = append(t.Reach.accepted, msg.Upstream)
-	}
-}
-
 // checkDoubt begins to test connections if several upstreams failed within
 // evidenceDuration.
 func (r *TrackReach) checkDoubt(t *Tables, now time.Time) {
@@ -241,17 +224,6 @@
 	r.test(t, now)
 }
 
-// roundEnded reports whether all results of the current round are known, or are
-// overdue.
-func (r *TrackReach) roundEnded(t *Tables, now time.Time) bool {
-	due := t.Reach.testedAt.Add(connectInterval)
-	if len(t.Reach.awaited) > 0 && now.Before(due) {
-		t.WakeAt(due)
-		return false
-	}
-	return true
-}
-
 // enter begins a state.
 func (r *Reach) enter(state ReachState, now time.Time) {
 	*r = Reach{State: state, Since: now, SoundAt: r.SoundAt, nextIndex: r.nextIndex, failures: r.failures}
@@ -260,57 +232,6 @@
 	}
 }
 
-// test connects to a few upstreams. A round in which none accepted its connection
-// voids the proofs of those before.
-func (r *TrackReach) test(t *Tables, now time.Time) {
-	if !t.Reach.anyAccepted {
-		t.Reach.accepted = nil
-	}
-	t.Reach.testedAt, t.Reach.anyAccepted, t.Reach.awaited = now, false, nil
-	for _, row := range r.chooseTested(t) {
-		t.Reach.awaited = append(t.Reach.awaited, row.ID)
-		t.AddEffect(lentilmux.ConnectEffect{Upstream: row.ID, Addr: row.Addr})
-	}
-	t.WakeAt(now.Add(connectInterval))
-}
-
-// chooseTested returns up to connectCount upstreams, other ones in each round: those
-// whose links have not failed first, of all availability zones in turn.
-func (r *TrackReach) chooseTested(t *Tables) (chosen []*UpstreamRow) {
-	rows := slices.Clone(t.Upstreams.Rows)
-	start := t.Reach.nextIndex % max(len(rows), 1)
-	rows = append(rows[start:], rows[:start]...)
-	slices.SortStableFunc(rows, func(a, b *UpstreamRow) int {
-		return cmp.Compare(t.Reach.countFailed(a), t.Reach.countFailed(b))
-	})
-	t.Reach.nextIndex += connectCount
-	for used := make(map[string]int); len(chosen) < min(connectCount, len(rows)); {
-		next := slices.MinFunc(rows, func(a, b *UpstreamRow) int {
-			return cmp.Or(cmp.Compare(countChosen(chosen, a), countChosen(chosen, b)), cmp.Compare(used[a.Zone], used[b.Zone]))
-		})
-		used[next.Zone]++
-		chosen = append(chosen, next)
-	}
-	return chosen
-}
-
-// countFailed returns 1 if the link to an upstream failed lately, or if it is dead,
-// and else 0.
-func (r *Reach) countFailed(row *UpstreamRow) int {
-	if row.Dead || r.hasFailed(row.ID) {
-		return 1
-	}
-	return 0
-}
-
-// countChosen returns 1 if an upstream is among the chosen ones, and else 0.
-func countChosen(chosen []*UpstreamRow, row *UpstreamRow) int {
-	if slices.Contains(chosen, row) {
-		return 1
-	}
-	return 0
-}
-
 // judgeFailures probes the upstreams whose failures were not held against them while
 // the links were in doubt.
 func (t *Tables) judgeFailures(failures []linkFailure, now time.Time) {
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -17,7 +17,7 @@
 
 	Draining bool
 	DrainAt  time.Time // when the drain began
-	Unlisted bool // whether the store lacks this VM's record and it has to be written again
+	Unlisted bool      // whether the store lacks this VM's record and it has to be written again
 	Ready    bool
 	Reason   string // why the VM is not ready; empty if it is
 }
