Test the links first at upstreams that may be used

Cause: a test of the links counted upstreams that drain or have gone as likely as others, so after a release of many the four tested ones could all be gone. Change: those that may get no new requests come last in their zone.

--- a/fleet/linktests.go
+++ b/fleet/linktests.go
@@ -42,7 +42,7 @@
 		t.Reach.accepted = nil
 	}
 	t.Reach.testedAt, t.Reach.anyAccepted, t.Reach.awaited = now, false, nil
-	for _, row := range r.chooseTested(t) {
+	for _, row := range r.chooseTested(t, now) {
 		t.Reach.awaited = append(t.Reach.awaited, row.ID)
 		t.AddEffect(lentilmux.ConnectEffect{Upstream: row.ID, Addr: row.Addr})
 	}
@@ -50,14 +50,14 @@
 }
 
 // chooseTested returns up to connectCount upstreams, other ones in each round: of all
-// availability zones in turn, and in each zone those whose links have not failed first.
-func (r *TrackReach) chooseTested(t *Tables) (chosen []*UpstreamRow) {
+// availability zones in turn, and in each zone those that may be used first.
+func (r *TrackReach) chooseTested(t *Tables, now time.Time) (chosen []*UpstreamRow) {
 	rows := t.Upstreams.Rows
 	start := t.Reach.nextIndex % max(len(rows), 1)
 	t.Reach.nextIndex += connectCount
 	rows = slices.Concat(rows[start:], rows[:start])
 	slices.SortStableFunc(rows, func(a, b *UpstreamRow) int {
-		return cmp.Compare(t.Reach.countFailed(a), t.Reach.countFailed(b))
+		return cmp.Compare(t.Reach.countUnlikely(a, now), t.Reach.countUnlikely(b, now))
 	})
 	ranks, perZone := make(map[string]int, len(rows)), make(map[string]int)
 	for _, row := range rows {
@@ -68,10 +68,10 @@
 	return rows[:min(connectCount, len(rows))]
 }
 
-// countFailed returns 1 if the link to an upstream failed lately, or if it is dead,
-// and else 0.
-func (r *Reach) countFailed(row *UpstreamRow) int {
-	if row.Dead || r.hasFailed(row.ID) {
+// countUnlikely returns 1 if an upstream is unlikely to accept a connection, since its
+// link failed lately, it is dead, or new requests may not be sent to it, and else 0.
+func (r *Reach) countUnlikely(row *UpstreamRow, now time.Time) int {
+	if row.Dead || !row.Usable(now) || r.hasFailed(row.ID) {
 		return 1
 	}
 	return 0
