Place layers elsewhere only if no peer reaches their upstream

Change: an upstream that a peer has requests at, or a report of, and that the peer does not consider dead keeps its layers in the plan. Sums of relays name only what the relay found dead by probes of its own, which it sends for each report.

--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -179,11 +179,6 @@
 		sum.IsolatedVMs = append(sum.IsolatedVMs, vm.IsolatedVMs...)
 		mergeLoads(&sum, indexByUpstream, vm.Loads)
 		mergeRetryCounts(&sum, vm.RetryCounts)
-		for _, id := range vm.Suspects {
-			if !slices.Contains(sum.Suspects, id) {
-				sum.Suspects = append(sum.Suspects, id)
-			}
-		}
 	}
 	return sum
 }
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -116,7 +116,7 @@
 // sorted by ID.
 func (p *PlaceLayers) eligibleUpstreams(t *Tables, service string) (rows []*UpstreamRow) {
 	for _, row := range t.Upstreams.Rows {
-		if row.Service != service || row.isDraining() || !row.ExpiresAt.IsZero() || row.Dead || !row.HasLayers && !row.SuspectUntil.IsZero() {
+		if row.Service != service || row.isDraining() || !row.ExpiresAt.IsZero() || row.isLostToAll() || !row.HasLayers && !row.SuspectUntil.IsZero() {
 			continue
 		}
 		if model, _ := t.ModelAndAccelerator(row); model != nil {
@@ -127,6 +127,10 @@
 	return rows
 }
 
+// isLostToAll reports whether an upstream is dead as far as this VM and its peers know.
+// One that some peer reaches is lost to this VM only, and its layers still serve.
+func (u *UpstreamRow) isLostToAll() bool { return u.Dead && !u.ReachedByPeer }
+
 // hasLastingGap reports whether some availability zone with layers has lacked
 // others for GapDelay. A shorter gap may be an upstream that was found dead by
 // mistake. After an outage of the store the delay begins at the end of
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -93,9 +93,10 @@
 
 // probeReported probes an upstream that a peer reported as dead. One on which this
 // VM has work in flight is probed at once, whatever the share of MaxProbesPerSecond
-// that is left: the work has to move if the report is true.
+// that is left: the work has to move if the report is true. So is each by a digest
+// relay, which may lead, and whose sums testify for its zone.
 func (t *Tables) probeReported(row *UpstreamRow, now time.Time) {
-	if row.OwnLoad.Streams == 0 {
+	if row.OwnLoad.Streams == 0 && !(t.usesRelays() && t.isRelay(now)) {
 		t.probe(row, now)
 		return
 	}
@@ -140,13 +141,14 @@
 		return
 	}
 	for _, row := range t.Upstreams.Rows {
-		row.PeerLoad = Load{}
+		row.PeerLoad, row.ReachedByPeer = Load{}, false
 	}
 	for _, vm := range t.digestSources(now) {
 		for _, load := range vm.Loads {
 			if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
 				row.PeerLoad.add(toLoad(load), 1)
 				row.takeSlowdown(load)
+				row.ReachedByPeer = row.ReachedByPeer || !vm.Isolated && !slices.Contains(vm.Suspects, row.ID)
 			}
 		}
 	}
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -31,6 +31,7 @@
 	MissedProbes        int           // unanswered probes in a row
 	Dead                bool          // whether requests in flight on it have to move
 	ReportedByPeer      bool          // whether a peer reported it as dead before this VM found out
+	ReachedByPeer       bool          // whether a peer that is not isolated has requests there or got a report, and does not consider it dead
 
 	RequestLimit    RequestLimitState
 	BackOffUntil    time.Time // named in an answer to this VM: nothing new starts here until then
