Forward a request for which there is no room for want of links

Change: if an upstream of the service is lost to this VM while a peer reaches it, a request without room goes to a peer, as those of an isolated VM do; to the one that considers the fewest upstreams dead.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -162,6 +162,9 @@
 		ok = a.chooseUpstream(t, request, &attempt, now)
 	}
 	if !ok {
+		if t.lacksLinks(request) && a.forwardToPeer(t, request, correlationID, now) {
+			return nil
+		}
 		return a.adjustOutcome(request, t.noRoomRefusal(request, a.describeNoRoom(request.Service), now))
 	}
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -2,13 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lentilmux.example/lentilmux"
 )
 
-// A VM that does not trust its links to upstreams forwards the requests of its
-// callers to a peer, which selects the upstream as for its own callers. A request is
+// A VM that does not trust its links to upstreams, or finds no room since it has lost
+// some of them, forwards the requests of its callers to a peer, which selects the
+// upstream as for its own callers. A request is
 // forwarded once only: a VM that gets one from a peer either sends it to an upstream
 // or refuses it.
 
@@ -30,9 +32,16 @@
 	return !t.trustsLinks() && !request.Forwarded.IsForwarded()
 }
 
+// lacksLinks reports whether some upstream of a request's service is lost to this VM
+// while a peer reaches it, so that a peer may have room where this VM has none.
+func (t *Tables) lacksLinks(request *RequestRow) bool {
+	return !request.Forwarded.IsForwarded() && slices.ContainsFunc(t.Upstreams.Rows, func(row *UpstreamRow) bool {
+		return row.Service == request.Service && row.Dead && row.ReachedByPeer
+	})
+}
+
 // selectPeer returns the peer to forward a request to, or nil if none is usable: the
-// one of this VM's zone to which the last request went longest ago. If most VMs of
-// the zone are isolated, it chooses among those of all zones, so that the few do not
+// best one of this VM's zone, by [betterPeer]. If most VMs of the zone are isolated, it chooses among those of all zones, so that the few do not
 // carry the load of the zone alone.
 func (t *Tables) selectPeer(now time.Time) (peer *VMRow) {
 	var nearest, any *VMRow
@@ -47,20 +56,20 @@
 		}
 		if sameZone {
 			usable++
-			nearest = longerUnused(nearest, vm)
+			nearest = betterPeer(nearest, vm)
 		}
-		any = longerUnused(any, vm)
+		any = betterPeer(any, vm)
 	}
-	if nearest != nil && usable >= isolated {
+	if nearest != nil && usable >= isolated && len(nearest.Suspects) <= len(any.Suspects) {
 		return nearest
 	}
 	return any
 }
 
-// longerUnused returns the one of two peers to which the last request was forwarded
-// earlier. The first may be nil.
-func longerUnused(a, b *VMRow) *VMRow {
-	if a == nil || b.ForwardedAt.Before(a.ForwardedAt) {
+// betterPeer returns the one of two peers that considers fewer upstreams dead, or else
+// the one to which the last request was forwarded earlier. The first may be nil.
+func betterPeer(a, b *VMRow) *VMRow {
+	if a == nil || len(b.Suspects) < len(a.Suspects) || len(b.Suspects) == len(a.Suspects) && b.ForwardedAt.Before(a.ForwardedAt) {
 		return b
 	}
 	return a
@@ -95,11 +104,19 @@
 	t.Answer(correlationID, lentilmux.AttemptAnswer{Attempt: attempt})
 	t.RecordDecision(lentilmux.Decision{
 		What: "request_forwarded", Subject: string(request.ID), Chosen: peer.Name,
-		Reason: fmt.Sprintf("leg=%d links=%s for %s, peer of zone %s", request.Epoch, t.Reach.State, now.Sub(t.Reach.Since).Round(time.Millisecond), peer.Zone),
+		Reason: fmt.Sprintf("leg=%d %s, peer of zone %s", request.Epoch, t.describeLinks(now), peer.Zone),
 	})
 	return true
 }
 
+// describeLinks returns why this VM forwards requests, for the log.
+func (t *Tables) describeLinks(now time.Time) (text string) {
+	if t.trustsLinks() {
+		return "no room, and upstreams that peers reach are lost to this VM"
+	}
+	return fmt.Sprintf("links=%s for %s", t.Reach.State, now.Sub(t.Reach.Since).Round(time.Millisecond))
+}
+
 // unreachableRefusal returns the refusal of a request that neither this VM nor a peer
 // can send to an upstream.
 func (t *Tables) unreachableRefusal() *lentilmux.Refusal {
