Forget peers that are gone for good

The retry slack is split over all of them, so it shrank with each VM that was replaced, and in a fleet that uses relays an isolated VM would forward requests to VMs that are gone. Change: a peer without a digest or a renewed record for 2.5 announce intervals is forgotten, not during an outage of the store, nor for as long after it.

--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -129,6 +129,8 @@
 	peer := t.VMs.Find(request.Peer)
 	switch {
 	case peer == nil:
+	case !failed.Answered && !t.isLive(peer, now):
+		peer.AvoidUntil = now.Add(t.Limits.RelayRetryInterval)
 	case !failed.Answered, failed.peerCannotServe():
 		peer.AvoidUntil = now.Add(peerAvoidDuration)
 	}
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -27,6 +27,7 @@
 	}
 	a.removeExpired(t, now)
 	t.endDepartures(now)
+	t.forgetPeers(now)
 	t.forgetZones()
 }
 
@@ -125,7 +126,7 @@
 	case update.VM != nil:
 		if update.VM.Name != t.Self.Name {
 			vm := t.VMs.GetOrCreate(update.VM.Name)
-			vm.Zone, vm.Addr = update.VM.Zone, update.VM.Addr
+			vm.Zone, vm.Addr, vm.RecordedAt = update.VM.Zone, update.VM.Addr, now
 			t.Zones.Index(update.VM.Zone)
 		}
 	case stream == lentilmux.StreamUpstreams:
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -15,6 +15,7 @@
 	Incarnation     uint64    // start of its process; higher for later starts
 	Sequence        uint64    // of its last digest
 	LastDigestAt    time.Time // when its last digest arrived; zero if none did
+	RecordedAt      time.Time // when its record in the store was last read; zero if it was not
 	Draining        bool
 	Stale           bool                  // whether it lost contact with the store
 	Scope           lentilmux.DigestScope // of its last digest
@@ -36,6 +37,7 @@
 	Rows        []*VMRow
 	indexByName map[string]int
 	rowByHash   map[lentilmux.VMHash]*VMRow
+	forgottenAt time.Time // when gone peers were last looked for
 }
 
 // Find returns a peer's row, or nil if the peer is unknown.
@@ -94,6 +96,52 @@
 	}
 }
 
+const (
+	// peerRetention is how long a peer is kept without a digest or a record of it, in
+	// announce intervals. Each VM writes its record once an interval.
+	peerRetention = 2.5
+	// forgetChecks is how often gone peers are looked for, in an announce interval.
+	forgetChecks = 10
+)
+
+// forgetPeers removes peers that have gone for good: neither a digest nor a record of
+// theirs was read for peerRetention. After an outage of the store all VMs have that
+// time to write their records again.
+func (t *Tables) forgetPeers(now time.Time) {
+	if now.Sub(t.VMs.forgottenAt) < t.Limits.AnnounceInterval/forgetChecks {
+		return
+	}
+	t.VMs.forgottenAt = now
+	retention := time.Duration(peerRetention * float64(t.Limits.AnnounceInterval))
+	oldest, records := now.Add(-retention), &t.Streams.VMs
+	if records.Failing || records.AsOf.Before(oldest) || now.Sub(records.RecoveredAt) < retention {
+		return
+	}
+	t.VMs.removeFunc(func(vm *VMRow) bool {
+		gone := vm.LastDigestAt.Before(oldest) && vm.RecordedAt.Before(oldest)
+		if gone {
+			t.RecordDecision(lentilmux.Decision{What: "peer_forgotten", Subject: vm.Name, Reason: "no digest or record for " + retention.String()})
+		}
+		return gone
+	})
+}
+
+// removeFunc removes the rows for which gone returns true.
+func (v *VMs) removeFunc(gone func(vm *VMRow) bool) {
+	kept := v.Rows[:0]
+	for _, vm := range v.Rows {
+		if gone(vm) {
+			delete(v.indexByName, vm.Name)
+			delete(v.rowByHash, lentilmux.HashVM(vm.Name))
+			continue
+		}
+		v.indexByName[vm.Name] = len(kept)
+		kept = append(kept, vm)
+	}
+	clear(v.Rows[len(kept):])
+	v.Rows = kept
+}
+
 // FleetLoads is what the fleet-wide sum that was last received from a relay says
 // of the fleet. The loads of its upstreams are in their rows.
 type FleetLoads struct {
