Forward requests only to VMs with the newest configuration

Found by reading: VMs apply a new configuration within a second of one another, so an isolated VM that used several peers in turn could serve its callers by an older version after a newer one (CONFIG). Change: digests name the newest version in force, a new one at once; a forwarded request names the newest known version, peers with it are asked first, and one with an older version refuses.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -109,7 +109,7 @@
 		return t.notRunRefusal(lentilmux.ReasonDraining, "this VM drains")
 	case t.Reach.State == ReachLost:
 		return t.notRunRefusal(lentilmux.ReasonNotReady, "this VM reaches no upstream either")
-	case t.ConfigStale(now):
+	case t.ConfigStale(now), t.Rules.Version < forwarded.MinRules:
 		return t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old")
 	}
 	for i := range t.Rules.Workspaces {
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -35,14 +35,14 @@
 	if t.usesRelays() {
 		interval = t.Limits.RelayDigestInterval
 	}
-	if t.NewSuspects || t.NewDrains {
+	if t.NewSuspects || t.NewDrains || t.NewRules {
 		interval = t.Limits.MinDigestInterval
 	}
 	if due := s.lastSentAt.Add(interval); now.Before(due) {
 		t.WakeAt(due)
 		return
 	}
-	s.lastSentAt, t.NewSuspects, t.NewDrains = now, false, false
+	s.lastSentAt, t.NewSuspects, t.NewDrains, t.NewRules = now, false, false, false
 	s.rounds++
 	t.WakeAt(now.Add(interval))
 	own := s.ownDigest(t, now)
@@ -132,7 +132,7 @@
 func (s *SendDigests) ownDigest(t *Tables, now time.Time) (digest lentilmux.LoadDigest) {
 	digest = lentilmux.LoadDigest{
 		VM: t.Self.Name, VMCount: 1, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
-		Draining: t.Self.Draining, Stale: t.ConfigStale(now),
+		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version,
 	}
 	if t.isIsolated(now) {
 		digest.IsolatedVMs = []lentilmux.VMHash{lentilmux.HashVM(t.Self.Name)}
@@ -176,6 +176,7 @@
 			continue
 		}
 		sum.VMCount += vm.VMCount
+		sum.Rules = max(sum.Rules, vm.Rules)
 		sum.IsolatedVMs = append(sum.IsolatedVMs, vm.IsolatedVMs...)
 		mergeLoads(&sum, indexByUpstream, vm.Loads)
 		mergeRetryCounts(&sum, vm.RetryCounts)
--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -60,16 +61,17 @@
 		}
 		any = betterPeer(any, vm)
 	}
-	if nearest != nil && usable >= isolated && len(nearest.Suspects) <= len(any.Suspects) {
+	if nearest != nil && usable >= isolated && nearest.Rules >= any.Rules && len(nearest.Suspects) <= len(any.Suspects) {
 		return nearest
 	}
 	return any
 }
 
-// betterPeer returns the one of two peers that considers fewer upstreams dead, or else
-// the one to which the last request was forwarded earlier. The first may be nil.
+// betterPeer returns the one of two peers that has the newer configuration, or else
+// considers fewer upstreams dead, or else to which the last request was forwarded
+// earlier. The first may be nil.
 func betterPeer(a, b *VMRow) *VMRow {
-	if a == nil || len(b.Suspects) < len(a.Suspects) || len(b.Suspects) == len(a.Suspects) && b.ForwardedAt.Before(a.ForwardedAt) {
+	if a == nil || cmp.Or(cmp.Compare(b.Rules, a.Rules), cmp.Compare(len(a.Suspects), len(b.Suspects)), a.ForwardedAt.Compare(b.ForwardedAt)) > 0 {
 		return b
 	}
 	return a
@@ -96,7 +98,7 @@
 	request.AttemptState = AttemptState{Epoch: lentilmux.Epoch(request.Attempts), Peer: peer.Name, SentAt: now}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: request.Epoch, Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
-		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns,
+		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns, MinRules: t.newestRules(),
 	}
 	if request.Route.Kind.Repeatable() {
 		attempt.FirstEventTimeout, attempt.EventGapTimeout = t.Limits.MaxStallTimeout, t.Limits.MaxStallTimeout
@@ -109,6 +111,17 @@
 	return true
 }
 
+// newestRules returns the newest version of the configuration that this VM knows to be
+// in force on any VM. Callers of one VM must not be served by an older version after a
+// newer one, and peers may apply a version later than others.
+func (t *Tables) newestRules() (version lentilmux.Revision) {
+	version = max(t.Rules.Version, t.FleetLoads.Rules)
+	for _, vm := range t.VMs.Rows {
+		version = max(version, vm.Rules)
+	}
+	return version
+}
+
 // describeLinks returns why this VM forwards requests, for the log.
 func (t *Tables) describeLinks(now time.Time) (text string) {
 	if t.trustsLinks() {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -65,7 +65,7 @@
 		a.applyFleetLoads(t, digest, now)
 	} else {
 		vm.Scope, vm.VMCount, vm.Loads, vm.Suspects = digest.Scope, digest.VMCount, digest.Loads, digest.Suspects
-		vm.IsolatedVMs = digest.IsolatedVMs
+		vm.IsolatedVMs, vm.Rules = digest.IsolatedVMs, digest.Rules
 	}
 	for _, id := range digest.Suspects {
 		if row := t.Upstreams.Find(id); row != nil && !row.Dead && !slices.Contains(known, id) {
@@ -112,7 +112,7 @@
 	if t.FleetLoads.Relay < digest.VM && t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
 		return
 	}
-	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts, IsolatedVMs: digest.IsolatedVMs}
+	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts, IsolatedVMs: digest.IsolatedVMs, Rules: digest.Rules}
 	for _, row := range t.Upstreams.Rows {
 		if covers(&digest, row) {
 			row.FleetLoad = Load{}
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -18,7 +18,7 @@
 		Sequence: uint64(parseInt(fields["sequence"])), Suspects: strings.FieldsFunc(fields["suspects"], func(r rune) bool { return r == ',' }),
 		Scope: map[string]lentilmux.DigestScope{"zone": lentilmux.ScopeZone, "fleet": lentilmux.ScopeFleet}[fields["scope"]],
 	}
-	digest.Stale = fields["stale"] == "true"
+	digest.Stale, digest.Rules = fields["stale"] == "true", lentilmux.Revision(parseInt(fields["rules"]))
 	for _, vm := range strings.FieldsFunc(fields["isolated"], func(r rune) bool { return r == ',' }) {
 		digest.IsolatedVMs = append(digest.IsolatedVMs, lentilmux.HashVM(vm))
 	}
@@ -122,7 +122,7 @@
 		timeout = parseDuration(fields["timeout"])
 	}
 	return lentilmux.InboundRequest{
-		Forwarded: lentilmux.ForwardedRequest{VM: fields["from"], Workspace: fields["workspace"], PossibleRuns: parseInt(fields["runs"])},
+		Forwarded: lentilmux.ForwardedRequest{VM: fields["from"], Workspace: fields["workspace"], PossibleRuns: parseInt(fields["runs"]), MinRules: lentilmux.Revision(parseInt(fields["min_rules"]))},
 		ID:        lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
 		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
 	}
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -144,7 +144,7 @@
 	}
 	previous := t.Rules.Version
 	t.Rules.install(rules)
-	t.Rules.InstalledAt = now
+	t.Rules.InstalledAt, t.NewRules = now, previous > 0
 	t.AddEffect(lentilmux.BodyLimitEffect{MaxBytes: rules.Limits.MaxBodyBytes})
 	t.AddEffect(lentilmux.RulesVersionEffect{Version: rules.Version})
 	t.RecordDecision(lentilmux.Decision{
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -46,6 +46,7 @@
 	CrossZoneBucket TokenBucket // rate limit of activations that cross zones, in bits
 	Events          Events
 	NewSuspects     bool // whether an upstream was found dead that the last digest does not list
+	NewRules        bool // whether a configuration replaced another one that the last digest names
 	NewDrains       bool // whether an upstream announced its drain that the last digest does not list
 
 	effects  []lentilmux.Effect // of this tick
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -18,6 +18,7 @@
 	RecordedAt      time.Time // when its record in the store was last read; zero if it was not
 	Draining        bool
 	Stale           bool                  // whether it lost contact with the store
+	Rules           lentilmux.Revision    // newest version of the configuration that its last digest names
 	Scope           lentilmux.DigestScope // of its last digest
 	VMCount         int                   // number of VMs that its last digest covers
 	Loads           []lentilmux.UpstreamLoad
@@ -150,6 +151,7 @@
 	VMCount     int // number of VMs in the sum
 	RetryCounts []lentilmux.RetryCounts
 	IsolatedVMs []lentilmux.VMHash // VMs of the fleet that reach no upstream
+	Rules       lentilmux.Revision // newest version of the configuration in force on any VM
 }
 
 // isFresh reports whether the sum was received at most maxAge ago.
--- a/peer/forwarded.go
+++ b/peer/forwarded.go
@@ -47,6 +47,7 @@
 		"workspace":     {forwarded.Workspace},
 		"fingerprint":   {strconv.FormatUint(uint64(forwarded.Fingerprint), 16)},
 		"possible_runs": {strconv.Itoa(forwarded.PossibleRuns)},
+		"min_rules":     {strconv.FormatUint(uint64(forwarded.MinRules), 10)},
 	}.Encode())
 }
 
@@ -79,7 +80,13 @@
 	if runs < 0 {
 		return forwarded, errors.Errorf("possible_runs is %d; expected at least 0", runs)
 	}
-	return lentilmux.ForwardedRequest{VM: vm, Workspace: values.Get("workspace"), Fingerprint: lentilmux.Fingerprint(fingerprint), PossibleRuns: runs}, nil
+	minRules, err := strconv.ParseUint(values.Get("min_rules"), 10, 64)
+	if err != nil {
+		return forwarded, err
+	}
+	return lentilmux.ForwardedRequest{
+		VM: vm, Workspace: values.Get("workspace"), Fingerprint: lentilmux.Fingerprint(fingerprint), PossibleRuns: runs, MinRules: lentilmux.Revision(minRules),
+	}, nil
 }
 
 // SetRefusal adds a refusal to the headers of the answer to a forwarded request.
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -90,7 +90,7 @@
 	message := &peerpb.LoadDigest{
 		Vm: digest.VM, Zone: digest.Zone, Addr: digest.Addr.String(), Incarnation: digest.Incarnation, Sequence: digest.Sequence,
 		Draining: digest.Draining, Stale: digest.Stale, Suspects: digest.Suspects, Scope: int32(digest.Scope), Vms: int32(digest.VMCount),
-		Slices: uint32(digest.Slices), Slice: uint32(digest.Slice),
+		Slices: uint32(digest.Slices), Slice: uint32(digest.Slice), Rules: uint64(digest.Rules),
 	}
 	message.Loads = loadsToProto(digest.Loads)
 	for _, counts := range digest.RetryCounts {
@@ -174,7 +174,7 @@
 		VM: message.GetVm(), Zone: message.GetZone(), Addr: addr, Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(),
 		Draining: message.GetDraining(), Stale: message.GetStale(), Suspects: message.GetSuspects(),
 		Scope: lentilmux.DigestScope(message.GetScope()), VMCount: int(message.GetVms()),
-		Slices: int(message.GetSlices()), Slice: int(message.GetSlice()),
+		Slices: int(message.GetSlices()), Slice: int(message.GetSlice()), Rules: lentilmux.Revision(message.GetRules()),
 	}
 	if digest.Loads, err = loadsFromProto(message.GetLoads()); err != nil {
 		return digest, err
--- a/peer/loaddigest_test.go
+++ b/peer/loaddigest_test.go
@@ -64,6 +64,7 @@
 		IsolatedVMs: []lentilmux.VMHash{lentilmux.HashVM("entry-1"), 1 << 31},
 		Slices:      8,
 		Slice:       5,
+		Rules:       1 << 40,
 		Suspects:    []string{"w2"},
 		RetryCounts: []lentilmux.RetryCounts{{Service: "desk-llm", Requests: 40, Retries: 3}},
 	}
--- a/streams.go
+++ b/streams.go
@@ -310,6 +310,7 @@
 	Parts       []PartSuspicion // prompt parts that may crash upstreams, as the sender knows them
 	Limits      []UpstreamLimit // limits that upstreams named, as the sender knows them
 	Drains      []UpstreamDrain // drains that upstreams announced, as the sender knows them
+	Rules       Revision        // newest version of the configuration that is in force on a VM that the digest covers
 	IsolatedVMs []VMHash        // VMs that the digest covers and that reach no upstream
 	BackOffs    []BackOffHint   // upstreams that asked a VM for a back-off, as the sender knows them
 }
