--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -11,9 +11,8 @@
 
 // A VM that does not trust its links to upstreams, or finds no room since it has lost
 // some of them, forwards the requests of its callers to a peer, which selects the
-// upstream as for its own callers. A request is
-// forwarded once only: a VM that gets one from a peer either sends it to an upstream
-// or refuses it.
+// upstream as for its own callers. A request is forwarded once only: a VM that gets
+// one from a peer either sends it to an upstream or refuses it.
 
 const (
 	// peerAvoidDuration is how long a peer that could not be reached, or that refused
@@ -42,8 +41,9 @@
 }
 
 // selectPeer returns the peer to forward a request to, or nil if none is usable: the
-// best one of this VM's zone, by [betterPeer]. If most VMs of the zone are isolated, it chooses among those of all zones, so that the few do not
-// carry the load of the zone alone.
+// best one of this VM's zone, by [betterPeer]. If most VMs of the zone are isolated, or
+// a VM of another zone is better, it chooses among those of all zones, so that the few
+// do not carry the load of the zone alone.
 func (t *Tables) selectPeer(now time.Time) (peer *VMRow) {
 	var nearest, any *VMRow
 	usable, isolated := 0, 1 // in this VM's zone
