Count a call canceled with a connection as one that may be written

A call that fails before a byte of it was written counts as a failed dial and as certainly not run. If it is canceled when it has a connection, net/http's writer may write it all the same after Send has returned: the mark was set by the writer, not by the caller. So far no decision for a canceled call relied on it; an answer that promises 'not run' at the end of a drain will.

A canceled call counts as not sent only if it never had a connection, which is known on the goroutine of Send itself.

--- a/service/service.go
+++ b/service/service.go
@@ -144,13 +144,16 @@
 // response header has arrived. The caller must close the response body. A
 // failure is a [*lentilmux.UpstreamError].
 func (c *Client) Send(request *http.Request) (response *http.Response, err error) {
-	var writeStarted atomic.Bool
+	var connected, writeStarted atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteHeaderField: func(string, []string) { writeStarted.Store(true) },
 	})
 	response, err = c.client.Do(request.WithContext(ctx))
 	if err != nil {
-		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, writeStarted.Load()), Err: err}
+		// A call that is canceled once it has a connection may still be being written.
+		mayBeWritten := writeStarted.Load() || connected.Load() && ctx.Err() != nil
+		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, mayBeWritten), Err: err}
 	}
 	return response, nil
 }
