Answer requests that the end of this VM or of its node leaves unfinished

Callers whose requests were in flight at the end of a drain got a closed connection, also where no byte of an answer had been sent: the relay closed it for each error of the node and for the stop of the process, since it took all of them for a caller that had left.

What ended a request is now typed. Node.Ask returns the cause of its context's end: a stop is ErrStopped, a silent node has an error of its own, and any other end of the context is the caller's leaving. The relay counts the attempts that were sent and those that certainly did not run: an answer says 503 only if none is left, else 502, or the failure that an upstream had answered. An attempt in flight counts as one that may run. Only a response that has begun is broken off.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -19,7 +19,6 @@
 	reasonInvalid  lentilmux.Reason = "invalid_request"
 	reasonTooLarge lentilmux.Reason = "body_too_large"
 	reasonNotFound lentilmux.Reason = "not_found"
-	reasonInternal lentilmux.Reason = "internal_error"
 )
 
 // statusCodes maps reasons to HTTP status codes. A reason without an entry gives
@@ -28,7 +27,7 @@
 	reasonInvalid:                    http.StatusBadRequest,
 	reasonTooLarge:                   http.StatusRequestEntityTooLarge,
 	reasonNotFound:                   http.StatusNotFound,
-	reasonInternal:                   http.StatusInternalServerError,
+	lentilmux.ReasonInternal:         http.StatusInternalServerError,
 	lentilmux.ReasonUnknownWorkspace: http.StatusNotFound,
 	lentilmux.ReasonUnknownModel:     http.StatusNotFound,
 	lentilmux.ReasonUnknownService:   http.StatusNotFound,
@@ -72,7 +71,7 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	return &lentilmux.Refusal{Reason: reasonInternal, Detail: err.Error()}
+	return &lentilmux.Refusal{Reason: lentilmux.ReasonInternal, Detail: err.Error()}
 }
 
 // newErrorReply returns the body of the error response for a refusal.
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -32,6 +32,7 @@
 			t.recordUnanswered(msg, request, now)
 		}
 		if request == nil {
+			t.recordRefusedByRelay(msg)
 			t.dropPending(msg.Request)
 			continue
 		}
@@ -50,6 +51,23 @@
 	}
 }
 
+// recordRefusedByRelay logs a request that is not in the table and that the relay has
+// refused by itself. It was not sent to an upstream.
+func (t *Tables) recordRefusedByRelay(msg lentilmux.ForwardDoneMsg) {
+	switch msg.End.Cause {
+	case lentilmux.EndNodeStopped, lentilmux.EndNodeFailed, lentilmux.EndBodyUnreadable:
+	default:
+		return // the line of the refusal says why
+	}
+	if msg.End.Unanswered {
+		return
+	}
+	t.RecordDecision(lentilmux.Decision{
+		What: "request_refused", Subject: string(msg.Request), Chosen: msg.Outcome.String(),
+		Reason: fmt.Sprintf("%s: %s; status=%d took=%dms", msg.Reason, msg.End.Cause, msg.Status, msg.Duration.Milliseconds()),
+	})
+}
+
 // recordUnanswered logs a request that ended without a complete answer or a
 // refusal. A request that is not in the table was not sent to an upstream.
 func (t *Tables) recordUnanswered(msg lentilmux.ForwardDoneMsg, request *RequestRow, now time.Time) {
--- a/forward/contender.go
+++ b/forward/contender.go
@@ -9,10 +9,11 @@
 
 // contenderResult is the result of a contender: an attempt that has begun to answer
 // and has claimed the race, or the node's answer to the failure of the last
-// attempt in flight.
+// attempt in flight, or the error with which the node did not answer.
 type contenderResult struct {
-	attempt *runningAttempt // nil if there is an answer
+	attempt *runningAttempt // nil if there is an answer or an error
 	answer  lentilmux.Answer
+	err     error
 }
 
 // reportStall reports a stalled attempt to the node. If the node gives another
@@ -68,9 +69,12 @@
 			return // canceled, or the request ends
 		}
 		failure := r.describeFailure(contender, err)
-		answer, err := r.relay.node.Ask(ctx, *failure)
+		answer, err := r.ask(ctx, *failure)
 		if err != nil {
-			return // the request ends
+			if r.race.remove(contender) {
+				r.sendResult(ctx, contenderResult{err: err})
+			}
+			return
 		}
 		switch x := answer.(type) {
 		case lentilmux.AttemptAnswer:
--- a/forward/end.go
+++ b/forward/end.go
@@ -12,8 +12,12 @@
 // is aborted. Otherwise the caller gets the last failure response of an
 // upstream, if there is one and the request may have run, or else the refusal.
 func (r *relayedRequest) refuse(refusal *lentilmux.Refusal) {
-	r.result.Outcome, r.result.Reason = refusal.Outcome, refusal.Reason
-	r.result.End.Cause = r.refusalCause(refusal)
+	r.refuseBecause(r.refusalCause(refusal), refusal)
+}
+
+// refuseBecause is like refuse, with the cause of the end.
+func (r *relayedRequest) refuseBecause(cause lentilmux.EndCause, refusal *lentilmux.Refusal) {
+	r.result.Outcome, r.result.Reason, r.result.End.Cause = refusal.Outcome, refusal.Reason, cause
 	response, body := r.race.failure()
 	switch {
 	case r.headersSent:
@@ -39,14 +43,50 @@
 	}
 }
 
-// abort ends a request whose caller disconnected or whose node stopped. The
-// cause of ctx tells which, unless err does.
+// abort ends a request that cannot go on, since err ended it. A caller that is still
+// there gets an answer, unless its response has begun.
 func (r *relayedRequest) abort(ctx context.Context, err error) {
-	r.result.Reason, r.result.End.Cause = lentilmux.ReasonCanceled, lentilmux.EndCallerDisconnected
-	if errors.Is(err, lentilmux.ErrStopped) || errors.Is(context.Cause(ctx), lentilmux.ErrStopped) {
-		r.result.Reason, r.result.End.Cause = lentilmux.ReasonDraining, lentilmux.EndNodeStopped
+	switch cause := abortCause(ctx, err); cause {
+	case lentilmux.EndCallerDisconnected:
+		r.result.Reason, r.result.End.Cause = lentilmux.ReasonCanceled, cause
+		r.breakOff()
+	case lentilmux.EndNodeStopped:
+		r.refuseBecause(cause, r.unfinished(lentilmux.ReasonDraining, "this entry VM ends"))
+	default:
+		reason := lentilmux.ReasonInternal
+		if errors.Is(err, errNodeSilent) {
+			reason = lentilmux.ReasonDeadline
+		}
+		r.refuseBecause(cause, r.unfinished(reason, err.Error()))
+	}
+}
+
+// abortCause returns what ended a request with err. The context of a request ends with
+// the cause [lentilmux.ErrStopped], or because its caller has disconnected.
+func abortCause(ctx context.Context, err error) (cause lentilmux.EndCause) {
+	switch {
+	case errors.Is(err, lentilmux.ErrStopped), errors.Is(context.Cause(ctx), lentilmux.ErrStopped):
+		return lentilmux.EndNodeStopped
+	case errors.Is(err, errCallerDisconnected), ctx.Err() != nil:
+		return lentilmux.EndCallerDisconnected
+	default:
+		return lentilmux.EndNodeFailed
 	}
-	r.breakOff()
+}
+
+// unfinished returns the refusal of a request that this VM does not finish.
+func (r *relayedRequest) unfinished(reason lentilmux.Reason, detail string) *lentilmux.Refusal {
+	refusal := &lentilmux.Refusal{Outcome: lentilmux.OutcomeNotRun, Reason: reason, Detail: detail}
+	if r.mayHaveRun() {
+		refusal.Outcome = lentilmux.OutcomeUnknown
+	}
+	return refusal
+}
+
+// mayHaveRun reports whether an attempt may have run the request, here or before it was
+// forwarded, or may still do so.
+func (r *relayedRequest) mayHaveRun() bool {
+	return r.inbound.Forwarded.PossibleRuns > 0 || r.race.mayHaveRun()
 }
 
 // breakOff ends the connection without a complete answer.
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -15,6 +15,9 @@
 func (r *relayedRequest) handleError(ctx context.Context, a *runningAttempt, err error) (failure *lentilmux.ForwardFailedMsg) {
 	switch {
 	case errors.Is(err, errCallerDisconnected), ctx.Err() != nil:
+		if isDialFailure(err) || errors.Is(err, errUnsuccessful) && a.verdict == lentilmux.VerdictNotRun {
+			r.race.recordNotRun()
+		}
 		r.abort(ctx, err)
 		return nil
 	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,6 +33,9 @@
 // has its own context since it is also sent after the caller has disconnected.
 const reportTimeout = 5 * time.Second
 
+// errNodeSilent ends a request that the node has not answered in time.
+const errNodeSilent = errors.ConstError("the node did not answer in time")
+
 // Result describes how a request ended.
 type Result struct {
 	Kind            lentilmux.CallKind
@@ -78,7 +81,8 @@
 }
 
 // Run serves one request until it is answered, refused or aborted. It reports
-// the end to the node and to the observer.
+// the end to the node and to the observer. The context ends when the caller has
+// disconnected, or with the cause [lentilmux.ErrStopped] when the process ends.
 func (r *Relay) Run(ctx context.Context, inbound lentilmux.InboundRequest, sender lentilmux.RequestSender, sink lentilmux.Sink) {
 	request := &relayedRequest{
 		relay: r, inbound: inbound, sender: sender, sink: sink, result: Result{Outcome: lentilmux.OutcomeUnknown},
@@ -121,7 +125,7 @@
 
 // serve makes attempts until the request has ended.
 func (r *relayedRequest) serve(ctx context.Context) {
-	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
+	answer, err := r.ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
 	for err == nil {
 		var failure *lentilmux.ForwardFailedMsg
 		switch x := answer.(type) {
@@ -142,7 +146,7 @@
 				return
 			}
 			if result.attempt == nil {
-				answer = result.answer
+				answer, err = result.answer, result.err
 				continue
 			}
 			failure = r.runAttempt(ctx, result.attempt, nil)
@@ -153,11 +157,18 @@
 		if failure == nil {
 			return
 		}
-		answer, err = r.relay.node.Ask(ctx, *failure)
+		answer, err = r.ask(ctx, *failure)
 	}
 	r.abort(ctx, err)
 }
 
+// ask asks the node for an attempt, for as long as the caller waits.
+func (r *relayedRequest) ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, r.inbound.Deadline.Sub(r.relay.clock()), errNodeSilent)
+	defer cancel()
+	return r.relay.node.Ask(ctx, msg)
+}
+
 // awaitContender waits for the result of an attempt beside the one that failed. It
 // ends the request and returns false if the caller disconnects or the deadline
 // passes.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -38,8 +38,16 @@
 	askTime        time.Duration        // until the node answers the report of a stalled attempt
 	readTimes      []time.Duration      // until the caller has read each of its first events
 	replaceStalled []bool               // for each report of a stalled attempt, whether the node replaces it
+	asks           int                  // for attempts, so far
+	badAsk         int                  // number of the ask for an attempt that gets no attempt but the next two; 0 for none
+	badAnswer      lentilmux.Answer
+	badErr         error // errSilent for none at all
+	connects       bool  // whether the first attempt still connects when it is canceled
 }
 
+// errSilent stands for a node that does not answer.
+const errSilent = errors.ConstError("silent")
+
 // step is one event of a stream, or an error in its place.
 type step struct {
 	after time.Duration // since the previous step
@@ -80,6 +88,11 @@
 	}
 	s.node.Lock()
 	defer s.node.Unlock()
+	if _, ok := msg.(lentilmux.ForwardStalledMsg); !ok {
+		if s.asks++; s.asks == s.badAsk {
+			return s.answerBadly(ctx)
+		}
+	}
 	switch x := msg.(type) {
 	case lentilmux.ForwardStalledMsg:
 		replaced := len(s.replaceStalled) > 0 && s.replaceStalled[0]
@@ -102,6 +115,15 @@
 	}
 }
 
+// answerBadly answers an ask that gets no attempt.
+func (s *script) answerBadly(ctx context.Context) (answer lentilmux.Answer, err error) {
+	if errors.Is(s.badErr, errSilent) {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
+	return s.badAnswer, s.badErr
+}
+
 // formatEnd formats how a request ended.
 func formatEnd(end lentilmux.RequestEnd) string {
 	lastFailure := "none"
@@ -141,6 +163,10 @@
 		time.Sleep(s.sendTime)
 	}
 	s.logf("upstream: attempt %d after event %d", attempt.Epoch, after)
+	if s.connects && attempt.Epoch == 1 {
+		<-ctx.Done()
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: ctx.Err()}
+	}
 	steps := s.steps[attempt.Epoch-1]
 	if len(steps) > 0 && steps[0].event < 0 {
 		return &scriptedResponse{script: s, epoch: attempt.Epoch, ctx: ctx, verdict: lentilmux.Verdict(-steps[0].event)}, nil
@@ -299,6 +325,22 @@
 		{name: "silent, another attempt begins during the first write", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, readTimes: []time.Duration{570 * time.Millisecond}, steps: [][]step{append(events(tick, 0), events(1500*time.Millisecond, 1)...), events(tick, 1, 2)}}},
 		{name: "refused at once", script: script{kind: lentilmux.CallOnce}},
 		{name: "process ends", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
+		// A request must not end without an answer where none has begun, and its answer must
+		// not promise that it has not run if it may have.
+		{name: "process ends before a stream begins", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(time.Second, 0)}}},
+		{name: "process ends before a call is answered", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallOnce, attempts: 2, bodyTime: time.Second, steps: [][]step{events(0, 0)}}},
+		{name: "process ends while an attempt connects", stop: 120 * time.Millisecond, script: script{kind: lentilmux.CallOnce, attempts: 2, connects: true, steps: [][]step{nil}}},
+		{name: "process ends while two attempts are silent", stop: 420 * time.Millisecond, script: script{kind: lentilmux.CallRepeatable, attempts: 2, replaceStalled: []bool{true}, bodyTime: time.Second, sendTime: time.Second, steps: [][]step{events(0, 0), events(0, 0)}}},
+		{name: "node stopped before the first attempt", script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: lentilmux.ErrStopped}},
+		{name: "node stopped after an attempt that did not run", script: script{kind: lentilmux.CallOnce, attempts: 2, badAsk: 2, badErr: lentilmux.ErrStopped, steps: [][]step{verdict(lentilmux.VerdictNotRun)}}},
+		{name: "node stopped after an attempt that may have run", script: script{kind: lentilmux.CallResumableStream, attempts: 2, badAsk: 2, badErr: lentilmux.ErrStopped, steps: [][]step{{connectionLost}}}},
+		{name: "node stopped after a failure response", script: script{kind: lentilmux.CallRepeatable, attempts: 2, badAsk: 2, badErr: lentilmux.ErrStopped, steps: [][]step{verdict(lentilmux.VerdictFailed)}}},
+		{name: "node stopped after a stream was cut", script: script{kind: lentilmux.CallResumableStream, attempts: 2, badAsk: 2, badErr: lentilmux.ErrStopped, steps: [][]step{append(events(tick, 0), connectionLost)}}},
+		{name: "node stopped while another attempt fails", script: script{kind: lentilmux.CallResumableStream, attempts: 3, badAsk: 3, badErr: lentilmux.ErrStopped, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), step{after: 250 * time.Millisecond, err: connectionLost.err}), {{after: 200 * time.Millisecond, err: connectionLost.err}}}}},
+		{name: "node gives an unexpected answer", script: script{kind: lentilmux.CallOnce, badAsk: 1, badAnswer: "odd"}},
+		{name: "node gives an unexpected answer to a failure", script: script{kind: lentilmux.CallResumableStream, attempts: 2, badAsk: 2, badAnswer: "odd", steps: [][]step{{connectionLost}}}},
+		{name: "node does not answer", disconnect: 3 * time.Second, script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: errSilent}},
+		{name: "node does not answer, caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: errSilent}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 	}
 	var out strings.Builder
--- a/forward/race.go
+++ b/forward/race.go
@@ -19,6 +19,7 @@
 	failedResponse lentilmux.UpstreamResponse // last failure of an upstream, sent to the caller if no attempt succeeds
 	failedBody     []byte                     // body of failedResponse
 	end            lentilmux.RequestEnd       // the attempts so far
+	sent, notRun   int                        // attempts so far, and those that certainly did not run
 }
 
 // add adds an attempt.
@@ -31,6 +32,7 @@
 func (r *race) addLocked(a *runningAttempt) {
 	r.inFlight = append(r.inFlight, a)
 	r.end.Epoch = a.Epoch
+	r.sent++
 	a.after = r.lastEvent
 }
 
@@ -137,11 +139,29 @@
 	failure.Delivered = r.delivered
 	r.end.Failures++
 	r.end.LastFailure = failure.Kind
+	if failure.NotRun {
+		r.notRun++
+	}
 	if failure.Answered && !failure.NotRun && failure.PeerRefusal == nil {
 		r.failedResponse, r.failedBody = a.response, a.body
 	}
 }
 
+// recordNotRun records that an attempt certainly did not run, whose failure is not
+// reported.
+func (r *race) recordNotRun() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notRun++
+}
+
+// mayHaveRun reports whether an attempt may have run, or may still run.
+func (r *race) mayHaveRun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent > r.notRun
+}
+
 // verdict classifies a response. A success that cannot continue the stream that the
 // caller has the beginning of is invalid: an error in a body of another type may
 // look like events.
--- a/node.go
+++ b/node.go
@@ -134,13 +134,13 @@
 }
 
 // Send puts msg into the inbox of the control goroutine. It blocks while the
-// inbox is full. It returns [ErrStopped] or the context's error.
+// inbox is full. It returns [ErrStopped] or the cause of the context's end.
 func (n *Node) Send(ctx context.Context, msg Msg) (err error) {
 	return n.enqueue(ctx, Envelope{Msg: msg})
 }
 
 // Ask sends msg like [Node.Send] and waits for its answer. It returns
-// [ErrStopped] or the context's error.
+// [ErrStopped] or the cause of the context's end.
 func (n *Node) Ask(ctx context.Context, msg Msg) (answer Answer, err error) {
 	reply := make(chan Answer, 1)
 	if err := n.enqueue(ctx, Envelope{Msg: msg, reply: reply}); err != nil {
@@ -150,7 +150,7 @@
 	case answer := <-reply:
 		return answer, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, context.Cause(ctx)
 	case <-n.stopped:
 		return nil, ErrStopped
 	}
@@ -161,7 +161,7 @@
 	case n.inbox <- envelope:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	case <-n.stopped:
 		return ErrStopped
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -63,6 +63,7 @@
 	ReasonUpstreamFailed   Reason = "upstream_failed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonInternal         Reason = "internal_error"
 )
 
 // ErrRefused is the sentinel error that every [Refusal] wraps.
--- a/requestend.go
+++ b/requestend.go
@@ -21,6 +21,8 @@
 	EndCallerDisconnected EndCause = "caller_disconnected"
 	// EndNodeStopped means that this process ended.
 	EndNodeStopped EndCause = "node_stopped"
+	// EndNodeFailed means that the node gave no answer that the relay can follow.
+	EndNodeFailed EndCause = "node_failed"
 	// EndBodyUnreadable means that the request's body did not arrive completely.
 	EndBodyUnreadable EndCause = "body_unreadable"
 )
