Wait for the answers to forwarded requests at the end of a drain

The end of a drain ends all requests in flight and gave those of callers 100 ms to be answered, but not those that peers had forwarded: their connections were closed at once, and the caller's VM counted a lost answer.

The end of a drain now waits for both, within the same 100 ms.

--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -94,13 +94,14 @@
 	return nil
 }
 
-// abortRequests ends callers' requests in flight and waits until they are logged,
-// for abortTimeout at most.
+// abortRequests ends the requests of callers and peers in flight and waits until they are
+// answered or broken off, for abortTimeout at most.
 func (s *gatewayServers) abortRequests() {
 	s.cancelRequests(lentilmux.ErrStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
 	_ = s.caller.Shutdown(ctx) // close follows in any case
+	_ = s.forwarded.wait(ctx)
 }
 
 // close closes all opened servers and their connections immediately.
