Answer requests whose body does not arrive, and end their wait

A caller whose body was cut or malformed got a closed connection, and one whose body was unfinished at the end of a drain got one that no log had a line of. A body that never arrived had no end at all before its caller left, and held a drain until its end. A body that was too large was refused without a line.

The cause: the front end blocked in the read of the body, which neither the caller's deadline nor the end of the process ended, and took each error of it for a caller that had left. The read now ends with both, and the relay refuses the request: nothing of it was sent. A caller that has left does not get the answer, and its line is now one of a refusal: TestUnansweredRequestsAreLogged expects that and, beyond what it checked before, the status 400.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -61,7 +61,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, badRequest(reasonTooLarge, "the body has more than %d bytes", maxBodyBytes)
+		return nil, badRequest(lentilmux.ReasonBodyTooLarge, "the body has more than %d bytes", maxBodyBytes)
 	case err != nil:
 		return nil, badRequest(reasonInvalid, "the body did not arrive whole: %v", err)
 	}
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -17,7 +17,6 @@
 // or the runner.
 const (
 	reasonInvalid  lentilmux.Reason = "invalid_request"
-	reasonTooLarge lentilmux.Reason = "body_too_large"
 	reasonNotFound lentilmux.Reason = "not_found"
 )
 
@@ -25,7 +24,7 @@
 // 503.
 var statusCodes = map[lentilmux.Reason]int{
 	reasonInvalid:                    http.StatusBadRequest,
-	reasonTooLarge:                   http.StatusRequestEntityTooLarge,
+	lentilmux.ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
 	reasonNotFound:                   http.StatusNotFound,
 	lentilmux.ReasonInternal:         http.StatusInternalServerError,
 	lentilmux.ReasonUnknownWorkspace: http.StatusNotFound,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -96,12 +96,11 @@
 	request.serve(ctx)
 }
 
-// Abandon ends a request whose body did not arrive completely. Nothing of it was
-// sent to an upstream.
-func (r *Relay) Abandon(inbound lentilmux.InboundRequest, sink lentilmux.Sink) {
-	request := &relayedRequest{relay: r, inbound: inbound, sink: sink, result: Result{Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled}}
-	request.result.End.Cause = lentilmux.EndBodyUnreadable
-	request.breakOff()
+// Reject refuses a request whose body did not arrive as it should. Nothing of it was
+// sent to an upstream. A request that has been forwarded may have run elsewhere.
+func (r *Relay) Reject(inbound lentilmux.InboundRequest, cause lentilmux.EndCause, reason lentilmux.Reason, detail string, sink lentilmux.Sink) {
+	request := &relayedRequest{relay: r, inbound: inbound, sink: sink}
+	request.refuseBecause(cause, request.unfinished(reason, detail))
 	request.reportDone()
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -64,6 +64,8 @@
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonRetryBudget      Reason = "retry_budget"
 	ReasonInternal         Reason = "internal_error"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonBodyUnreadable   Reason = "body_unreadable"
 )
 
 // ErrRefused is the sentinel error that every [Refusal] wraps.
