Answer the requests in flight when the process is told to end at once

A second SIGTERM, or the end of its context, ended a VM without a word to the callers whose requests were in flight and without a line about them, and a stream to a caller with HTTP/1.0 ended with the orderly end of its connection, as if it was complete.

The cause: control goroutine, log and connections ended together, by the same context. The requests are now ended first, as at the end of a drain and within the same 100 ms, while the node and the log still run.

--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -142,11 +142,13 @@
 func (g *Gateway) LogDecision(d lentilmux.Decision) { g.decisionLog.enqueue(d) }
 
 // Run serves callers and other VMs until ctx is canceled, which stops it
-// immediately, or until a drain started by [Gateway.Drain] is complete. It
-// returns an error if it cannot listen on one of its addresses.
+// without waiting for requests in flight, or until a drain started by
+// [Gateway.Drain] is complete. It returns an error if it cannot listen on one of its
+// addresses.
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "running entry VM %s", g.config.Name)
-	ctx, cancel := context.WithCancel(ctx)
+	stop := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx)) // ends after the requests in flight
 	defer cancel()
 	g.ctx = ctx
 	if g.digests, err = peer.ListenLoadDigests(g.config.PeerAddr); err != nil {
@@ -167,9 +169,13 @@
 		running.Go(func() { follower.Run(ctx) })
 	}
 	select {
-	case <-ctx.Done():
+	case <-stop.Done():
 	case <-g.draining:
-		g.runDrain(ctx, &servers)
+		g.runDrain(stop, &servers)
+	}
+	if stop.Err() != nil {
+		g.state.draining.Store(true)
+		servers.abortRequests()
 	}
 	g.decisionLog.enqueue(lentilmux.Decision{What: "stopped", Subject: g.config.Name})
 	cancel()
