Wait until the answers to forwarded requests are written whole

A drain counted a forwarded request as ended when its handler returned. The end of its answer, such as the last chunk of a stream, is written after that; if the process closed its connections in between, the VM of the caller got a cut stream and the caller a closed connection, though the worker had answered.

The state of a connection tells when its answer is written: idle, closed or taken over. A drain now waits for the connections with a forwarded request, not for handlers.

--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -69,10 +69,9 @@
 	if g.dependencies.NewPeerHandler != nil {
 		s.forwarded.handler = g.dependencies.NewPeerHandler(relay, &g.state)
 	}
-	s.peers = &http.Server{
-		Handler: &s.forwarded, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
-		MaxHeaderBytes: g.config.MaxHeaderBytes + forwardedHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
-	}
+	s.peers = s.forwarded.newServer()
+	s.peers.ReadHeaderTimeout, s.peers.MaxHeaderBytes = g.config.HeaderTimeout, g.config.MaxHeaderBytes+forwardedHeaderBytes
+	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
 	if err := g.serve(s.peers, g.config.PeerAddr); err != nil {
 		return err
 	}
