Answer requests over which the relay panics, and log the panic

A panic over what an upstream sent ended the whole process if the attempt ran beside another one, and else the caller's connection, with a trace on standard error and no line with the request's ID.

TestRelay before: 'panic: send 1 [recovered, repanicked]', the end of the test binary. After: such a panic is the failure of one attempt, which may have run, and another one follows if it may; the stalled attempt beside it goes on. The line request_panicked has the value and the stack (scenario unanswered). A panic of the control goroutine still ends the process: its state may be wrong.

--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -28,6 +28,9 @@
 	}
 	for _, msg := range t.Events.Done {
 		request := t.Requests.Find(msg.Request)
+		if msg.End.Panic != "" {
+			t.RecordDecision(lentilmux.Decision{What: "request_panicked", Subject: string(msg.Request), Chosen: string(msg.End.Cause), Reason: msg.End.Panic})
+		}
 		if msg.End.Unanswered {
 			t.recordUnanswered(msg, request, now)
 		}
@@ -55,7 +58,7 @@
 // refused by itself. It was not sent to an upstream.
 func (t *Tables) recordRefusedByRelay(msg lentilmux.ForwardDoneMsg) {
 	switch msg.End.Cause {
-	case lentilmux.EndNodeStopped, lentilmux.EndNodeFailed, lentilmux.EndBodyUnreadable:
+	case lentilmux.EndNodeStopped, lentilmux.EndNodeFailed, lentilmux.EndPanicked, lentilmux.EndBodyUnreadable:
 	default:
 		return // the line of the refusal says why
 	}
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -212,7 +212,7 @@
 	}
 	if cause := lentilmux.EndCause(fields["refused"]); cause != "" {
 		msg.Outcome, msg.Reason, msg.Status = lentilmux.OutcomeNotRun, lentilmux.ReasonDraining, 503
-		msg.End.Cause = cause
+		msg.End.Cause, msg.End.Panic = cause, fields["panic"]
 	}
 	return msg
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -63,6 +63,7 @@
 // begin sends an attempt and reads the beginning of its response: the first event
 // of a stream, or else the whole body.
 func (r *relayedRequest) begin(a *runningAttempt) (err error) {
+	defer r.recoverAttempt(&err)
 	if a.response, err = r.sender.Send(a.ctx, a.Attempt, a.after); err != nil {
 		a.response = nil
 		return err
@@ -95,6 +96,7 @@
 // nextEvent reads the next event of a stream. An event number that does not
 // increase is a protocol error, since the caller would get an event twice.
 func (r *relayedRequest) nextEvent(a *runningAttempt, lastEvent int64) (err error) {
+	defer r.recoverAttempt(&err)
 	event, number, err := a.response.Next()
 	if err != nil {
 		return err
@@ -160,7 +162,7 @@
 		r.reportProgress(ctx, a)
 	}
 	r.result.TimeToFirstByte = r.relay.clock().Sub(r.inbound.ReceivedAt)
-	r.recordAnswer(r.sink.WriteReply(a.response, a.body))
+	r.recordAnswer(r.writeReply(a.response, a.body))
 	return nil
 }
 
@@ -196,8 +198,8 @@
 func (r *relayedRequest) start(ctx context.Context, a *runningAttempt) {
 	a.started = true
 	if !r.headersSent {
-		r.sink.WriteHeader(a.response)
 		r.headersSent = true
+		r.sink.WriteHeader(a.response)
 		r.result.Status = 200
 	}
 	r.reportProgress(ctx, a)
--- a/forward/end.go
+++ b/forward/end.go
@@ -23,12 +23,19 @@
 	case r.headersSent:
 		r.breakOff()
 	case response != nil && refusal.Outcome != lentilmux.OutcomeNotRun:
-		r.result.Status = r.sink.WriteReply(response, body)
+		r.result.Status = r.writeReply(response, body)
 	default:
+		r.headersSent = true
 		r.result.Status = r.sink.Refuse(refusal)
 	}
 }
 
+// writeReply writes a complete answer to the caller.
+func (r *relayedRequest) writeReply(response lentilmux.UpstreamResponse, body []byte) (status int) {
+	r.headersSent = true
+	return r.sink.WriteReply(response, body)
+}
+
 // refusalCause returns what ended a request that gets no further attempt.
 func (r *relayedRequest) refusalCause(refusal *lentilmux.Refusal) lentilmux.EndCause {
 	switch {
@@ -69,6 +76,8 @@
 		return lentilmux.EndNodeStopped
 	case errors.Is(err, errCallerDisconnected), ctx.Err() != nil:
 		return lentilmux.EndCallerDisconnected
+	case errors.Is(err, errPanicked):
+		return lentilmux.EndPanicked
 	default:
 		return lentilmux.EndNodeFailed
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -26,7 +26,7 @@
 	}
 	failure = r.describeFailure(a, err)
 	if failure.Answered && !failure.NotRun && failure.PeerRefusal == nil && !a.Kind.Repeatable() && !r.headersSent {
-		r.recordAnswer(r.sink.WriteReply(a.response, a.body))
+		r.recordAnswer(r.writeReply(a.response, a.body))
 		return nil
 	}
 	return failure
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -112,7 +112,7 @@
 	sender  lentilmux.RequestSender
 	sink    lentilmux.Sink
 
-	headersSent bool      // whether status and headers were sent to the caller
+	headersSent bool      // whether status and headers were sent to the caller, or are being sent
 	lastEventAt time.Time // when the last event was sent to the caller
 	deadline    time.Time // of the attempts; zero before the first
 	result      Result
@@ -124,6 +124,7 @@
 
 // serve makes attempts until the request has ended.
 func (r *relayedRequest) serve(ctx context.Context) {
+	defer r.recoverServe(ctx)
 	answer, err := r.ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
 	for err == nil {
 		var failure *lentilmux.ForwardFailedMsg
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -41,8 +41,17 @@
 	asks           int                  // for attempts, so far
 	badAsk         int                  // number of the ask for an attempt that gets no attempt but the next two; 0 for none
 	badAnswer      lentilmux.Answer
-	badErr         error // errSilent for none at all
-	connects       bool  // whether the first attempt still connects when it is canceled
+	badErr         error           // errSilent for none at all
+	connects       bool            // whether the first attempt still connects when it is canceled
+	panics         map[string]bool // by call: send N, answer, ask
+}
+
+// mayPanic panics if the script says so of a call.
+func (s *script) mayPanic(call string) {
+	if s.panics[call] {
+		s.logf("panic in %s", call)
+		panic(call)
+	}
 }
 
 // errSilent stands for a node that does not answer.
@@ -89,6 +98,7 @@
 	s.node.Lock()
 	defer s.node.Unlock()
 	if _, ok := msg.(lentilmux.ForwardStalledMsg); !ok {
+		s.mayPanic("ask")
 		if s.asks++; s.asks == s.badAsk {
 			return s.answerBadly(ctx)
 		}
@@ -130,6 +140,9 @@
 	if end.Failures > 0 {
 		lastFailure = end.LastFailure.String()
 	}
+	if end.Panic != "" {
+		lastFailure += " panicked"
+	}
 	return fmt.Sprintf("cause=%s unanswered=%t attempt=%d failed=%d last_failure=%s canceled=%d", end.Cause, end.Unanswered, end.Epoch, end.Failures, lastFailure, end.Canceled)
 }
 
@@ -167,6 +180,7 @@
 		<-ctx.Done()
 		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: ctx.Err()}
 	}
+	s.mayPanic(fmt.Sprintf("send %d", attempt.Epoch))
 	steps := s.steps[attempt.Epoch-1]
 	if len(steps) > 0 && steps[0].event < 0 {
 		return &scriptedResponse{script: s, epoch: attempt.Epoch, ctx: ctx, verdict: lentilmux.Verdict(-steps[0].event)}, nil
@@ -233,6 +247,7 @@
 }
 func (s *script) WriteReply(_ lentilmux.UpstreamResponse, body []byte) int {
 	s.logf("caller: %s", body)
+	s.mayPanic("answer")
 	return 200
 }
 func (s *script) Refuse(r *lentilmux.Refusal) int {
@@ -341,6 +356,12 @@
 		{name: "node gives an unexpected answer to a failure", script: script{kind: lentilmux.CallResumableStream, attempts: 2, badAsk: 2, badAnswer: "odd", steps: [][]step{{connectionLost}}}},
 		{name: "node does not answer", disconnect: 3 * time.Second, script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: errSilent}},
 		{name: "node does not answer, caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: errSilent}},
+		// A panic must not end the process, nor leave the caller without an answer that is
+		// possible.
+		{name: "panic over an answer", script: script{kind: lentilmux.CallResumableStream, attempts: 2, panics: map[string]bool{"send 1": true}, steps: [][]step{nil, events(tick, 0)}}},
+		{name: "panic over the answer of another attempt", script: script{kind: lentilmux.CallResumableStream, attempts: 2, replaceStalled: []bool{true}, panics: map[string]bool{"send 2": true}, steps: [][]step{append(events(tick, 0), events(980*time.Millisecond, 1)...), nil}}},
+		{name: "panic before an attempt", script: script{kind: lentilmux.CallOnce, panics: map[string]bool{"ask": true}}},
+		{name: "panic while an answer is written", script: script{kind: lentilmux.CallOnce, attempts: 1, panics: map[string]bool{"answer": true}, steps: [][]step{events(0, 0)}}},
 		{name: "caller disconnects", disconnect: 120 * time.Millisecond, script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{events(tick, 0, 1, 2, 3)}}},
 	}
 	var out strings.Builder
--- a/requestend.go
+++ b/requestend.go
@@ -23,6 +23,8 @@
 	EndNodeStopped EndCause = "node_stopped"
 	// EndNodeFailed means that the node gave no answer that the relay can follow.
 	EndNodeFailed EndCause = "node_failed"
+	// EndPanicked means that the code that served the request panicked.
+	EndPanicked EndCause = "panicked"
 	// EndBodyUnreadable means that the request's body did not arrive completely.
 	EndBodyUnreadable EndCause = "body_unreadable"
 )
@@ -35,4 +37,5 @@
 	Failures    int         // attempts that failed
 	LastFailure FailureKind // of the last attempt that failed, if any did
 	Canceled    int         // attempts that were canceled although they had not failed
+	Panic       string      // value of the last panic while the request was served, with its stack; empty for none
 }
