Answer requests in flight when a VM of the product's own front end ends

At the end of the stop timeout and at a second signal, the product's own front end closed the connections of requests in flight, and their callers could not tell whether to send them again.

The cause: the contexts of requests did not end with the process, so nothing told the relay and the runner to end them before the connections closed; a keyed call is not even canceled when its caller leaves. An outcome that is unknown is a 502: 503 is understood as not run.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -93,6 +93,9 @@
 	if !ok {
 		code = http.StatusServiceUnavailable
 	}
+	if code == http.StatusServiceUnavailable && refusal.Reason == lentilmux.ReasonDraining && refusal.Outcome == lentilmux.OutcomeUnknown {
+		code = http.StatusBadGateway // 503 is understood as not run
+	}
 	writeJSON(w, code, newErrorReply(refusal))
 }
 
--- a/engine/relay.go
+++ b/engine/relay.go
@@ -103,6 +103,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded):
 		refusal.Reason, refusal.Detail = lentilmux.ReasonDeadline, "the deadline passed while the request ran"
+	case errors.Is(cause, lentilmux.ErrStopped):
+		refusal.Reason, refusal.Detail = lentilmux.ReasonDraining, "this entry VM ends"
 	case errors.Is(cause, lentilmux.ErrStoppedByOperator):
 		refusal.Reason, refusal.Detail = lentilmux.ReasonStopped, "an operator stopped the request"
 	case cause == nil:
--- a/entryvm/entryvm.go
+++ b/entryvm/entryvm.go
@@ -150,11 +150,12 @@
 }
 
 // Run serves callers, peers and operators until ctx is canceled, which stops it
-// immediately, or until a drain started by [VM.Drain] is complete. It returns an
+// without waiting for requests in flight, or until a drain started by [VM.Drain] is complete. It returns an
 // error if it cannot listen on one of its addresses.
 func (v *VM) Run(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "running entry VM %s", v.config.Name)
-	ctx, cancel := context.WithCancel(ctx)
+	stop := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx)) // ends after the requests in flight
 	defer cancel()
 	servers, err := v.listen()
 	if err != nil {
@@ -169,10 +170,11 @@
 		"caller_addr": v.config.CallerAddr.String(), "control_addr": v.config.ControlAddr.String(),
 	}).Info("started")
 	select {
-	case <-ctx.Done():
+	case <-stop.Done():
 	case <-v.draining:
-		v.runDrain(ctx, servers)
+		v.runDrain(stop, servers)
 	}
+	servers.abortRequests()
 	cancel()
 	running.Wait()
 	v.config.Logger.WithField("name", v.config.Name).Info("stopped")
--- a/entryvm/loopback_test.go
+++ b/entryvm/loopback_test.go
@@ -69,6 +69,7 @@
 // do: three entry VMs, two engines and the platform.
 type loopback struct {
 	vms     []*entryvm.VM
+	cancels []context.CancelFunc
 	stopped []chan error
 }
 
@@ -134,7 +135,7 @@
 		<-ended
 	})
 	waitForPort(t, controlPort+i)
-	l.vms = append(l.vms, vm)
+	l.vms, l.cancels = append(l.vms, vm), append(l.cancels, cancel)
 	l.stopped = append(l.stopped, stopped)
 }
 
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/operator"
 	"lentilmux.example/lentilmux/peer"
 )
@@ -36,6 +37,8 @@
 	callerListener  net.Listener
 	controlListener net.Listener
 	logger          *logrus.Logger
+
+	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
 // listen opens both listeners and creates their servers without starting them.
@@ -49,8 +52,12 @@
 		_ = callerListener.Close() // no connection was accepted yet
 		return nil, errors.Annotate(err, "listening for peers and operators")
 	}
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	callerServer := newServer(v.Handler())
+	callerServer.BaseContext = func(net.Listener) context.Context { return requests }
 	return &servers{
-		caller:          newServer(v.Handler()),
+		cancelRequests:  cancelRequests,
+		caller:          callerServer,
 		control:         newServer(v.controlHandler()),
 		callerListener:  v.withTLS(limitConns(callerListener, maxCallerConns)),
 		controlListener: v.withTLS(limitConns(controlListener, maxControlConns)),
@@ -108,6 +115,15 @@
 	}
 }
 
+// abortRequests ends callers' requests in flight and waits until they are answered or
+// broken off, for abortTimeout at most.
+func (s *servers) abortRequests() {
+	s.cancelRequests(lentilmux.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.caller.Shutdown(ctx) // close follows in any case
+}
+
 // close closes both servers and their connections immediately.
 func (s *servers) close() {
 	_ = s.caller.Close() // the process or test is ending
--- a/service/runner.go
+++ b/service/runner.go
@@ -40,7 +40,11 @@
 	answer, err := r.node.Ask(ctx, lentilmux.RequestMsg{Request: request})
 	if err != nil {
 		r.reportDone(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled})
-		return lentilmux.ServiceReply{}, &lentilmux.Refusal{Outcome: request.UnsentOutcome(), Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
+		refusal := &lentilmux.Refusal{Outcome: request.UnsentOutcome(), Reason: lentilmux.ReasonCanceled, Detail: "the caller went away"}
+		if errors.Is(err, lentilmux.ErrStopped) {
+			refusal.Reason, refusal.Detail = lentilmux.ReasonDraining, "this entry VM ends"
+		}
+		return lentilmux.ServiceReply{}, refusal
 	}
 	for {
 		route, storedReply, err := lentilmux.RouteFromAnswer(answer)
@@ -59,6 +63,10 @@
 			r.reportDone(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonStopped})
 			return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonStopped, Detail: "an operator stopped the call while it ran"}
 		}
+		if errors.Is(err, lentilmux.ErrStopped) {
+			r.reportDone(lentilmux.RequestDoneMsg{Request: request.ID, Outcome: lentilmux.OutcomeUnknown, Reason: lentilmux.ReasonDraining})
+			return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonDraining, Detail: "this entry VM ends"}
+		}
 		if answer, err = r.reportFailure(route, kind); err != nil {
 			return lentilmux.ServiceReply{}, &lentilmux.Refusal{Reason: lentilmux.ReasonDraining, Detail: "this entry VM has stopped"}
 		}
@@ -74,8 +82,10 @@
 }
 
 // runAttempt sends the call to the upstream of route, which has one stage.
-// kind is valid only with an error other than [lentilmux.ErrStoppedByOperator].
+// kind is valid only with an error other than [lentilmux.ErrStoppedByOperator] and
+// [lentilmux.ErrStopped].
 func (r *Runner) runAttempt(ctx context.Context, route lentilmux.Route, request lentilmux.Request, call lentilmux.ServiceCall) (reply lentilmux.ServiceReply, kind lentilmux.FailureKind, err error) {
+	requestCtx := ctx
 	if request.Key != "" {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -83,8 +93,17 @@
 	defer cancel()
 	ctx, cancelAttempt := context.WithCancelCause(ctx)
 	defer cancelAttempt(nil)
+	stopWatch := context.AfterFunc(requestCtx, func() {
+		if errors.Is(context.Cause(requestCtx), lentilmux.ErrStopped) {
+			cancelAttempt(lentilmux.ErrStopped)
+		}
+	})
+	defer stopWatch()
 	r.Add(route.Request, route.Epoch, cancelAttempt, cancelAttempt)
 	defer r.Remove(route.Request)
+	if errors.Is(context.Cause(ctx), lentilmux.ErrStopped) {
+		return lentilmux.ServiceReply{}, 0, lentilmux.ErrStopped
+	}
 	if err := ctx.Err(); err != nil {
 		return lentilmux.ServiceReply{}, lentilmux.FailureDial, err
 	}
@@ -93,8 +112,10 @@
 		return reply, 0, nil
 	}
 	cause := context.Cause(ctx)
-	if errors.Is(cause, lentilmux.ErrStoppedByOperator) {
-		return lentilmux.ServiceReply{}, 0, lentilmux.ErrStoppedByOperator
+	for _, stop := range []error{lentilmux.ErrStoppedByOperator, lentilmux.ErrStopped} {
+		if errors.Is(cause, stop) {
+			return lentilmux.ServiceReply{}, 0, stop
+		}
 	}
 	kind = errorKind(err)
 	if errors.Is(cause, lentilmux.ErrAborted) && kind != lentilmux.FailureDial {
