Let a stream that broke off wait for room and retry budget

A stream whose upstream broke off was broken off at once if nothing had room at that moment or the retry budget was spent, although its caller waits for the next event for 2 s at least, and room and budget come back all the time.

The stream waits in a table of its own for a second, half of its caller's patience, and is tried again each 100 ms by the same checks as before: a retry is charged when it is sent and not before. Calls, streams without events and forwarded requests do not wait.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -9,7 +9,7 @@
 
 // AdmitRequests admits or refuses requests and selects the upstreams of each
 // attempt, including retries. It reads Rules, Streams and Upstreams and writes
-// Requests, Pending, Upstreams, RetryBudgets, CrashSuspects and CrossZoneBucket.
+// Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, CrashSuspects and CrossZoneBucket.
 type AdmitRequests struct {
 	PathSelector lentilmux.PathSelector
 	Dispatch     lentilmux.Dispatch
@@ -29,6 +29,7 @@
 	for _, stalled := range t.Events.StalledAttempts {
 		a.handleStalledAttempt(t, stalled, now)
 	}
+	a.resumeStreams(t, now)
 	a.resumePending(t, now)
 	for _, arrival := range t.Events.Arrivals {
 		if !t.endedThisTick(arrival.Inbound.ID) && !a.holdPending(t, arrival, now) {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -37,6 +37,7 @@
 	MaxPendingDuration       time.Duration // from the start, in which requests wait for the first reads
 	RoomWaitFraction         float64       // fraction of a route's latency target for which a request may wait for room
 	MaxRoomWaiters           float64       // requests that may wait for room, as a fraction of those in flight
+	ResumeWait               time.Duration // for which a stream that broke off may wait for another attempt
 	RefusalRetryAfter        time.Duration // after which a refused caller may retry
 	MaxCrashes               int           // upstream crashes after which a request is quarantined
 	CrashRetention           time.Duration // for which crashes of a request are remembered
@@ -94,6 +95,7 @@
 		MaxPendingDuration:       1500 * time.Millisecond,
 		RoomWaitFraction:         0.4,
 		MaxRoomWaiters:           0.15,
+		ResumeWait:               time.Second,
 		RefusalRetryAfter:        500 * time.Millisecond,
 		MaxCrashes:               3,
 		CrashRetention:           2 * time.Minute,
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -40,23 +40,34 @@
 		a.continueOlder(t, request, failed, now)
 		return
 	}
+	if refusal := a.retryFailed(t, request, failed, now); refusal != nil && !a.holdToResume(t, request, failed, refusal, now) {
+		a.refuse(t, request.ID, failed.CorrelationID, refusal, now)
+	}
+}
+
+// retryFailed logs a failed attempt and answers with another one, or returns why there
+// is none.
+func (a *AdmitRequests) retryFailed(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (refusal *lentilmux.Refusal) {
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	t.recordFailedAttempt(request, failed, map[bool]string{true: "resend", false: "end"}[reason == ""], detail)
-	var refusal *lentilmux.Refusal
 	if reason == "" {
-		request.continueAfter(t, failed.Delivered)
-		if refusal = a.sendAttempt(t, request, failed.CorrelationID, now); refusal != nil && charged {
-			t.refundRetry(request.Service, now)
-		}
-	} else {
-		refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
-		if failed.PeerRefusal != nil {
-			refusal.RetryAfter = failed.PeerRefusal.RetryAfter
-		}
+		return a.sendRetry(t, request, failed, charged, now)
 	}
-	if refusal != nil {
-		a.refuse(t, request.ID, failed.CorrelationID, refusal, now)
+	refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+	if failed.PeerRefusal != nil {
+		refusal.RetryAfter = failed.PeerRefusal.RetryAfter
 	}
+	return refusal
+}
+
+// sendRetry answers with another attempt, or returns why there is none. It takes back
+// the charge for one that is not sent.
+func (a *AdmitRequests) sendRetry(t *Tables, request *RequestRow, failed FailedAttemptRow, charged bool, now time.Time) (refusal *lentilmux.Refusal) {
+	request.continueAfter(t, failed.Delivered)
+	if refusal = a.sendAttempt(t, request, failed.CorrelationID, now); refusal != nil && charged {
+		t.refundRetry(request.Service, now)
+	}
+	return refusal
 }
 
 // continueOlder handles the failure of an attempt beside which others are in
--- /dev/null
+++ b/fleet/resumewaits.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// resumeRetryInterval is the time between two tries to continue a stream that waits.
+const resumeRetryInterval = 100 * time.Millisecond
+
+// ResumeWaitRow is a stream that broke off at its upstream after the caller got its
+// beginning, and that waits for another attempt: the retry budget is spent or nothing
+// has room at the moment. It has no attempt in flight.
+type ResumeWaitRow struct {
+	FailedAttemptRow
+	Refusal *lentilmux.Refusal // why it got no attempt last
+	Since   time.Time
+	RetryAt time.Time
+	Until   time.Time
+}
+
+// holdToResume lets a stream that got no further attempt wait for one, since its caller
+// waits for the next event anyway and a stream that is broken off is lost. It waits for
+// ResumeWait; its caller's patience leaves time for the prefill after that. One that was
+// forwarded does not wait here: the VM that its caller reached decides.
+func (a *AdmitRequests) holdToResume(t *Tables, request *RequestRow, failed FailedAttemptRow, refusal *lentilmux.Refusal, now time.Time) (held bool) {
+	if refusal.Reason != lentilmux.ReasonRetryBudget && refusal.Reason != lentilmux.ReasonNoUpstream {
+		return false
+	}
+	until := earliest(now.Add(t.Limits.ResumeWait), request.Deadline)
+	if request.Route.Kind != lentilmux.CallResumableStream || failed.Delivered == 0 || request.Forwarded.IsForwarded() || !now.Before(until) {
+		return false
+	}
+	row := ResumeWaitRow{FailedAttemptRow: failed, Refusal: refusal, Since: now, RetryAt: now.Add(resumeRetryInterval), Until: until}
+	t.ResumeWaits = append(t.ResumeWaits, row)
+	t.WakeAt(earliest(row.RetryAt, until))
+	t.RecordDecision(lentilmux.Decision{What: "stream_waiting", Subject: string(request.ID), Chosen: until.Sub(now).String(), Reason: string(refusal.Reason) + ": " + refusal.Detail})
+	return true
+}
+
+// resumeStreams tries again to continue the streams that wait, oldest first, and ends
+// those whose wait is over.
+func (a *AdmitRequests) resumeStreams(t *Tables, now time.Time) {
+	rows := t.ResumeWaits
+	t.ResumeWaits = nil
+	for _, row := range rows {
+		request := t.findAttempt(row.Request, row.Epoch)
+		if request == nil || t.endedThisTick(row.Request) {
+			continue
+		}
+		if !now.Before(row.RetryAt) || !now.Before(row.Until) {
+			row.RetryAt = now.Add(resumeRetryInterval)
+			if row.Refusal = a.resume(t, request, row.FailedAttemptRow, now); row.Refusal == nil {
+				t.RecordDecision(lentilmux.Decision{What: "stream_resumed", Subject: string(row.Request), Chosen: request.LastUpstream + request.Peer, Reason: "waited " + now.Sub(row.Since).String()})
+				continue
+			}
+		}
+		if !now.Before(row.Until) {
+			a.refuse(t, row.Request, row.CorrelationID, row.Refusal, now)
+			continue
+		}
+		t.ResumeWaits = append(t.ResumeWaits, row)
+		t.WakeAt(earliest(row.RetryAt, row.Until))
+	}
+}
+
+// resume answers with another attempt of a stream that waits, or returns why there is
+// none.
+func (a *AdmitRequests) resume(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (refusal *lentilmux.Refusal) {
+	reason, detail, charged := a.checkRetry(t, request, failed, now)
+	if reason != "" {
+		return a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+	}
+	return a.sendRetry(t, request, failed, charged, now)
+}
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -36,6 +36,7 @@
 	FleetLoads      FleetLoads
 	Requests        Requests
 	Pending         []PendingRow
+	ResumeWaits     []ResumeWaitRow
 	Drains          Drains
 	BackOffs        BackOffs
 	RetryBudgets    RetryBudgets
