Name the flag of an invalid number that lentilstand gets

Settings know lists of integers now, checked with all other settings. TestInvalidNumberInList could not be written before, since there was no such list.

--- a/cmd/lentilstand/main.go
+++ b/cmd/lentilstand/main.go
@@ -24,7 +24,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -48,9 +47,9 @@
 	services      *int
 	serviceAddr   *netip.AddrPort
 	zones         *[]string
-	layers        *[]string
-	rates         *[]string
-	slots         *[]string
+	layers        *[]int
+	rates         *[]int
+	slots         *[]int
 	reportLag     *time.Duration
 	listLag       *time.Duration
 	appendDelay   *time.Duration
@@ -72,9 +71,9 @@
 		services:      s.Int("services", 1, 0, 50, "number of plain services"),
 		serviceAddr:   s.AddrPort("service-addr", "127.0.0.1:9500", "address of the first service; the others use the next ports"),
 		zones:         s.Strings("zones", "kochi,thrissur,kozhikode", "availability zones, assigned round-robin"),
-		layers:        s.Strings("layers", "16,24", "maximum layers of an engine, assigned round-robin"),
-		rates:         s.Strings("rates", "4000,8000", "layer steps per second of an engine, assigned round-robin"),
-		slots:         s.Strings("slots", "8", "concurrent requests of an engine, assigned round-robin"),
+		layers:        s.Ints("layers", "16,24", 1, 10000, "maximum layers of an engine, assigned round-robin"),
+		rates:         s.Ints("rates", "4000,8000", 1, 1_000_000_000, "layer steps per second of an engine, assigned round-robin"),
+		slots:         s.Ints("slots", "8", 1, 100000, "concurrent requests of an engine, assigned round-robin"),
 		reportLag:     s.Duration("report-lag", 300*time.Millisecond, 0, time.Minute, "maximum age of the engines' load reports"),
 		listLag:       s.Duration("list-lag", time.Second, 0, time.Minute, "time until a change of the VM list is visible"),
 		appendDelay:   s.Duration("append-delay", 2*time.Millisecond, 0, time.Minute, "duration of an append to the log"),
@@ -150,9 +149,7 @@
 	}}
 	store := standin.NewWeightStore(*flags.layerLoadTime)
 	for i := range *flags.engines {
-		if err := d.addEngine(flags, i, store); err != nil {
-			return nil, err
-		}
+		d.addEngine(flags, i, store)
 	}
 	for i := range *flags.services {
 		d.addService(flags, i)
@@ -174,26 +171,11 @@
 	return netip.AddrPortFrom(addr.Addr(), addr.Port()+uint16(offset))
 }
 
-// cycledInt returns the number at an index, counted from 0, of a list that
-// repeats endlessly.
-func cycledInt(list []string, index int) (number int, err error) {
-	return strconv.Atoi(list[index%len(list)])
-}
-
 // addEngine adds the i-th engine, counted from 0.
-func (d *deployment) addEngine(flags *options, i int, store *standin.WeightStore) (err error) {
-	maxLayers, err := cycledInt(*flags.layers, i)
-	if err != nil {
-		return err
-	}
-	layerStepsPerSecond, err := cycledInt(*flags.rates, i)
-	if err != nil {
-		return err
-	}
-	slots, err := cycledInt(*flags.slots, i)
-	if err != nil {
-		return err
-	}
+func (d *deployment) addEngine(flags *options, i int, store *standin.WeightStore) {
+	maxLayers := (*flags.layers)[i%len(*flags.layers)]
+	layerStepsPerSecond := (*flags.rates)[i%len(*flags.rates)]
+	slots := (*flags.slots)[i%len(*flags.slots)]
 	name := fmt.Sprintf("%s%d", *flags.enginePrefix, i+1)
 	addr := addrAtOffset(*flags.engineAddr, i)
 	zone := (*flags.zones)[i%len(*flags.zones)]
@@ -208,7 +190,6 @@
 	d.statements = append(d.statements, fmt.Sprintf(
 		"create upstream %s kind engine addr %s zone %s accelerator kind-%d layers %d rate %d slots %d",
 		name, addr, zone, i%len(*flags.rates)+1, maxLayers, layerStepsPerSecond, slots))
-	return nil
 }
 
 // addService adds the i-th service, counted from 0.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -218,6 +218,24 @@
 	return result
 }
 
+// Ints declares a comma-separated list of integers from low to high, both included.
+func (s *Set) Ints(flag, value string, low, high int, help string, options ...Option) *[]int {
+	result := new([]int)
+	expected := fmt.Sprintf("a comma-separated list of integers from %d to %d", low, high)
+	s.declare(flag, value, help, expected, func(text string) bool {
+		*result = nil
+		for _, part := range strings.Split(text, ",") {
+			number, err := strconv.Atoi(strings.TrimSpace(part))
+			if err != nil || number < low || number > high {
+				return false
+			}
+			*result = append(*result, number)
+		}
+		return true
+	}, options)
+	return result
+}
+
 // expectedBool describes the valid values of a boolean setting.
 // [Setting.isBool] recognizes boolean settings by it.
 const expectedBool = "true or false"
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -120,3 +120,22 @@
 		t.Errorf("got %v, want the five settings whose default is not empty", err)
 	}
 }
+
+// TestInvalidNumberInList guards against a list whose invalid number is noticed late
+// and reported without the flag that holds it.
+func TestInvalidNumberInList(t *testing.T) {
+	for _, text := range []string{"8,x", "8,,9", "0", "8,10000001", "8,9.5"} {
+		s := settings.New("demo", "DEMO", "A program.", "1")
+		s.Ints("slots", "8", 1, 100, "slots")
+		err := s.Read([]string{"--slots", text}, lookup(nil))
+		var invalid settings.ValidationError
+		if !errors.As(err, &invalid) || len(invalid) != 1 || invalid[0].Flag != "slots" || invalid[0].Value != text {
+			t.Errorf("%q: got %v, want an error that names the flag and the value", text, err)
+		}
+	}
+	s := settings.New("demo", "DEMO", "A program.", "1")
+	slots := s.Ints("slots", "8", 1, 100, "slots")
+	if err := s.Read([]string{"--slots", "1, 100"}, lookup(nil)); err != nil || len(*slots) != 2 || (*slots)[1] != 100 {
+		t.Errorf("got %v, %v; want 1 and 100", *slots, err)
+	}
+}
