Count the column of an unknown name in characters

Cause: SyntaxError.Column was in characters where parsing failed and in bytes where a table or column is unknown, so the caret stood right of the wrong word after any wide character. Both count characters now.

--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -114,11 +114,10 @@
 // ErrSyntax is the sentinel error that every [SyntaxError] wraps.
 const ErrSyntax = errors.ConstError("syntax error")
 
-// SyntaxError is an error in a statement. Column is its position, counted from 1:
-// in characters if parsing failed, in bytes for an unknown table or column name.
+// SyntaxError is an error in a statement.
 type SyntaxError struct {
 	Statement string
-	Column    int
+	Column    int // position of the wrong word, in characters counted from 1
 	Detail    string
 }
 
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
@@ -128,6 +129,16 @@
 	return query
 }
 
+// columnOf returns the position of name in text, in characters counted from 1, or 1 if
+// text does not contain it.
+func columnOf(text, name string) (column int) {
+	before, _, found := strings.Cut(text, name)
+	if !found {
+		return 1
+	}
+	return 1 + utf8.RuneCountInString(before)
+}
+
 // runQuery runs query on the node. A table or column that does not exist is reported
 // as a [*SyntaxError] in text.
 func (h *Handler) runQuery(ctx context.Context, text string, query lentilmux.Query) (result *operatorpb.ExecuteResponse, err error) {
@@ -140,7 +151,7 @@
 		return nil, errors.Errorf("unexpected answer %T", answer)
 	}
 	if queryAnswer.Err != "" {
-		return nil, &SyntaxError{Statement: text, Column: 1 + max(0, strings.Index(text, queryAnswer.UnknownName)), Detail: queryAnswer.Err}
+		return nil, &SyntaxError{Statement: text, Column: columnOf(text, queryAnswer.UnknownName), Detail: queryAnswer.Err}
 	}
 	result = &operatorpb.ExecuteResponse{Columns: queryAnswer.Columns, Accepted: true, Known: true}
 	for _, row := range queryAnswer.Rows {
