Race a request elsewhere that its first hop does not begin

Cause: a stalled attempt gets another one beside it only if it cannot continue: its first hop is dead, its links are lost or its move is blocked. An attempt that has not begun long after the time expected was none of these, whatever others did meanwhile.

Change: an attempt counts as overdue at three times the expected time to its first event, and not before the shortest stall timeout. An overdue one gets a second attempt with another first hop, once, within the retry budget and the attempts of the route, if attempts of this VM at other first hops begin: at least one, and three for each that is overdue there too. So nothing is doubled in a burst, where all wait. The race itself is the one that exists: the first to begin cancels the other at once.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -17,7 +17,7 @@
 	pathRequest := newPathRequest(t, request, model)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
-	if !ok && excluded {
+	if !ok && excluded && !request.Elsewhere {
 		a.collectNodes(t, request.Service, now)
 		if request.Attempts > 0 { // a further refusal is not worth the retry
 			a.excludePaused(t, now)
@@ -39,7 +39,8 @@
 	}
 	request.Hops = attempt.Path
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
-	attempt.FirstEventTimeout = min(max(3*estimate.TimeToFirstEvent, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
+	request.Promised = estimate.TimeToFirstEvent
+	attempt.FirstEventTimeout = min(max(overdueFactor*request.Promised, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	attempt.EventGapTimeout = min(max(4*estimate.EventGap, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	t.RecordDecision(lentilmux.Decision{
 		What: "path_chosen", Subject: string(request.ID), Chosen: formatPath(attempt.Path),
@@ -197,7 +198,7 @@
 	if request.Route.Kind == lentilmux.CallRepeatable && request.PossibleRuns+1 < request.Route.MaxAttempts {
 		attempt.FirstEventTimeout = max(2*request.Route.FirstByteTarget, t.Limits.MinStallTimeout)
 	}
-	request.Hops = nil // of an earlier attempt, if the service had an engine then
+	request.Hops, request.Promised = nil, 0 // of an earlier attempt, if the service had an engine then
 	request.Reservations = append(request.Reservations[:0], Reservation{Upstream: row.ID, Load: Load{Streams: 1}})
 	t.RecordDecision(lentilmux.Decision{
 		What: "upstream_chosen", Subject: string(request.ID), Chosen: row.ID,
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -37,6 +37,8 @@
 	HeldBefore    []Reservation   // reservations of HopsBefore
 	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
 	SentAt        time.Time
+	Promised      time.Duration  // expected time to its first event; zero without a path
+	Elsewhere     bool           // whether its first hop must be another one than LastUpstream, which has not begun the request
 	PartsAtSend   []PartEvidence // of the shared parts when it was sent; nil if none was suspected
 	TrialUpstream string         // its first hop if it is a trial which has not begun to answer; empty otherwise
 }
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -98,10 +98,12 @@
 }
 
 // replaceOrKeep answers with another attempt if the newest one of a request cannot
-// continue and a retry after failed is allowed, and else lets the attempts in
-// flight go on.
+// continue, or has not begun while others have, and a retry after failed is allowed. It
+// else lets the attempts in flight go on.
 func (a *AdmitRequests) replaceOrKeep(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) {
-	if !t.cannotContinue(request, now) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
+	stuck := t.cannotContinue(request, now)
+	elsewhere := !stuck && t.onlyItWaits(request, failed.Delivered, now)
+	if !stuck && !elsewhere || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, elsewhere, now) {
 		t.Answer(failed.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
 	}
 }
@@ -143,9 +145,10 @@
 }
 
 // replaceAttempt sends another attempt beside one that is still in flight, if a
-// retry is allowed and there is an alternative. The one in flight gives up its
-// reservations, since one of the two ends soon.
-func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (sent bool) {
+// retry is allowed and there is an alternative: one with another first hop, if
+// elsewhere is set. The one in flight gives up its reservations, since one of the two
+// ends soon.
+func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, elsewhere bool, now time.Time) (sent bool) {
 	mayHaveRun, possibleRuns, stalled := request.MayHaveRun, request.PossibleRuns, request.AttemptState
 	request.countRun()
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
@@ -154,7 +157,7 @@
 		older.Reservations = slices.Clone(older.Reservations)
 		t.release(request)
 		older.TrialUpstream, stalled.TrialUpstream = "", ""
-		request.AttemptState = AttemptState{LastUpstream: older.LastUpstream}
+		request.AttemptState = AttemptState{LastUpstream: older.LastUpstream, Elsewhere: elsewhere}
 		request.continueAfter(t, failed.Delivered)
 		if a.sendAttempt(t, request, failed.CorrelationID, now) == nil {
 			request.Older = append(request.Older, older)
