Compare the expected time to the first event with the measured one

What operators saw: a path is chosen for an expected time to the first event, which the log shows, but nothing shows what became of it.

Change: request_done shows promised= and waited=, the expected time when the first attempt was sent and the measured one, and lentilmux_promise_ratio is the histogram of their ratio, with begun=false for requests that ended without an event. A retry or race does not make a new promise: the caller waits from the first.

--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -30,8 +30,12 @@
 	requestDuration metric.Float64Histogram
 	firstToken      metric.Float64Histogram
 	longestPause    metric.Float64Histogram
+	promiseRatio    metric.Float64Histogram
 }
 
+// promiseRatioBounds are the bounds of the buckets of the promise ratio.
+var promiseRatioBounds = []float64{0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 20}
+
 // newMetrics creates the instruments with a Prometheus registry of their own.
 func newMetrics() (m *metrics, err error) {
 	defer errors.DeferredAnnotatef(&err, "creating metrics")
@@ -60,7 +64,11 @@
 	if m.firstToken, err = meter.Float64Histogram("lentilmux_first_token", metric.WithUnit("s"), metric.WithDescription("Time until the first token.")); err != nil {
 		return nil, err
 	}
-	m.longestPause, err = meter.Float64Histogram("lentilmux_longest_pause", metric.WithUnit("s"), metric.WithDescription("The longest time between two events of a stream."))
+	if m.longestPause, err = meter.Float64Histogram("lentilmux_longest_pause", metric.WithUnit("s"), metric.WithDescription("The longest time between two events of a stream.")); err != nil {
+		return nil, err
+	}
+	m.promiseRatio, err = meter.Float64Histogram("lentilmux_promise_ratio", metric.WithExplicitBucketBoundaries(promiseRatioBounds...),
+		metric.WithDescription("Time until the first event of a stream, or until it ended without one, divided by the time expected when its first attempt was sent."))
 	return m, err
 }
 
@@ -157,6 +165,9 @@
 	if result.TimeToFirstByte > 0 {
 		m.firstToken.Record(ctx, result.TimeToFirstByte.Seconds())
 	}
+	if promise := result.Promise; promise.Expected > 0 {
+		m.promiseRatio.Record(ctx, promise.Actual.Seconds()/promise.Expected.Seconds(), metric.WithAttributes(attribute.Bool("begun", promise.Begun)))
+	}
 	if result.MaxEventGap > 0 {
 		m.longestPause.Record(ctx, result.MaxEventGap.Seconds())
 	}
--- a/entryvm/metrics_test.go
+++ b/entryvm/metrics_test.go
@@ -12,6 +12,7 @@
 
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/fleet"
+	"lentilmux.example/lentilmux/forward"
 )
 
 // decisionCount matches a sample of lentilmux_decisions and captures the value
@@ -112,3 +113,25 @@
 		}
 	}
 }
+
+// TestPromiseRatio guards against a promise that is not counted, or counted as kept
+// although the request never began.
+func TestPromiseRatio(t *testing.T) {
+	m, err := newMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.countForwarded(forward.Result{Promise: forward.Promise{Expected: 100 * time.Millisecond, Actual: 140 * time.Millisecond, Begun: true}})
+	m.countForwarded(forward.Result{Promise: forward.Promise{Expected: 100 * time.Millisecond, Actual: 2 * time.Second}})
+	m.countForwarded(forward.Result{})
+	recorder := httptest.NewRecorder()
+	m.handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, pattern := range []string{
+		`lentilmux_promise_ratio_bucket\{begun="true",.*le="1"\} 0`, `lentilmux_promise_ratio_bucket\{begun="true",.*le="1.5"\} 1`,
+		`lentilmux_promise_ratio_count\{begun="true",.*\} 1`, `lentilmux_promise_ratio_bucket\{begun="false",.*le="10"\} 0`, `lentilmux_promise_ratio_count\{begun="false",.*\} 1`,
+	} {
+		if !regexp.MustCompile(pattern).MatchString(recorder.Body.String()) {
+			t.Errorf("no sample like %s", pattern)
+		}
+	}
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -39,7 +39,7 @@
 	}
 	request.Hops = attempt.Path
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
-	request.Promised = estimate.TimeToFirstEvent
+	request.Promised, attempt.Promised = estimate.TimeToFirstEvent, estimate.TimeToFirstEvent
 	attempt.FirstEventTimeout = min(max(overdueFactor*request.Promised, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	attempt.EventGapTimeout = min(max(4*estimate.EventGap, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	t.RecordDecision(lentilmux.Decision{
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -44,12 +44,23 @@
 		t.RecordDecision(lentilmux.Decision{
 			What: "request_done", Subject: string(msg.Request), Chosen: fmt.Sprint(msg.Status),
 			// legs is the number of attempts, first the time to the first byte, pause the
-			// longest gap between events and took the total duration.
-			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + request.describeForwarding(),
+			// longest gap between events and took the total duration. promised is the
+			// expected time from the first attempt to the first event, waited the measured
+			// one.
+			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + describePromise(msg) + request.describeForwarding(),
 		})
 	}
 }
 
+// describePromise returns the expected and the measured time to the first event, for the
+// log. It is empty if none was expected.
+func describePromise(msg lentilmux.ForwardDoneMsg) (text string) {
+	if msg.Promised <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(" promised=%dms waited=%dms", msg.Promised.Milliseconds(), msg.WaitedForFirst.Milliseconds())
+}
+
 // recordUnanswered logs a request that ended without a complete answer or a
 // refusal. A request that is not in the table was not sent to an upstream.
 func (t *Tables) recordUnanswered(msg lentilmux.ForwardDoneMsg, request *RequestRow, now time.Time) {
--- a/forward.go
+++ b/forward.go
@@ -60,6 +60,7 @@
 	Path              []Hop // empty if the upstream runs all layers itself
 	Workspace         string
 	Deadline          time.Time     // by which the answer has to be complete
+	Promised          time.Duration // expected time to the first event; 0 if none is expected
 	FirstEventTimeout time.Duration // time without a first event after which the attempt is stalled; 0 for no limit
 	EventGapTimeout   time.Duration // time between events after which the attempt is stalled
 	Progress          []*Progress   // of the path's upstreams
@@ -114,6 +115,8 @@
 	TimeToFirstByte time.Duration // 0 if there was no answer
 	MaxEventGap     time.Duration // longest gap between two events
 	Duration        time.Duration // since the request was received
+	Promised        time.Duration // expected time to the first event, when the first attempt was sent; 0 if none was expected
+	WaitedForFirst  time.Duration // the measured one, or the time until the end without an event
 	End             RequestEnd
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -207,6 +207,7 @@
 func (r *relayedRequest) recordEvent() {
 	now := r.relay.clock()
 	if r.result.Events == 0 {
+		r.recordBegun(true)
 		r.result.TimeToFirstByte = now.Sub(r.inbound.ReceivedAt)
 	} else {
 		r.result.MaxEventGap = max(r.result.MaxEventGap, now.Sub(r.lastEventAt))
--- a/forward/end.go
+++ b/forward/end.go
@@ -74,6 +74,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	r.result.Duration = r.relay.clock().Sub(r.inbound.ReceivedAt)
+	r.recordBegun(false)
 	attempts := r.race.attempts()
 	attempts.Cause, attempts.Unanswered = r.result.End.Cause, r.result.End.Unanswered
 	r.result.End = attempts
@@ -82,7 +83,7 @@
 	_ = r.relay.node.Send(ctx, lentilmux.ForwardDoneMsg{
 		Request: r.inbound.ID, Outcome: r.result.Outcome, Reason: r.result.Reason, Status: r.result.Status,
 		Events: r.result.Events, TimeToFirstByte: r.result.TimeToFirstByte, MaxEventGap: r.result.MaxEventGap, Duration: r.result.Duration,
-		End: r.result.End,
+		Promised: r.result.Promise.Expected, WaitedForFirst: r.result.Promise.Actual, End: r.result.End,
 	})
 	r.relay.observe(r.result)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,6 +43,7 @@
 	TimeToFirstByte time.Duration // from arrival to the first byte of the answer; 0 without one
 	MaxEventGap     time.Duration // longest time between two events
 	Duration        time.Duration // from arrival to the end of the request
+	Promise         Promise
 	End             lentilmux.RequestEnd
 }
 
@@ -112,6 +113,7 @@
 	headersSent bool      // whether status and headers were sent to the caller
 	lastEventAt time.Time // when the last event was sent to the caller
 	deadline    time.Time // of the attempts; zero before the first
+	sentAt      time.Time // when the first attempt was sent; zero before
 	result      Result
 
 	race       race
@@ -134,6 +136,7 @@
 				return
 			}
 			attempt := r.startAttempt(ctx, x.Attempt)
+			r.recordSent(attempt)
 			r.race.add(attempt)
 			failure = r.runAttempt(ctx, attempt, r.begin(attempt))
 		case lentilmux.WaitAnswer:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -37,6 +37,7 @@
 	retryAfter     lentilmux.RetryAfter // of the responses
 	askTime        time.Duration        // until the node answers the report of a stalled attempt
 	readTimes      []time.Duration      // until the caller has read each of its first events
+	promised       time.Duration        // expected time to the first event of each attempt
 	replaceStalled []bool               // for each report of a stalled attempt, whether the node replaces it
 }
 
@@ -120,7 +121,7 @@
 	s.last++
 	s.inFlight++
 	return lentilmux.AttemptAnswer{Attempt: lentilmux.Attempt{
-		Request: "r", Upstream: fmt.Sprintf("upstream-%d", s.last), Epoch: s.last, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
+		Request: "r", Upstream: fmt.Sprintf("upstream-%d", s.last), Epoch: s.last, Promised: s.promised, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
 		Progress: []*lentilmux.Progress{{}},
 	}}
 }
