Count the streams that peers move when an upstream is lost

What callers would see: an upstream in the middle of many paths is lost, all VMs move their streams at the same time, and to the cheapest other one, whatever room it has. Those beyond its room are refused or preempted.

Cause: the class of the herds at first hops. A VM knows how many streams of its peers run on the lost upstream, but chooses as if it moved its own alone.

--- a/fleet/herds_test.go
+++ b/fleet/herds_test.go
@@ -129,3 +129,39 @@
 		s.request()
 	}
 }
+
+// TestMoveHerds loses an upstream in the middle of many paths. It guards against VMs
+// that all move their streams to the cheapest other upstream at once, where only a few
+// have room.
+func TestMoveHerds(t *testing.T) {
+	var out strings.Builder
+	for _, vms := range []int{1, 6, 12, 30} {
+		s := newSimulation(t, 1, vms, 3*simulatedZones, func(s *simulation) {
+			s.profile = func(model *lentilmux.ModelProfile) {
+				tight := lentilmux.Accelerator{Name: "tight", MemoryBytes: 4*model.LayerBytes + herdRoom*herdTokens*4*100/97 + 1, StepFactor: 3, PrefillFactor: 3}
+				model.Accelerators[1].MemoryBytes = 1 << 20
+				model.Accelerators = append(model.Accelerators, tight)
+			}
+			for i, upstream := range s.upstreams {
+				if i%2 == 1 { // the second halves of the paths
+					upstream.record.Accelerator = []string{"large", "tight", "small"}[i/2/simulatedZones]
+				}
+			}
+		})
+		s.run(time.Second)
+		s.playArrivals(900*time.Millisecond, func(time.Duration) float64 { return 150 })
+		s.run(10 * time.Millisecond)
+		lost := s.upstreams[1]
+		lost.downUntil = s.now.Add(simulatedDowntime)
+		moved := make(map[string]int)
+		s.onMove = func(path []lentilmux.Hop) { moved[s.byID[path[len(path)-1].Upstream].record.Accelerator]++ }
+		for _, vm := range s.vms {
+			s.report(vm, lost.record.ID)
+		}
+		fmt.Fprintf(&out, "%d VMs: %d streams moved to the upstream with room for %d, %d to the others\n", vms, moved["tight"], herdRoom, moved["small"]+moved["large"])
+		if moved["tight"] > herdRoom {
+			t.Errorf("%d VMs move %d streams to an upstream with room for %d", vms, moved["tight"], herdRoom)
+		}
+	}
+	goldie.New(t).Assert(t, "move_herds", []byte(out.String()))
+}
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -122,6 +122,7 @@
 	pickVM    func() *simulatedVM                                                               // of the next request; nil for a random one
 	selector  func(seed uint64) lentilmux.PathSelector                                          // of a VM; nil for CheapestPath
 	profile   func(model *lentilmux.ModelProfile)                                               // changes the model; nil for no change
+	onMove    func(path []lentilmux.Hop)                                                        // when a VM moves a request
 	patience  time.Duration                                                                     // after which callers without an event leave; 0 for never
 }
 
@@ -301,6 +302,10 @@
 			s.after(simulatedLatency, func() { s.report(vm, x.Upstream) })
 		case lentilmux.ConnectEffect:
 			s.after(simulatedLatency, func() { s.connect(vm, x.Upstream) })
+		case lentilmux.MoveEffect:
+			if s.onMove != nil {
+				s.onMove(x.Path)
+			}
 		case lentilmux.PutEffect:
 			s.store[x.Key] = x
 		case lentilmux.DecisionEffect:
--- a/fleet/unseen.go
+++ b/fleet/unseen.go
@@ -40,6 +40,16 @@
 	return float64(peers) * float64(count+1) / period.Seconds()
 }
 
+// peerStreams returns how many streams of peers run on an upstream. If it is lost, all of
+// them look for another one at the same time.
+func (t *Tables) peerStreams(upstream string) (count float64) {
+	row := t.Upstreams.Find(upstream)
+	if row == nil {
+		return 0
+	}
+	return float64(row.PeerLoad.Streams)
+}
+
 // recent returns the requests and retries of the last buckets of the window, and the
 // time that these cover.
 func (b *RetryBudgetRow) recent(now time.Time, window time.Duration) (count int, period time.Duration) {
