Send second attempts past hops that lately kept one

What callers saw: with mute workers, 28 requests still left without a byte although each had a second attempt: that went to another first hop that mutes a third of what it gets, and a request may run twice only.

Cause: a VM forgets at once that a first hop kept one of its requests, and the hops that do so look cheap, since nothing runs there.

Change: an overdue attempt is remembered at its first hop for the retry window. Second attempts that race avoid such hops, and take one only if nothing else has room, never that of the first attempt. Requests are otherwise chosen as before. An attempt is overdue when it is reported as stalled and twice the expected time has passed; a bound of its own at three times made some wait for the next report, 200 ms later.

Test not_begun_twice.scenario, without the memory: - 600ms answer stalled r5: attempt 2 to c [c:0-3 b:4-7] ... + 600ms answer stalled r5: attempt 2 to e [e:0-3 f:4-7] ...

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -16,9 +16,15 @@
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
+	if request.Elsewhere {
+		a.excludeOverdue(t, now)
+	}
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
-	if !ok && excluded && !request.Elsewhere {
+	if !ok && excluded {
 		a.collectNodes(t, request.Service, now)
+		if request.Elsewhere {
+			a.excludeFirstHop(request.LastUpstream)
+		}
 		if request.Attempts > 0 { // a further refusal is not worth the retry
 			a.excludePaused(t, now)
 		}
@@ -40,7 +46,7 @@
 	request.Hops = attempt.Path
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
 	request.Promised, attempt.Promised = estimate.TimeToFirstEvent, estimate.TimeToFirstEvent
-	attempt.FirstEventTimeout = min(max(overdueFactor*request.Promised, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
+	attempt.FirstEventTimeout = t.firstEventTimeout(request.Promised)
 	attempt.EventGapTimeout = min(max(4*estimate.EventGap, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	t.RecordDecision(lentilmux.Decision{
 		What: "path_chosen", Subject: string(request.ID), Chosen: formatPath(attempt.Path),
--- a/fleet/notbegun.go
+++ b/fleet/notbegun.go
@@ -8,9 +8,12 @@
 // begin either, all are busy and a second attempt would only add to their work.
 
 const (
-	// overdueFactor is the multiple of the expected time to the first event after
-	// which an attempt that has not begun is overdue.
-	overdueFactor = 3
+	// stallFactor is the multiple of the expected time to the first event after which
+	// an attempt without one is reported as stalled, within the limits of this time.
+	stallFactor = 3
+	// overdueFactor is the multiple of the expected time after which a stalled attempt
+	// that has not begun is overdue.
+	overdueFactor = 2
 	// minBegunPerOverdue is how many attempts at other upstreams must have begun for
 	// each that is overdue there.
 	minBegunPerOverdue = 3
@@ -19,11 +22,17 @@
 // isOverdue reports whether an attempt with a path has not begun long after the time
 // expected.
 func (t *Tables) isOverdue(request *RequestRow, now time.Time) bool {
-	return !request.AnswerStarted && len(request.Hops) > 0 && now.Sub(request.SentAt) >= max(overdueFactor*request.Promised, t.Limits.MinStallTimeout)
+	return !request.AnswerStarted && len(request.Hops) > 0 && now.Sub(request.SentAt) >= max(t.firstEventTimeout(request.Promised), overdueFactor*request.Promised)
+}
+
+// firstEventTimeout returns the time without a first event after which an attempt with
+// a path is reported as stalled.
+func (t *Tables) firstEventTimeout(promised time.Duration) time.Duration {
+	return min(max(stallFactor*promised, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 }
 
 // onlyItWaits reports whether the newest attempt of a request is overdue while those
-// with other first hops begin. It has delivered nothing if delivered is what the caller
+// with other first hops begin, and records that at its first hop. It has delivered nothing if delivered is what the caller
 // had when it was sent.
 func (t *Tables) onlyItWaits(request *RequestRow, delivered int, now time.Time) bool {
 	if len(request.Older) > 0 || delivered > request.Delivered || !t.isOverdue(request, now) {
@@ -39,5 +48,30 @@
 			overdue++
 		}
 	}
-	return begun >= max(1, minBegunPerOverdue*overdue)
+	if begun < max(1, minBegunPerOverdue*overdue) {
+		return false
+	}
+	if row := t.Upstreams.Find(request.LastUpstream); row != nil {
+		row.OverdueAt = now
+	}
+	return true
+}
+
+// excludeOverdue keeps upstreams at which attempts were overdue lately from being the
+// first hop of a path.
+func (a *AdmitRequests) excludeOverdue(t *Tables, now time.Time) {
+	for i, row := range a.rows {
+		if now.Sub(row.OverdueAt) < t.Limits.RetryWindow {
+			a.nodes[i].Full = true
+		}
+	}
+}
+
+// excludeFirstHop keeps an upstream from being the first hop of a path.
+func (a *AdmitRequests) excludeFirstHop(upstream string) {
+	for i, row := range a.rows {
+		if row.ID == upstream {
+			a.nodes[i].Full = true
+		}
+	}
 }
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -27,6 +27,7 @@
 	FullUntil           time.Time     // refused a request for lack of capacity, takes no new ones until then
 	ConsecutiveFailures int           // attempts in a row that failed before an answer began
 	EjectedUntil        time.Time     // ejected until then: not the first hop of a path if there is an alternative
+	OverdueAt           time.Time     // when an attempt of this VM was last found overdue here, as first hop
 	Trials              int           // trials of this VM that have not begun to answer; no other request starts here if there is an alternative
 	MissedProbes        int           // unanswered probes in a row
 	Dead                bool          // whether requests in flight on it have to move
