--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -16,9 +16,15 @@
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
+	if request.Elsewhere {
+		a.excludeOverdue(t, now)
+	}
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
 	if !ok && excluded {
 		a.collectNodes(t, request.Service, now)
+		if request.Elsewhere {
+			a.excludeFirstHop(request.LastUpstream)
+		}
 		if request.Attempts > 0 { // a further refusal is not worth the retry
 			a.excludePaused(t, now)
 		}
@@ -39,7 +45,8 @@
 	}
 	request.Hops = attempt.Path
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
-	attempt.FirstEventTimeout = min(max(3*estimate.TimeToFirstEvent, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
+	request.Promised, attempt.Promised = estimate.TimeToFirstEvent, estimate.TimeToFirstEvent
+	attempt.FirstEventTimeout = t.firstEventTimeout(request.Promised)
 	attempt.EventGapTimeout = min(max(4*estimate.EventGap, t.Limits.MinStallTimeout), t.Limits.MaxStallTimeout)
 	t.RecordDecision(lentilmux.Decision{
 		What: "path_chosen", Subject: string(request.ID), Chosen: formatPath(attempt.Path),
@@ -109,6 +116,7 @@
 // new requests.
 func (a *AdmitRequests) collectNodes(t *Tables, service string, now time.Time) {
 	a.nodes, a.rows, a.atLimit = a.nodes[:0], a.rows[:0], 0
+	rate := t.peerRate(service, now) / float64(t.Zones.Count())
 	for _, row := range t.Upstreams.Rows {
 		if row.Service != service || !row.HasLayers || !row.Usable(now) || row.backsOff(now) || now.Before(row.FullUntil) {
 			continue
@@ -128,7 +136,8 @@
 			StepFactor: accelerator.StepFactor * row.Slowdown, PrefillFactor: accelerator.PrefillFactor * row.Slowdown,
 			Streams: row.OwnLoad.Streams + row.PeerLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens + row.PeerLoad.PendingPromptTokens,
 			Reserved: row.OwnLoad.Reserved + row.PeerLoad.Reserved, Capacity: model.CacheCapacity(accelerator, max(row.Layers.Len(), row.plannedLayers().Len())),
-			Full: atLimit || row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
+			Unseen: rate * t.loadAge(row).Seconds(),
+			Full:   atLimit || row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
 		})
 	}
 }
@@ -195,7 +204,7 @@
 	if request.Route.Kind == lentilmux.CallRepeatable && request.PossibleRuns+1 < request.Route.MaxAttempts {
 		attempt.FirstEventTimeout = max(2*request.Route.FirstByteTarget, t.Limits.MinStallTimeout)
 	}
-	request.Hops = nil // of an earlier attempt, if the service had an engine then
+	request.Hops, request.Promised = nil, 0 // of an earlier attempt, if the service had an engine then
 	request.Reservations = append(request.Reservations[:0], Reservation{Upstream: row.ID, Load: Load{Streams: 1}})
 	t.RecordDecision(lentilmux.Decision{
 		What: "upstream_chosen", Subject: string(request.ID), Chosen: row.ID,
