--- a/fleet/herds_test.go
+++ b/fleet/herds_test.go
@@ -102,10 +102,11 @@
 			s.run(herdPatience)
 			left, fast := 0, 0 // requests that never began, and those at fast upstreams
 			for _, request := range s.requests {
+				upstream := s.byID[request.attempt.Upstream] // nil if the request was refused
 				switch {
 				case request.left:
 					left++
-				case s.byID[request.attempt.Upstream].room > 0:
+				case upstream != nil && upstream.room > 0:
 					fast++
 				}
 			}
