--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -69,10 +69,9 @@
 	if g.dependencies.NewPeerHandler != nil {
 		s.forwarded.handler = g.dependencies.NewPeerHandler(relay, &g.state)
 	}
-	s.peers = &http.Server{
-		Handler: &s.forwarded, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
-		MaxHeaderBytes: g.config.MaxHeaderBytes + forwardedHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
-	}
+	s.peers = s.forwarded.newServer()
+	s.peers.ReadHeaderTimeout, s.peers.MaxHeaderBytes = g.config.HeaderTimeout, g.config.MaxHeaderBytes+forwardedHeaderBytes
+	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
 	if err := g.serve(s.peers, g.config.PeerAddr); err != nil {
 		return err
 	}
@@ -94,13 +93,14 @@
 	return nil
 }
 
-// abortRequests ends callers' requests in flight and waits until they are logged,
-// for abortTimeout at most.
+// abortRequests ends the requests of callers and peers in flight and waits until they are
+// answered or broken off, for abortTimeout at most.
 func (s *gatewayServers) abortRequests() {
 	s.cancelRequests(lentilmux.ErrStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
 	_ = s.caller.Shutdown(ctx) // close follows in any case
+	_ = s.forwarded.wait(ctx)
 }
 
 // close closes all opened servers and their connections immediately.
--- a/forward/promise_test.go
+++ b/forward/promise_test.go
@@ -20,7 +20,7 @@
 	const tick = 50 * time.Millisecond
 	stream := lentilmux.CallResumableStream
 	var out strings.Builder
-	for _, c := range []struct {
+	cases := []struct {
 		name   string
 		leaves time.Duration // when the caller disconnects; zero for never
 		script script
@@ -31,7 +31,9 @@
 		{"never begins", 900 * time.Millisecond, script{kind: stream, attempts: 1, promised: 40 * time.Millisecond, steps: [][]step{events(time.Second, 0)}}},
 		{"nothing promised", 0, script{kind: stream, attempts: 1, steps: [][]step{events(tick, 0)}}},
 		{"refused", 0, script{kind: stream, promised: 40 * time.Millisecond}},
-	} {
+	}
+	for i := range cases {
+		c := &cases[i]
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
--- a/outcome.go
+++ b/outcome.go
@@ -63,6 +63,9 @@
 	ReasonUpstreamFailed   Reason = "upstream_failed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonInternal         Reason = "internal_error"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonBodyUnreadable   Reason = "body_unreadable"
 )
 
 // ErrRefused is the sentinel error that every [Refusal] wraps.
