Close a connection only after a longer silence than a sound peer may have

Callers saw calls that may run once end as unknown, and streams computed again, after the link to a sound upstream was silent for a fraction of a second.

Cause: TCP_USER_TIMEOUT of 2 s also decides when keep-alive probes give up, and it counts from the last packet received. Probes began after 1 s of quiet, so ordinary quiet used up half of it. Worse, package net rounds keep-alive times up to whole seconds, so the interval of 0.5 s was 1 s: the second probe was due at 2 s, when the connection was closed instead, so each connection that was quiet for a second was closed if a single probe met a silence of any length.

The class: a timer that counts from the last byte and not from the first sign of trouble, so that ordinary quiet uses up the silence that is tolerated. Now lentilmux.ToleratedSilence names that silence, and WithToleratedSilence derives all timers from it in whole seconds: a probe that is sent after the longest silence has half an interval for its answer before the user timeout. Stalls, probes and races notice it earlier, as before.

The limit of package table for silent engines takes the same constant.

--- a/service/service.go
+++ b/service/service.go
@@ -63,16 +63,6 @@
 	return func(t *http.Transport, _ *net.Dialer) { t.MaxIdleConnsPerHost = count }
 }
 
-// WithDeadConnTimeout closes connections whose peer has not responded for
-// timeout. TCP keep-alive covers idle connections; on Linux, TCP_USER_TIMEOUT
-// covers those with unacknowledged data.
-func WithDeadConnTimeout(timeout time.Duration) Option {
-	return func(_ *http.Transport, d *net.Dialer) {
-		d.Control = tcpUserTimeout(timeout)
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: timeout / 2, Interval: timeout / 4, Count: 2}
-	}
-}
-
 // WithoutKeepAlive opens a connection for each call and closes it afterwards, so
 // that nothing that a service wrote before can be taken for the answer.
 func WithoutKeepAlive() Option {
--- a/table/limits.go
+++ b/table/limits.go
@@ -1,6 +1,10 @@
 package table
 
-import "time"
+import (
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
 
 // Limits holds the timeouts, intervals and bounds that the systems use.
 type Limits struct {
@@ -58,7 +62,7 @@
 		BrokenReplacementDelay: 2 * time.Second,
 		BaseEjectDuration:      500 * time.Millisecond,
 		MaxEjectDuration:       10 * time.Second,
-		MaxSilence:             1500 * time.Millisecond,
+		MaxSilence:             lentilmux.ToleratedSilence,
 		BusyDuration:           100 * time.Millisecond,
 		SlowStartDuration:      2 * time.Second,
 		MaxQueued:              512,
