Give an engine's answer to a ping the silence that is tolerated

A stream failed, and was computed again by another engine, when an engine or the link to it was silent for more than a second and then went on.

Cause: a ping follows half a second without a frame and had one second for its answer, less than the 1.5 s for which the control state leaves attempts at a silent engine alone. The same class as the keep-alive of connections: the time in which a sound peer may be silent stood in two places, with two values.

Evidence: TestSilenceEndsNoStage holds up for 1.5 s all that an engine sends, after 0 to 1.2 s of quiet. On the code before 8 of 9 cases fail: "timeout: internal: protocol error: incomplete envelope: http2: client connection lost".

The timeout of a ping is now the tolerated silence and half a second for the answer, counted from the ping, so the quiet before it does not matter. Engines that are dead are found by probes over new connections as before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -42,8 +42,9 @@
 	// is sent on it.
 	pingIdleTime = 500 * time.Millisecond
 	// pingTimeout bounds the wait for the response to a ping. After it the
-	// connection is closed, and its streams fail.
-	pingTimeout = time.Second
+	// connection is closed, and its streams fail. The ping may be sent as a silence
+	// begins, and its response has half a second after it.
+	pingTimeout = lentilmux.ToleratedSilence + 500*time.Millisecond
 	// unaryTimeout bounds each call that is not a stream.
 	unaryTimeout = 500 * time.Millisecond
 )
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -18,9 +18,10 @@
 // testEngine is an engine on a network in memory, and a client for it.
 type testEngine struct {
 	*standin.Engine
-	host   *standin.Host
-	addr   netip.AddrPort
-	client *engine.Client
+	network *standin.PipeNetwork
+	host    *standin.Host
+	addr    netip.AddrPort
+	client  *engine.Client
 }
 
 // runWithEngine runs a test in a testing/synctest bubble, whose clock advances
@@ -31,9 +32,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := standin.NewPipeNetwork()
 		e := &testEngine{
-			Engine: standin.NewEngine(standin.EngineSpec{Name: "worker-1", MaxLayers: 4, Slots: 2}),
-			addr:   netip.MustParseAddrPort("127.0.0.1:9100"),
-			client: engine.NewClient(engine.WithDial(network.DialContext)),
+			Engine:  standin.NewEngine(standin.EngineSpec{Name: "worker-1", MaxLayers: 4, Slots: 2}),
+			network: network,
+			addr:    netip.MustParseAddrPort("127.0.0.1:9100"),
+			client:  engine.NewClient(engine.WithDial(network.DialContext)),
 		}
 		e.host = standin.NewPipeHost(network, e.addr, standin.EngineHandler(e.Engine))
 		if err := e.host.Open(); err != nil {
