Give up an upstream for good only after the tolerated silence

Requests with a sound prompt part were refused for two minutes, and sound upstreams were ordered to give up their layers, since others were silent for 0.5 to 0.8 s.

Cause: two missed probes of 250 ms make an upstream dead, which the next report takes back. Two decisions that rest on it cannot be taken back: a crash counted against the parts of a prompt, and layers placed in place of those of the silent one. The class is that of the races (a decision that cannot be taken back rests on a suspicion that the next message takes back), with the silence that a sound upstream may have as its measure.

Scenario silent_holder (the holder of some layers is silent for 1.25 s): before "2.5s decided layers_placed a 3-7 (its zone lacks layers)", 0.8 s after the first probe that it missed.

Now an upstream is gone when its process is known to have ended (its address refuses connections or serves another process), or when it has answered no probe for longer than lentilmux.ToleratedSilence, counted from the first one. Crashes of parts and the placement of layers wait for that. New requests, races and moves go by dead as before: the first attempt goes on beside them.

--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -33,7 +33,7 @@
 	// other VMs.
 	explainedCrashes = time.Second
 	// maxCrashDoubt is how long after an attempt broke its upstream may be found
-	// dead for this to count as its crash.
+	// gone for this to count as its crash.
 	maxCrashDoubt = 3 * time.Second
 	// lateProgress is how long after a crash events that were sent before it may
 	// still be read.
@@ -93,14 +93,14 @@
 	t.PartSuspects.addBroken(broken)
 }
 
-// confirmCrashes counts the crashes of upstreams that were found dead, or replaced
-// by another process, since an attempt broke, and forgets the attempts whose
-// upstream lives on.
+// confirmCrashes counts the crashes of upstreams that are gone, or were replaced by
+// another process, since an attempt broke, and forgets the attempts whose upstream
+// lives on.
 func (c *TrackPartCrashes) confirmCrashes(t *Tables, now time.Time) {
 	t.PartSuspects.Broken = slices.DeleteFunc(t.PartSuspects.Broken, func(broken BrokenAttempt) bool {
 		row := t.Upstreams.Find(broken.Upstream)
 		switch {
-		case row == nil, row.Dead, !row.StartedAt.Equal(broken.StartedAt):
+		case row == nil, row.isGone(now), !row.StartedAt.Equal(broken.StartedAt):
 			c.countCrash(t, broken, now)
 			return true
 		case !row.ProbedAt.Before(broken.At) && row.ReportedAt.After(broken.At), row.Progress.Last().Sub(broken.At) > lateProgress:
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -67,7 +67,7 @@
 	if !state.plannedAt.IsZero() && now.Sub(state.plannedAt) < t.Limits.PlanTimeout {
 		return
 	}
-	rows := p.eligibleUpstreams(t, service.Name)
+	rows := p.eligibleUpstreams(t, service.Name, now)
 	unplaced, readyAt := p.countUnplaced(t, rows, now)
 	if unplaced > 0 && now.Before(readyAt) {
 		t.WakeAt(readyAt)
@@ -114,9 +114,9 @@
 
 // eligibleUpstreams returns the upstreams of a service that may hold layers,
 // sorted by ID.
-func (p *PlaceLayers) eligibleUpstreams(t *Tables, service string) (rows []*UpstreamRow) {
+func (p *PlaceLayers) eligibleUpstreams(t *Tables, service string, now time.Time) (rows []*UpstreamRow) {
 	for _, row := range t.Upstreams.Rows {
-		if row.Service != service || row.isDraining() || !row.ExpiresAt.IsZero() || row.isLostToAll() || !row.HasLayers && !row.SuspectUntil.IsZero() {
+		if row.Service != service || row.isDraining() || !row.ExpiresAt.IsZero() || row.isLostToAll(now) || !row.HasLayers && !row.SuspectUntil.IsZero() {
 			continue
 		}
 		if model, _ := t.ModelAndAccelerator(row); model != nil {
@@ -127,9 +127,9 @@
 	return rows
 }
 
-// isLostToAll reports whether an upstream is dead as far as this VM and its peers know.
+// isLostToAll reports whether an upstream is gone as far as this VM and its peers know.
 // One that some peer reaches is lost to this VM only, and its layers still serve.
-func (u *UpstreamRow) isLostToAll() bool { return u.Dead && !u.ReachedByPeer }
+func (u *UpstreamRow) isLostToAll(now time.Time) bool { return u.isGone(now) && !u.ReachedByPeer }
 
 // hasLastingGap reports whether some availability zone with layers has lacked
 // others for GapDelay. A shorter gap may be an upstream that was found dead by
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -249,7 +249,7 @@
 	t.PartSuspects.Broken = nil
 	t.CrashSuspects.withdrawSince(now.Add(-evidenceDuration))
 	for _, row := range t.Upstreams.Rows {
-		row.SuspectUntil, row.MissedProbes, row.Dead, row.ReportedByPeer = time.Time{}, 0, false, false
+		row.SuspectUntil, row.MissedProbes, row.Dead, row.Ended, row.ReportedByPeer = time.Time{}, 0, false, false, false
 		row.ConsecutiveFailures, row.EjectedUntil = 0, time.Time{}
 	}
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -181,7 +181,7 @@
 		a.handleProcessChange(t, row, report, now)
 		return
 	}
-	row.MissedProbes, row.Dead, row.ReportedByPeer = 0, false, false
+	row.MissedProbes, row.Dead, row.Ended, row.ReportedByPeer = 0, false, false, false
 	if !row.SuspectUntil.IsZero() {
 		row.SuspectUntil = time.Time{}
 		t.RecordDecision(lentilmux.Decision{What: "upstream_recovered", Subject: row.ID, Reason: "state report received"})
@@ -205,6 +205,7 @@
 // wrote the entry. The registered process has ended, and its address now serves
 // an upstream whose entry has not been read yet.
 func (a *ApplyReports) handleProcessChange(t *Tables, row *UpstreamRow, report lentilmux.UpstreamReport, now time.Time) {
+	row.Ended = true
 	if !row.Dead {
 		row.Dead, t.NewSuspects = true, true
 		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("process started at %s answered, expected the one started at %s", report.StartedAt.UTC().Format(time.RFC3339Nano), row.StartedAt.UTC().Format(time.RFC3339Nano))})
@@ -241,6 +242,12 @@
 // after one if a peer reported it as dead too. While this VM doubts its links, the
 // failure says nothing of the upstream.
 func (a *ApplyReports) recordMissedProbe(t *Tables, row *UpstreamRow, err error, now time.Time) {
+	if row.MissedProbes == 0 {
+		row.SilentSince = now
+		if !row.ProbedAt.IsZero() {
+			row.SilentSince = row.ProbedAt
+		}
+	}
 	row.MissedProbes++
 	if !t.trustsLinks() {
 		return
@@ -256,7 +263,7 @@
 		t.probe(row, now)
 		return
 	}
-	row.ReportedByPeer = false
+	row.ReportedByPeer, row.Ended = false, row.Ended || refused
 	if !row.Dead {
 		row.Dead, t.NewSuspects = true, true
 		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d consecutive probes failed: %v", row.MissedProbes, err)})
--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -53,7 +53,7 @@
 	}
 	if restarted {
 		row.HasTarget, row.StateUnknown, row.AcceptedOrders, row.OrderedAt = false, false, 0, time.Time{}
-		row.SuspectUntil, row.SuspectDuration, row.MissedProbes, row.Dead, row.Slowdown = time.Time{}, 0, 0, false, 1
+		row.SuspectUntil, row.SuspectDuration, row.MissedProbes, row.Dead, row.Ended, row.Slowdown = time.Time{}, 0, 0, false, false, 1
 		row.ConsecutiveFailures, row.EjectedUntil = 0, time.Time{}
 		row.RequestLimit = RequestLimitState{SeenAt: now}
 	}
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -29,7 +29,9 @@
 	EjectedUntil        time.Time     // ejected until then: not the first hop of a path if there is an alternative
 	Trials              int           // trials of this VM that have not begun to answer; no other request starts here if there is an alternative
 	MissedProbes        int           // unanswered probes in a row
+	SilentSince         time.Time     // when the first of MissedProbes was sent
 	Dead                bool          // whether requests in flight on it have to move
+	Ended               bool          // whether its process is known to have ended: its address refuses connections or serves another one
 	ReportedByPeer      bool          // whether a peer reported it as dead before this VM found out
 	ReachedByPeer       bool          // whether a peer that is not isolated has requests there or got a report, and does not consider it dead
 
@@ -71,6 +73,13 @@
 	return !u.isDraining() && (u.ExpiresAt.IsZero() || now.Before(u.ExpiresAt)) && u.SuspectUntil.IsZero()
 }
 
+// isGone reports whether an upstream is dead for good, as far as this VM knows: its
+// process has ended, or it has answered no probe for longer than a sound upstream may
+// be silent. Decisions that cannot be taken back when it goes on wait for this.
+func (u *UpstreamRow) isGone(now time.Time) bool {
+	return u.Dead && (u.Ended || now.Sub(u.SilentSince) > lentilmux.ToleratedSilence)
+}
+
 // Upstreams is the table of upstreams.
 type Upstreams struct {
 	Rows      []*UpstreamRow
