Account for each close of a caller's connection, and log those that lose a request

Hypotheses: (1) a request crosses the close of an idle connection and is not read; (2) it waits in the accept queue when the listener closes; (3) the VM has read it, and http.Server drops it. The callers' server now has a table of its connections: bytes read and written since the last answer, whether a handler got the request, the error of the last read and whether bytes had arrived unread. A close that loses bytes of a request is one line, connection_closed; each close counts in lentilmux_closed_connections by cause.

--- /dev/null
+++ b/entryvm/conntable.go
@@ -0,0 +1,150 @@
+package entryvm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// connTable holds the open connections of one HTTP server, so that each close of a
+// connection has a cause, and a drain loses no request of which bytes were read.
+//
+// [http.Server.Shutdown] is not used for a drain: it closes connections whose next
+// request has arrived in part, and answers no request that it reads afterwards.
+type connTable struct {
+	clock     func() time.Time
+	logClosed func(lentilmux.Decision)
+	count     func(cause connEnd)
+
+	mu       sync.Mutex
+	rows     map[*connRow]struct{}
+	draining bool
+	empty    chan struct{} // closed when there is no row; nil if nothing waits for that
+}
+
+// newConnTable returns an empty table. Closes are counted by count, and those that
+// lose a request are logged by log.
+func newConnTable(clock func() time.Time, log func(lentilmux.Decision), count func(cause connEnd)) *connTable {
+	return &connTable{clock: clock, logClosed: log, count: count, rows: make(map[*connRow]struct{})}
+}
+
+// listen returns a listener whose connections are rows of the table.
+func (t *connTable) listen(listener net.Listener) net.Listener {
+	return &connListener{Listener: listener, table: t}
+}
+
+// install makes a server record the state of its connections in the table.
+func (t *connTable) install(server *http.Server) {
+	handler := server.Handler
+	server.ConnState = t.setState
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if row, ok := r.Context().Value(connKey{}).(*connRow); ok {
+			t.markHandled(row)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// markHandled records that a handler has the request that a connection has read.
+func (t *connTable) markHandled(row *connRow) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row.handled = true
+}
+
+// setState implements the field ConnState of [http.Server].
+func (t *connTable) setState(conn net.Conn, state http.ConnState) {
+	row, ok := conn.(*connRow)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		row.received, row.sent, row.handled, row.answered, row.since = 0, 0, false, true, t.clock()
+	case http.StateClosed, http.StateHijacked:
+		t.remove(row)
+	}
+}
+
+// add adds an accepted connection.
+func (t *connTable) add(conn net.Conn) *connRow {
+	row := &connRow{Conn: conn, table: t, since: t.clock()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows[row] = struct{}{}
+	return row
+}
+
+// remove removes a closed connection, counts it, and logs it if a request was lost.
+func (t *connTable) remove(row *connRow) {
+	t.mu.Lock()
+	_, open := t.rows[row]
+	delete(t.rows, row)
+	if len(t.rows) == 0 && t.empty != nil {
+		close(t.empty)
+		t.empty = nil
+	}
+	end, draining := row.end(), t.draining
+	closed := row.describe(t.clock(), draining)
+	t.mu.Unlock()
+	if !open {
+		return
+	}
+	t.count(end)
+	if row.lostRequest() {
+		t.logClosed(lentilmux.Decision{What: "connection_closed", Subject: row.RemoteAddr().String(), Chosen: string(end), Reason: closed})
+	}
+}
+
+// drain closes each connection that waits for a request, a new one after newConnGrace,
+// and waits until none is open or ctx ends, whose error it then returns. No connection
+// must be accepted any more. Requests that have arrived are handled.
+func (t *connTable) drain(ctx context.Context) (err error) {
+	t.mu.Lock()
+	t.draining = true
+	for row := range t.rows {
+		row.applyDeadline()
+	}
+	if len(t.rows) == 0 {
+		t.mu.Unlock()
+		return nil
+	}
+	if t.empty == nil {
+		t.empty = make(chan struct{})
+	}
+	empty := t.empty
+	t.mu.Unlock()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// connListener adds the connections that it accepts to a table.
+type connListener struct {
+	net.Listener
+	table *connTable
+}
+
+// Accept implements [net.Listener].
+func (l *connListener) Accept() (conn net.Conn, err error) {
+	conn, err = l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.table.add(conn), nil
+}
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -30,6 +30,7 @@
 	peers     *http.Server
 	forwarded forwardedRequests
 
+	callerConns    *connTable              // connections of the callers' server
 	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
@@ -43,6 +44,8 @@
 		Handler: g.dependencies.NewCallerHandler(relay, &g.state), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: g.config.MaxHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
 	}
+	s.callerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, g.metrics.countClosedConn)
+	s.callerConns.install(s.caller)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.state.ready.Load() {
@@ -50,7 +53,7 @@
 		}
 	})
 	s.readiness = &http.Server{Handler: ready, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout}
-	if err := g.serve(s.readiness, g.config.ReadyAddr); err != nil {
+	if _, err := g.serve(s.readiness, g.config.ReadyAddr, nil); err != nil {
 		return err
 	}
 	if g.config.MetricsAddr.IsValid() {
@@ -59,7 +62,7 @@
 		mux.HandleFunc("GET "+heldPartsPath, g.listHeldParts)
 		mux.HandleFunc("POST "+releasePartPath, g.releaseHeldPart)
 		s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: g.config.HeaderTimeout}
-		if err := g.serve(s.metrics, g.config.MetricsAddr); err != nil {
+		if _, err := g.serve(s.metrics, g.config.MetricsAddr, nil); err != nil {
 			return err
 		}
 	}
@@ -73,25 +76,29 @@
 		Handler: &s.forwarded, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: g.config.MaxHeaderBytes + forwardedHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
 	}
-	if err := g.serve(s.peers, g.config.PeerAddr); err != nil {
+	if _, err := g.serve(s.peers, g.config.PeerAddr, nil); err != nil {
 		return err
 	}
-	return g.serve(s.caller, g.config.CallerAddr)
+	_, err = g.serve(s.caller, g.config.CallerAddr, s.callerConns)
+	return err
 }
 
-// serve listens on an address and serves it in the background until the server
-// is closed.
-func (g *Gateway) serve(server *http.Server, addr netip.AddrPort) (err error) {
-	listener, err := net.Listen("tcp", addr.String())
+// serve listens on an address and serves it in the background until the server or
+// the listener is closed. It records the connections in conns, unless that is nil.
+func (g *Gateway) serve(server *http.Server, addr netip.AddrPort, conns *connTable) (listener net.Listener, err error) {
+	listener, err = net.Listen("tcp", addr.String())
 	if err != nil {
-		return errors.Annotatef(err, "listening on %s", addr)
+		return nil, errors.Annotatef(err, "listening on %s", addr)
+	}
+	if conns != nil {
+		listener = conns.listen(listener)
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.decisionLog.enqueue(lentilmux.Decision{What: "server_failed", Subject: addr.String(), Reason: err.Error()})
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // abortRequests ends callers' requests in flight and waits until they are logged,
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -27,6 +27,7 @@
 	tokens          metric.Int64Counter
 	unanswered      metric.Int64Counter
 	decisions       metric.Int64Counter
+	closedConns     metric.Int64Counter
 	requestDuration metric.Float64Histogram
 	firstToken      metric.Float64Histogram
 	longestPause    metric.Float64Histogram
@@ -48,6 +49,9 @@
 	if m.unanswered, err = meter.Int64Counter("lentilmux_unanswered_requests", metric.WithDescription("Requests that ended without a complete answer or a refusal, by cause.")); err != nil {
 		return nil, err
 	}
+	if m.closedConns, err = meter.Int64Counter("lentilmux_closed_connections", metric.WithDescription("Connections of callers that were closed, by cause.")); err != nil {
+		return nil, err
+	}
 	if m.tokens, err = meter.Int64Counter("lentilmux_tokens", metric.WithDescription("Tokens given to callers.")); err != nil {
 		return nil, err
 	}
@@ -135,6 +139,11 @@
 	m.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("what", decisionLabel(d.What))))
 }
 
+// countClosedConn counts a closed connection of a caller.
+func (m *metrics) countClosedConn(cause connEnd) {
+	m.closedConns.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", string(cause))))
+}
+
 // handler serves the metrics in the Prometheus text format.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
