Answer in a drain each request of which a byte was read

Callers saw their connection close without an answer in planned stops, beside changes of the configuration too, and no VM had a line. Cause: http.Server.Shutdown. It closes connections that count as idle, and a connection counts as idle until a request's whole header has been read; and the server returns without a word after each request that it reads once Shutdown has begun, also one on a connection that was accepted a moment before. A VM that is short of processor time reads late, so such a request can be older than loss_slack_ms. Change: a drain closes the listener, then each connection that waits for a request, by a deadline on its read: a read that has bytes, or finds some at the deadline, goes on. A connection that was just accepted waits 300 ms for its first request; the listener closes so much earlier that it is still served. Requests that come later on a connection are refused with 503 and Connection: close. The drain ends when no connection is open. Ruled out: leaving idle connections open until the process ends.

--- a/entryvm/conntable_test.go
+++ b/entryvm/conntable_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -157,3 +158,56 @@
 	defer cancel()
 	return f.table.drain(ctx)
 }
+
+// TestDrainUnderRequests guards against a drain that closes a connection of which it
+// has read a request: callers send at all moments around the close of idle ones.
+func TestDrainUnderRequests(t *testing.T) {
+	for round := range 10 {
+		f := startConnFixture(t, time.Minute, 10*time.Second)
+		var callers sync.WaitGroup
+		var answers atomic.Int64
+		for i := range 48 {
+			callers.Go(func() { answers.Add(callUntilClosed(f.listener.Addr().String(), i)) })
+		}
+		time.Sleep(time.Duration(20+round) * time.Millisecond)
+		if err := f.drain(t); err != nil {
+			t.Errorf("round %d: the drain did not end: %v", round, err)
+		}
+		callers.Wait()
+		f.mu.Lock()
+		if lost := slices.DeleteFunc(f.lines, func(line string) bool { return strings.HasSuffix(line, "read=0") }); len(lost) > 0 {
+			t.Errorf("round %d: requests that were read and dropped: %q", round, lost)
+		}
+		f.mu.Unlock()
+		if handled := f.handled.Load(); handled != answers.Load() {
+			t.Errorf("round %d: %d requests reached the handler, %d answers the callers", round, handled, answers.Load())
+		}
+	}
+}
+
+// callUntilClosed sends requests, the header of each in two parts, until the
+// connection is closed, and returns the number of answers.
+func callUntilClosed(addr string, caller int) (answers int64) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		time.Sleep(time.Duration(caller%7) * time.Millisecond)
+		_, _ = io.WriteString(conn, wholeRequest[:20]) // an error shows when the answer is read
+		time.Sleep(time.Duration(caller%3) * time.Millisecond)
+		_, _ = io.WriteString(conn, wholeRequest[20:])
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return answers
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		answers++
+		if answers > 200 {
+			return answers
+		}
+	}
+}
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -178,24 +178,26 @@
 }
 
 // runDrain drains the entry VM. It becomes not ready immediately, but accepts
-// requests for MinDrainDuration, so that the load balancer can notice. Then it
-// accepts no more and completes the requests in flight, until MaxDrainDuration
-// at the latest.
+// connections until newConnGrace before MinDrainDuration, so that the load balancer
+// can notice. Then it accepts no more and closes those without a request. It serves
+// requests that still arrive on others until MinDrainDuration, refuses later ones, and
+// completes those in flight, until MaxDrainDuration at the latest.
 func (g *Gateway) runDrain(ctx context.Context, servers *gatewayServers) {
 	g.state.draining.Store(true)
 	// Send fails only when the node stops.
 	_ = g.node.Send(ctx, lentilmux.BeginDrainMsg{})
 	limits := g.limits.Load()
-	timer := time.NewTimer(limits.MinDrainDuration)
+	accepting := limits.MinDrainDuration - newConnGrace
+	timer := time.NewTimer(accepting)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, limits.MaxDrainDuration-limits.MinDrainDuration)
+	ctx, cancel := context.WithTimeout(ctx, limits.MaxDrainDuration-accepting)
 	defer cancel()
-	err := servers.caller.Shutdown(ctx)
+	err := servers.drainCallers(ctx)
 	if err == nil {
 		err = servers.forwarded.wait(ctx)
 	}
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -30,6 +30,7 @@
 	peers     *http.Server
 	forwarded forwardedRequests
 
+	callerListener net.Listener
 	callerConns    *connTable              // connections of the callers' server
 	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
@@ -79,7 +80,7 @@
 	if _, err := g.serve(s.peers, g.config.PeerAddr, nil); err != nil {
 		return err
 	}
-	_, err = g.serve(s.caller, g.config.CallerAddr, s.callerConns)
+	s.callerListener, err = g.serve(s.caller, g.config.CallerAddr, s.callerConns)
 	return err
 }
 
@@ -101,6 +102,13 @@
 	return listener, nil
 }
 
+// drainCallers accepts no more connections of callers and waits until those that are
+// open have ended, or ctx ends.
+func (s *gatewayServers) drainCallers(ctx context.Context) (err error) {
+	_ = s.callerListener.Close() // it is not used any more
+	return s.callerConns.drain(ctx)
+}
+
 // abortRequests ends callers' requests in flight and waits until they are logged,
 // for abortTimeout at most.
 func (s *gatewayServers) abortRequests() {
