Answer each request that was read in the drain of a VM of the product too

Cause: as for the gateway, the servers of a VM were drained by http.Server.Shutdown, which drops requests that it has read, at the port for callers and at that for peers and operators; and its answers did not ask callers to close during a drain. Evidence, code before: TestDrainOfVMAnswersWhatItRead fails, "port for callers, kept connection true: unexpected EOF, expected an answer", the same for a new connection. (The control port is shut down after the callers' one and answered here.) Change: both servers have a table of their connections and drain by it, below TLS as well; responses during a drain ask to close, set in one place for all servers with a table. The VM logs and counts closed connections as the gateway does. Result: the test passes, also with -race.

--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -37,7 +37,8 @@
 	return &connListener{Listener: listener, table: t}
 }
 
-// install makes a server record the state of its connections in the table.
+// install makes a server record the state of its connections in the table. During a
+// drain its responses ask to close the connection.
 func (t *connTable) install(server *http.Server) {
 	handler := server.Handler
 	server.ConnState = t.setState
@@ -45,8 +46,8 @@
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if row, ok := r.Context().Value(connKey{}).(*connRow); ok {
-			t.markHandled(row)
+		if row := findConnRow(r.Context().Value(connKey{})); row != nil && t.markHandled(row) {
+			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -55,17 +56,34 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// markHandled records that a handler has the request that a connection has read.
-func (t *connTable) markHandled(row *connRow) {
+// findConnRow returns the row of a server's connection, which may be wrapped in TLS, or
+// nil if it has none.
+func findConnRow(conn any) *connRow {
+	for {
+		switch x := conn.(type) {
+		case *connRow:
+			return x
+		case interface{ NetConn() net.Conn }:
+			conn = x.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+// markHandled records that a handler has the request that a connection has read. It
+// reports whether the server drains.
+func (t *connTable) markHandled(row *connRow) (draining bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row.handled = true
+	return t.draining
 }
 
 // setState implements the field ConnState of [http.Server].
 func (t *connTable) setState(conn net.Conn, state http.ConnState) {
-	row, ok := conn.(*connRow)
-	if !ok {
+	row := findConnRow(conn)
+	if row == nil {
 		return
 	}
 	switch state {
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -35,6 +35,8 @@
 	control         *http.Server
 	callerListener  net.Listener
 	controlListener net.Listener
+	callerConns     *connTable
+	controlConns    *connTable
 	logger          *logrus.Logger
 }
 
@@ -49,13 +51,16 @@
 		_ = callerListener.Close() // no connection was accepted yet
 		return nil, errors.Annotate(err, "listening for peers and operators")
 	}
-	return &servers{
-		caller:          newServer(v.Handler()),
-		control:         newServer(v.controlHandler()),
-		callerListener:  v.withTLS(limitConns(callerListener, maxCallerConns)),
-		controlListener: v.withTLS(limitConns(controlListener, maxControlConns)),
-		logger:          v.config.Logger,
-	}, nil
+	s = &servers{
+		caller: newServer(v.Handler()), control: newServer(v.controlHandler()), logger: v.config.Logger,
+		callerConns:  newConnTable(time.Now, v.effects.recordDecision, v.metrics.countClosedConn),
+		controlConns: newConnTable(time.Now, v.effects.recordDecision, func(connEnd) {}),
+	}
+	s.callerConns.install(s.caller)
+	s.controlConns.install(s.control)
+	s.callerListener = v.withTLS(s.callerConns.listen(limitConns(callerListener, maxCallerConns)))
+	s.controlListener = v.withTLS(s.controlConns.listen(limitConns(controlListener, maxControlConns)))
+	return s, nil
 }
 
 // withTLS wraps the listener in TLS if the entry VM has a certificate.
@@ -90,19 +95,21 @@
 	go s.serveListener(s.control, s.controlListener)
 }
 
-// serveListener serves a listener until its server is closed. It logs an error if
+// serveListener serves a listener until it or its server is closed. It logs an error if
 // serving ends for another reason.
 func (s *servers) serveListener(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.logger.WithError(err).Error("server stopped serving")
 	}
 }
 
-// shutdown closes both servers gracefully: it waits until no request is in flight
-// or ctx ends.
+// shutdown closes both servers gracefully: it accepts no more connections and waits
+// until none is open or ctx ends.
 func (s *servers) shutdown(ctx context.Context) {
-	for _, server := range []*http.Server{s.caller, s.control} {
-		if err := server.Shutdown(ctx); err != nil {
+	_ = s.callerListener.Close() // they are not used any more
+	_ = s.controlListener.Close()
+	for _, conns := range []*connTable{s.callerConns, s.controlConns} {
+		if err := conns.drain(ctx); err != nil {
 			s.logger.WithError(err).Warn("server shut down with requests in flight")
 		}
 	}
