Let a forwarded request wait for a peer that applies a change, instead of refusing

What callers saw: refusals at a VM without links, for seconds after each change of the configuration. No answer was lost: a refusal is an answer. Cause: a peer takes forwarded requests only with the newest configuration that any VM names. The VM that applies a change first forwarded to peers that lacked it, took their refusal for a failure of the peer, and avoided each for two seconds, also once its digest named the version. With changes every 300 ms no peer was ever usable. Change: a peer that refused while its digest named an older version is avoided only until it names that version. A request whose best peer is known to lack the version waits for a digest that names it, for one second or half of its time at most; then the peer is asked. A digest without a version, of an older program, is no reason to wait.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -50,12 +50,13 @@
 		if !row.Admitted && !t.forwards(request) { // a peer counts what is forwarded to it
 			t.RetryBudgets.GetOrCreate(request.Service).countRequest(now, t.Limits.RetryWindow)
 		}
+		request.WaitedForPeer = row.ForPeer && !now.Before(row.Until)
 		t.Requests.Put(request)
 		if refusal = a.sendAttempt(t, request, row.CorrelationID, now); refusal == nil {
 			return
 		}
 		t.Requests.Remove(request.ID)
-		if refusal.Reason == lentilmux.ReasonNoUpstream && a.holdForRoom(t, row, request, now) {
+		if refusal.Reason == lentilmux.ReasonNoUpstream && a.holdForRoom(t, row, request, now) || refusal.Reason == lentilmux.ReasonNotReady && a.holdForPeer(t, row, request, now) {
 			return
 		}
 	}
--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -21,6 +21,9 @@
 	// maxPeerSilence is the time without a digest of a peer after which a stalled
 	// request that was forwarded to it is given another attempt.
 	maxPeerSilence = 700 * time.Millisecond
+	// maxPeerWait is how long a request waits for a peer to apply the newest
+	// configuration.
+	maxPeerWait = time.Second
 	// maxPeerRefusals is the number of peers that may refuse one request since they
 	// cannot serve any, without this counting as an attempt.
 	maxPeerRefusals = 4
@@ -80,25 +83,42 @@
 // isUsablePeer reports whether requests may be forwarded to a peer. In a fleet that
 // uses relays a VM gets no digests of most peers, and knows only which are isolated.
 func (t *Tables) isUsablePeer(vm *VMRow, now time.Time) bool {
-	if !vm.Addr.IsValid() || vm.Isolated || vm.Draining || vm.Stale || now.Before(vm.AvoidUntil) {
+	if !vm.Addr.IsValid() || vm.Isolated || vm.Draining || vm.Stale || vm.isAvoided(now) {
 		return false
 	}
 	return t.isLive(vm, now) || t.usesRelays() && !t.isUnresponsive(vm, now)
 }
 
+// waitsForPeer reports whether a request has to wait until the best of its peers applies
+// the newest configuration, without which the peer would refuse. A peer whose digests do
+// not name its version is asked.
+func (t *Tables) waitsForPeer(request *RequestRow, peer *VMRow, now time.Time) bool {
+	return t.Reach.State == ReachLost && request.Attempts == 0 && !request.WaitedForPeer && t.isLive(peer, now) && peer.Rules > 0 && peer.Rules < t.newestRules()
+}
+
+// isAvoided reports whether no request is forwarded to a peer since it failed. One that
+// only lacked a version of the configuration is usable as soon as it names that.
+func (v *VMRow) isAvoided(now time.Time) bool {
+	return now.Before(v.AvoidUntil) && (v.AwaitedRules == 0 || v.Rules < v.AwaitedRules)
+}
+
 // forwardToPeer makes a peer the target of the next attempt of a request and answers
 // with it. It returns false if no peer is usable.
 func (a *AdmitRequests) forwardToPeer(t *Tables, request *RequestRow, correlationID lentilmux.CorrelationID, now time.Time) (forwarded bool) {
 	peer := t.selectPeer(now)
-	if peer == nil {
+	if peer == nil || t.waitsForPeer(request, peer, now) {
 		return false
 	}
 	peer.ForwardedAt = now
 	request.Attempts++
 	request.AttemptState = AttemptState{Epoch: lentilmux.Epoch(request.Attempts), Peer: peer.Name, SentAt: now}
+	rules := t.newestRules()
+	if peer.Rules < rules {
+		request.AwaitedRules = rules
+	}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: request.Epoch, Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
-		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns, MinRules: t.newestRules(),
+		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns, MinRules: rules,
 	}
 	if request.Route.Kind.Repeatable() {
 		attempt.FirstEventTimeout, attempt.EventGapTimeout = t.Limits.MaxStallTimeout, t.Limits.MaxStallTimeout
@@ -147,6 +167,12 @@
 	case !failed.Answered, failed.peerCannotServe():
 		peer.AvoidUntil = now.Add(peerAvoidDuration)
 	}
+	if peer != nil {
+		peer.AwaitedRules = 0
+		if failed.peerCannotServe() {
+			peer.AwaitedRules = request.AwaitedRules
+		}
+	}
 	if failed.peerCannotServe() {
 		request.PeerRefusals++
 	}
--- a/fleet/pending.go
+++ b/fleet/pending.go
@@ -12,6 +12,7 @@
 	Until    time.Time // latest time at which the request is admitted or refused
 	RetryAt  time.Time // when a back-off ends that all upstreams are in; zero if they are not
 	ForRoom  bool      // whether it waits for room at the upstreams, and not for the first reads of the store
+	ForPeer  bool      // whether it waits for a peer to apply the newest configuration
 	Admitted bool      // whether its route and key were checked and the request was counted
 }
 
@@ -50,6 +51,9 @@
 		if row.ForRoom {
 			ready = roomFreed || !row.RetryAt.IsZero() && !now.Before(row.RetryAt)
 		}
+		if row.ForPeer {
+			ready = len(t.Events.Digests) > 0
+		}
 		if !ready && now.Before(row.Until) {
 			t.Pending = append(t.Pending, row)
 			t.WakeAt(row.Until)
@@ -84,6 +88,24 @@
 	return true
 }
 
+// holdForPeer queues a request that only a peer can send to an upstream, while all
+// usable ones have an older configuration than this VM: they apply the newest one within
+// moments, and a refusal keeps the caller away for longer. The request waits for at most
+// maxPeerWait, and half of the time to its deadline.
+func (a *AdmitRequests) holdForPeer(t *Tables, row PendingRow, request *RequestRow, now time.Time) (pending bool) {
+	if peer := t.selectPeer(now); peer == nil || !t.waitsForPeer(request, peer, now) {
+		return false
+	}
+	if !row.ForPeer {
+		row.Until = now.Add(min(maxPeerWait, request.Deadline.Sub(now)/2))
+		t.RecordDecision(lentilmux.Decision{What: "request_waiting", Subject: string(request.ID), Chosen: row.Until.Sub(now).String(), Reason: "no peer has the newest configuration"})
+	}
+	row.ForPeer, row.Admitted = true, true
+	t.Pending = append(t.Pending, row)
+	t.WakeAt(row.Until)
+	return true
+}
+
 // roomWaiters returns the number of requests that wait for room.
 func (t *Tables) roomWaiters() (count int) {
 	for i := range t.Pending {
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -10,26 +10,28 @@
 type RequestRow struct {
 	lentilmux.InboundRequest
 	AttemptState
-	Older        []AttemptState // attempts in flight beside the newest, which races with them
-	Route        *lentilmux.RouteRule
-	Service      string
-	Workspace    string
-	Priority     int
-	Attempts     int  // attempts so far
-	PossibleRuns int  // attempts that may have run the request
-	MayHaveRun   bool // whether any attempt may have run the request
-	Delivered    int  // events that the caller had when the last attempt began
-	Moves        int  // moves so far, also refused ones
-	PeerRefusals int  // peers that refused the request since they cannot serve any
+	Older         []AttemptState // attempts in flight beside the newest, which races with them
+	Route         *lentilmux.RouteRule
+	Service       string
+	Workspace     string
+	Priority      int
+	Attempts      int  // attempts so far
+	PossibleRuns  int  // attempts that may have run the request
+	MayHaveRun    bool // whether any attempt may have run the request
+	Delivered     int  // events that the caller had when the last attempt began
+	Moves         int  // moves so far, also refused ones
+	WaitedForPeer bool // whether it waited in vain for a peer to apply the newest configuration
+	PeerRefusals  int  // peers that refused the request since they cannot serve any
 }
 
 // AttemptState is the state of one attempt of a request.
 type AttemptState struct {
 	Epoch         lentilmux.Epoch
-	AnswerStarted bool   // whether it has delivered an event
-	RunCounted    bool   // whether PossibleRuns counts it already
-	LastUpstream  string // its first hop; empty if a peer selects it
-	Peer          string // that it was forwarded to; empty for none
+	AnswerStarted bool               // whether it has delivered an event
+	RunCounted    bool               // whether PossibleRuns counts it already
+	LastUpstream  string             // its first hop; empty if a peer selects it
+	Peer          string             // that it was forwarded to; empty for none
+	AwaitedRules  lentilmux.Revision // version of the configuration that the peer needs, if its last digest named an older one; 0 otherwise
 	Reservations  []Reservation
 	Hops          []lentilmux.Hop // its path
 	Move          MoveState
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -27,6 +27,7 @@
 	FleetSuspects   []string           // the same by its last fleet-wide sum
 	ForwardedAt     time.Time          // when a request was last forwarded to it
 	AvoidUntil      time.Time          // until then no request is forwarded to it, since it failed
+	AwaitedRules    lentilmux.Revision // version of the configuration that ends AvoidUntil earlier, since the peer failed for the lack of it; 0 for none
 	IsolatedVMs     []lentilmux.VMHash // VMs that reach no upstream, by its last digest
 	Isolated        bool               // whether the digests of any VM list this one as isolated
 	wasIsolated     bool               // the same before the digests of this tick
