Keep the port for peers and operators open until callers are served

A drain of the product's VM closed the port for operators and peers together with that for callers, so that for the whole drain, 15 minutes at most, neither metrics nor lentilctl answered; before the drain by connections it was closed last.

--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -103,15 +103,18 @@
 	}
 }
 
-// shutdown closes both servers gracefully: it accepts no more connections and waits
-// until none is open or ctx ends.
+// shutdown closes both servers gracefully, that of peers and operators last: it accepts
+// no more connections and waits until none is open or ctx ends.
 func (s *servers) shutdown(ctx context.Context) {
-	_ = s.callerListener.Close() // they are not used any more
-	_ = s.controlListener.Close()
-	for _, conns := range []*connTable{s.callerConns, s.controlConns} {
-		if err := conns.drain(ctx); err != nil {
-			s.logger.WithError(err).Warn("server shut down with requests in flight")
-		}
+	s.drain(ctx, s.callerListener, s.callerConns)
+	s.drain(ctx, s.controlListener, s.controlConns)
+}
+
+// drain closes a listener and waits until none of its connections is open or ctx ends.
+func (s *servers) drain(ctx context.Context, listener net.Listener, conns *connTable) {
+	_ = listener.Close() // it is not used any more
+	if err := conns.drain(ctx); err != nil {
+		s.logger.WithError(err).Warn("server shut down with requests in flight")
 	}
 }
 
