Hold no probe against an upstream that this VM read late

Streams were moved, and their tokens read again by other upstreams, after a stall of the VM itself: the probes in flight failed when it went on, since their time was over, although their answers may have arrived meanwhile. With a peer's report that an upstream is dead, one such probe was enough, and the silence that it seemed to prove had lasted as long as the stall.

Evidence: scenario stalled_vm (probes sent at 0.4 s, failed at 2 s, a peer's report at 2 s): on the code before "2.001s decided upstream_dead b (1 consecutive probes failed: timeout: late)" and "request_moved r1", 9 ms before the report of the upstream.

A probe now tells how long it took. A failure more than twice the time that a probe has says nothing, and another probe is sent at once; if that is read late too it counts, so a VM that is always late still finds dead upstreams.

--- a/entryvm/gatewayeffects.go
+++ b/entryvm/gatewayeffects.go
@@ -67,8 +67,9 @@
 func (g *Gateway) fetchReport(effect lentilmux.FetchReportEffect) {
 	ctx, cancel := context.WithTimeout(g.ctx, reportTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	report, err := g.dependencies.Engine.Report(ctx, effect.Upstream, effect.Addr)
-	g.sendToNode(lentilmux.UpstreamReportMsg{Upstream: effect.Upstream, Report: report, Err: err})
+	g.sendToNode(lentilmux.UpstreamReportMsg{Upstream: effect.Upstream, Report: report, Err: err, Took: time.Since(sentAt)})
 }
 
 // connect tests whether an upstream accepts a connection and passes the result to
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -11,6 +11,11 @@
 	"lentilmux.example/lentilmux"
 )
 
+// maxProbeDuration is the time after which a probe that failed was read late: it has
+// half of this for its answer, so this VM was stalled while the answer came, or should
+// have come.
+const maxProbeDuration = 500 * time.Millisecond
+
 // ApplyReports applies the load digests of peers, the reports of upstreams and
 // the results of orders. It reads Events.Digests, Events.Reports and
 // Events.OrderResults and writes VMs, FleetLoads, Zones, Upstreams and
@@ -173,7 +178,7 @@
 		return
 	}
 	if msg.Err != nil {
-		a.recordMissedProbe(t, row, msg.Err, now)
+		a.recordMissedProbe(t, row, msg, now)
 		return
 	}
 	report := msg.Report
@@ -181,7 +186,7 @@
 		a.handleProcessChange(t, row, report, now)
 		return
 	}
-	row.MissedProbes, row.Dead, row.Ended, row.ReportedByPeer = 0, false, false, false
+	row.MissedProbes, row.ReadLate, row.Dead, row.Ended, row.ReportedByPeer = 0, false, false, false, false
 	if !row.SuspectUntil.IsZero() {
 		row.SuspectUntil = time.Time{}
 		t.RecordDecision(lentilmux.Decision{What: "upstream_recovered", Subject: row.ID, Reason: "state report received"})
@@ -240,8 +245,15 @@
 // process listens, so the upstream is dead. Any other failure may be a lost
 // answer, so the upstream is dead only after MaxMissedProbes failures in a row, or
 // after one if a peer reported it as dead too. While this VM doubts its links, the
-// failure says nothing of the upstream.
-func (a *ApplyReports) recordMissedProbe(t *Tables, row *UpstreamRow, err error, now time.Time) {
+// failure says nothing of the upstream, nor does one that was read late, unless the
+// next is read late too.
+func (a *ApplyReports) recordMissedProbe(t *Tables, row *UpstreamRow, msg lentilmux.UpstreamReportMsg, now time.Time) {
+	row.ReadLate = msg.Took > maxProbeDuration && !row.ReadLate
+	if row.ReadLate {
+		row.ProbedAt = time.Time{}
+		t.probe(row, now)
+		return
+	}
 	if row.MissedProbes == 0 {
 		row.SilentSince = now
 		if !row.ProbedAt.IsZero() {
@@ -253,7 +265,7 @@
 		return
 	}
 	var upstreamErr *lentilmux.UpstreamError
-	refused := errors.As(err, &upstreamErr) && upstreamErr.Kind == lentilmux.FailureDial && !errors.Is(err, context.DeadlineExceeded)
+	refused := errors.As(msg.Err, &upstreamErr) && upstreamErr.Kind == lentilmux.FailureDial && !errors.Is(msg.Err, context.DeadlineExceeded)
 	missed := row.MissedProbes
 	if row.ReportedByPeer {
 		missed++
@@ -266,7 +278,7 @@
 	row.ReportedByPeer, row.Ended = false, row.Ended || refused
 	if !row.Dead {
 		row.Dead, t.NewSuspects = true, true
-		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d consecutive probes failed: %v", row.MissedProbes, err)})
+		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d consecutive probes failed: %v", row.MissedProbes, msg.Err)})
 	}
 	t.markSuspected(row, now, "probe failed")
 }
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -308,7 +308,7 @@
 		if fields["error"] == "late" {
 			kind = lentilmux.FailureTimeout
 		}
-		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}}
+		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}, Took: parseDuration(fields["took"])}
 	}
 	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0), Draining: fields["draining"] == "true"}
 	report.Layers, report.HasLayers = parseLayers(fields["layers"])
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -29,6 +29,7 @@
 	EjectedUntil        time.Time     // ejected until then: not the first hop of a path if there is an alternative
 	Trials              int           // trials of this VM that have not begun to answer; no other request starts here if there is an alternative
 	MissedProbes        int           // unanswered probes in a row
+	ReadLate            bool          // whether the last probe failed, but was read late
 	SilentSince         time.Time     // when the first of MissedProbes was sent
 	Dead                bool          // whether requests in flight on it have to move
 	Ended               bool          // whether its process is known to have ended: its address refuses connections or serves another one
--- a/streams.go
+++ b/streams.go
@@ -188,6 +188,7 @@
 	Upstream string
 	Report   UpstreamReport
 	Err      error
+	Took     time.Duration // from the sending of the probe until its report was read, or it had failed
 }
 
 // RangeOrderEffect sends an order to an upstream.
