--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -39,6 +39,8 @@
 
 // scenario plays the events of a file to one entry VM.
 type scenario struct {
+	paused      bool                 // whether the control goroutine does not run
+	queued      []lentilmux.Envelope // messages of the next tick
 	model       *fleet.Schedule
 	start       time.Time
 	now         time.Time // of the last tick
@@ -101,7 +103,7 @@
 		return err
 	}
 	now := s.start.Add(elapsed)
-	for !s.nextTick.After(now) {
+	for !s.paused && !s.nextTick.After(now) {
 		s.tick(s.nextTick)
 	}
 	fmt.Fprintf(&s.out, "> %s\n", line)
@@ -111,13 +113,27 @@
 			fields[name] = value
 		}
 	}
+	switch words[1] {
+	case "pause": // no tick runs, and messages queue
+		s.paused = true
+		return nil
+	case "resume": // one tick gets them all
+		s.paused = false
+		s.tick(now, s.queued...)
+		s.queued = nil
+		return nil
+	}
 	msg, err := s.message(words, fields, now)
 	if err != nil || msg == nil {
 		return err
 	}
 	s.lastID++
 	s.labels[s.lastID] = strings.Join(words[1:min(len(words), 3)], " ")
-	s.tick(now, lentilmux.Envelope{Msg: msg, CorrelationID: s.lastID})
+	s.queued = append(s.queued, lentilmux.Envelope{Msg: msg, CorrelationID: s.lastID})
+	if !s.paused {
+		s.tick(now, s.queued...)
+		s.queued = nil
+	}
 	return nil
 }
 
