Bound the bytes that answers and bodies in flight hold together

What callers saw: 200 answers without end at once, each within its own limit of 8 MiB, took 768 MB of heap (body without length), 610 MB (body of an error); 200 callers that sent 3 MiB of a body and no more took 789 MB. A VM of 184 MB ends with a dozen or two of them, and with it all of its requests.

Cause: each body, event and caller's body had a bound, their sum had none.

Before, TestFloodSums and TestSumOfBodies: 'peak heap 768 MB, want at most 128 MB', 'peak heap 610 MB', 'peak heap 789 MB', 'no caller was refused'.

Each answer and each caller's body now has an account of the budget, sized as a quarter of the VM's memory in the settings. An answer for which there is no room fails as 'no_memory', which blames no upstream; a body for which there is none is refused with 503, as not run, with Retry-After. An answer over a size limit fails as 'too_large', so that floods.golden names it: before, it could not be told from any other malformed answer. Metrics and a log line of at most one a second show who holds how much.

--- a/cmd/lentilmux/reload.go
+++ b/cmd/lentilmux/reload.go
@@ -26,6 +26,7 @@
 // [entryvm.Gateway].
 type reloadTarget interface {
 	SetLimits(ctx context.Context, limits fleet.Limits) error
+	SetMemoryBudget(bytes int64)
 	LogDecision(d lentilmux.Decision)
 }
 
@@ -91,6 +92,7 @@
 		return
 	}
 	limitMemory(settings)
+	r.target.SetMemoryBudget(settings.MemoryBudget())
 	r.current = settings
 	r.target.LogDecision(lentilmux.Decision{What: "settings_read", Subject: r.path, Chosen: "in_force", Reason: trigger})
 }
--- a/cmd/lentilmux/reload_test.go
+++ b/cmd/lentilmux/reload_test.go
@@ -24,6 +24,10 @@
 	return nil
 }
 
+func (r recordingTarget) SetMemoryBudget(bytes int64) {
+	fmt.Fprintf(r.out, "  %d KiB for requests in flight\n", bytes>>10)
+}
+
 func (r recordingTarget) LogDecision(d lentilmux.Decision) {
 	fmt.Fprintf(r.out, "  %s %s %s (%s)\n", d.What, d.Subject, d.Chosen, d.Reason)
 }
@@ -77,6 +81,7 @@
 	step("invalid values, the previous settings stay", strings.Replace(strings.Replace(text, "5000", "-1", 1), "0.2", "-3", 1))
 	step("invalid TOML", "node_name = ")
 	step("a changed address requires a restart", strings.Replace(strings.Replace(text, "8227", "8228", 1), "5000", "3000", 1))
+	step("the memory of the VM", text+"[limits]\nmemory_mb = 184\n")
 	step("an unknown field is ignored", text+"new_field = 1\n")
 	if err := os.Remove(path); err != nil {
 		t.Fatal(err)
--- a/engine.go
+++ b/engine.go
@@ -87,11 +87,17 @@
 	// FailureAborted means that the node canceled the attempt because it found
 	// an upstream of the attempt dead.
 	FailureAborted
+	// FailureTooLarge means that the upstream's output exceeded a size limit.
+	FailureTooLarge
+	// FailureNoMemory means that the upstream's output was not read to its end, since
+	// this VM held too many bytes for requests in flight. It is no sign of a fault of
+	// the upstream.
+	FailureNoMemory
 )
 
 // String returns the kind in snake case, as log lines show it.
 func (f FailureKind) String() string {
-	return [...]string{"refused", "dial", "crash", "timeout", "protocol", "aborted"}[f]
+	return [...]string{"refused", "dial", "crash", "timeout", "protocol", "aborted", "too_large", "no_memory"}[f]
 }
 
 // UpstreamError is the error of a failed call to an upstream.
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -45,6 +45,7 @@
 	PeerCopies lentilmux.StreamCopies
 	Engine     lentilmux.PathEngine
 	Placement  lentilmux.RangePlacement // nil for [placement.ZoneSearch]
+	Memory     lentilmux.MemoryBudget   // of the requests in flight; nil if it is not observed
 	// NewCallerHandler returns the handler of callers' requests.
 	NewCallerHandler func(relay *forward.Relay, state *GatewayState) http.Handler
 	// NewPeerHandler returns the handler of requests that peers forward. If it is
@@ -109,6 +110,13 @@
 	if err = g.metrics.observeReachability(&g.unreachable); err != nil {
 		return nil, err
 	}
+	if budget := dependencies.Memory; budget != nil {
+		refusals := &refusalLog{budget: budget, clock: config.Clock, log: g.logRefusal}
+		budget.OnRefusal(refusals.record)
+		if err = g.metrics.observeMemory(budget); err != nil {
+			return nil, err
+		}
+	}
 	g.state.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.limits.Store(&config.Limits)
 	g.sharedReads.Store(true)
@@ -137,6 +145,20 @@
 	return g.node.Send(ctx, fleet.LimitsMsg{Limits: limits})
 }
 
+// SetMemoryBudget replaces the number of bytes that requests in flight may hold
+// together, while the VM is running.
+func (g *Gateway) SetMemoryBudget(bytes int64) {
+	if budget := g.dependencies.Memory; budget != nil {
+		budget.Resize(bytes)
+	}
+}
+
+// logRefusal logs a decision of traffic and counts it.
+func (g *Gateway) logRefusal(d lentilmux.Decision) {
+	g.metrics.countDecision(d)
+	g.decisionLog.enqueue(d)
+}
+
 // LogDecision adds a line to the decision log without counting it in the
 // metrics. It does not block.
 func (g *Gateway) LogDecision(d lentilmux.Decision) { g.decisionLog.enqueue(d) }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -79,7 +79,7 @@
 	case a.verdict == lentilmux.VerdictFailed:
 		r.recordProgress(a)
 		if a.body, err = a.response.Body(); err != nil {
-			return &lentilmux.UpstreamError{Kind: lentilmux.FailureCrash, Err: err}
+			return incompleteFailure(err)
 		}
 		return errUnsuccessful
 	default:
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -54,6 +54,16 @@
 	return failure
 }
 
+// incompleteFailure returns the error of a failure whose body was not read to its end.
+// It is a crash, unless the body was too large or this VM had no memory for it.
+func incompleteFailure(err error) error {
+	var upstreamErr *lentilmux.UpstreamError
+	if errors.As(err, &upstreamErr) && (upstreamErr.Kind == lentilmux.FailureTooLarge || upstreamErr.Kind == lentilmux.FailureNoMemory) {
+		return err
+	}
+	return &lentilmux.UpstreamError{Kind: lentilmux.FailureCrash, Err: err}
+}
+
 // isDialFailure reports whether no connection to an upstream could be opened.
 func isDialFailure(err error) bool {
 	var upstreamErr *lentilmux.UpstreamError
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -101,6 +101,13 @@
 	request.reportDone()
 }
 
+// Refuse ends a request that was not passed to [Relay.Run] with a refusal.
+func (r *Relay) Refuse(inbound lentilmux.InboundRequest, refusal *lentilmux.Refusal, sink lentilmux.Sink) {
+	request := &relayedRequest{relay: r, inbound: inbound, sink: sink}
+	request.refuse(refusal)
+	request.reportDone()
+}
+
 // relayedRequest is the state of one request while [Relay.Run] serves it. Only
 // the goroutine of Run uses it, except for the fields of the last group.
 type relayedRequest struct {
--- a/outcome.go
+++ b/outcome.go
@@ -63,6 +63,7 @@
 	ReasonUpstreamFailed   Reason = "upstream_failed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonNoMemory         Reason = "no_memory"
 )
 
 // ErrRefused is the sentinel error that every [Refusal] wraps.
--- a/service/service.go
+++ b/service/service.go
@@ -22,6 +22,7 @@
 	"github.com/juju/errors"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/memory"
 )
 
 const (
@@ -120,7 +121,7 @@
 		return lentilmux.ServiceReply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := ReadBody(response, maxReplyBytes)
+	body, err := ReadBody(response, maxReplyBytes, nil)
 	if err != nil {
 		return lentilmux.ServiceReply{}, err
 	}
@@ -158,24 +159,29 @@
 // ReadBody reads the body of a response of at most maxBytes. A body that is longer,
 // or announced to be, is an error, of which no more is read. A failure is a
 // [*lentilmux.UpstreamError]. The caller closes the body, which also closes the
-// connection if it was not read to its end.
-func ReadBody(response *http.Response, maxBytes int64) (body []byte, err error) {
+// connection if it was not read to its end. account holds what is read, also after a
+// failure; it may be nil.
+func ReadBody(response *http.Response, maxBytes int64, account lentilmux.MemoryAccount) (body []byte, err error) {
 	if response.ContentLength > maxBytes {
-		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: ErrReplyTooLarge}
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureTooLarge, Err: ErrReplyTooLarge}
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
-	if err != nil {
+	body, err = memory.ReadAll(response.Body, response.ContentLength, maxBytes, account)
+	switch {
+	case errors.Is(err, memory.ErrTooLong):
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureTooLarge, Err: ErrReplyTooLarge}
+	case err != nil:
 		return nil, NewReadError(err)
 	}
-	if int64(len(body)) > maxBytes {
-		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureProtocol, Err: ErrReplyTooLarge}
-	}
 	return body, nil
 }
 
 // NewReadError wraps the error with which a response body ended early. The kind
-// is a timeout or a crash, since the upstream has received the request.
+// is a timeout or a crash, since the upstream has received the request, or a lack of
+// memory of this VM.
 func NewReadError(err error) *lentilmux.UpstreamError {
+	if errors.Is(err, lentilmux.ErrNoMemory) {
+		return &lentilmux.UpstreamError{Kind: lentilmux.FailureNoMemory, Err: err}
+	}
 	return &lentilmux.UpstreamError{Kind: failureKind(err, true), Err: err}
 }
 
