Eject upstreams whose answers exceed a size limit

What callers saw: a request at an upstream that sends answers without end fails, or is tried again, each time: no number of such answers changed where requests go, on any VM, and each of them cost up to 8 MiB of memory.

Cause: only broken connections before an answer began counted towards ejection. An answer that is too large was a protocol failure, which did not count, and each such answer begins, which cleared the count.

Such answers are now counted by themselves, whether they had begun or not, and only a whole answer or a restart clears them; they eject as broken connections do, 500 ms and then twice as long each time. Answers that this VM had no memory for do not count.

--- a/fleet/failures.go
+++ b/fleet/failures.go
@@ -54,7 +54,10 @@
 		t.markSuspected(firstHop, now, "connection failed")
 		t.probe(firstHop, now)
 	default:
-		if msg.Kind == lentilmux.FailureCrash && !request.AnswerStarted {
+		switch {
+		case msg.Kind == lentilmux.FailureTooLarge:
+			t.recordTooLargeAnswer(firstHop, now)
+		case msg.Kind == lentilmux.FailureCrash && !request.AnswerStarted:
 			t.recordBrokenAttempt(firstHop, now)
 		}
 		d.probeStalledHops(t, request, now)
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -22,7 +22,7 @@
 		request.Older = nil // the relay has canceled them
 		if !request.AnswerStarted {
 			t.markAnswerStarted(request)
-			t.clearEjection(request)
+			t.clearEjection(request, false)
 			t.clearParts(request, now)
 		}
 	}
@@ -36,7 +36,7 @@
 			continue
 		}
 		if msg.Outcome == lentilmux.OutcomeAnswered {
-			t.clearEjection(request)
+			t.clearEjection(request, true)
 			t.clearParts(request, now)
 		}
 		t.endAttempt(request)
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -122,7 +122,7 @@
 	}
 	for _, msg := range t.Events.Reports {
 		var upstreamErr *lentilmux.UpstreamError
-		if errors.As(msg.Err, &upstreamErr) && upstreamErr.Kind != lentilmux.FailureProtocol {
+		if errors.As(msg.Err, &upstreamErr) && upstreamErr.Kind != lentilmux.FailureProtocol && upstreamErr.Kind != lentilmux.FailureTooLarge {
 			t.addLinkFailure(msg.Upstream, now)
 		}
 	}
@@ -250,6 +250,6 @@
 	t.CrashSuspects.withdrawSince(now.Add(-evidenceDuration))
 	for _, row := range t.Upstreams.Rows {
 		row.SuspectUntil, row.MissedProbes, row.Dead, row.ReportedByPeer = time.Time{}, 0, false, false
-		row.ConsecutiveFailures, row.EjectedUntil = 0, time.Time{}
+		row.endEjection()
 	}
 }
--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -54,7 +54,7 @@
 	if restarted {
 		row.HasTarget, row.StateUnknown, row.AcceptedOrders, row.OrderedAt = false, false, 0, time.Time{}
 		row.SuspectUntil, row.SuspectDuration, row.MissedProbes, row.Dead, row.Slowdown = time.Time{}, 0, 0, false, 1
-		row.ConsecutiveFailures, row.EjectedUntil = 0, time.Time{}
+		row.endEjection()
 		row.RequestLimit = RequestLimitState{SeenAt: now}
 	}
 	t.Zones.Index(row.Zone)
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -26,6 +26,7 @@
 	SuspectDuration     time.Duration // time between two probes while suspected; doubles with each failure, up to MaxSuspectDuration
 	FullUntil           time.Time     // refused a request for lack of capacity, takes no new ones until then
 	ConsecutiveFailures int           // attempts in a row that failed before an answer began
+	TooLargeAnswers     int           // answers in a row that exceeded a size limit, with no whole one between
 	EjectedUntil        time.Time     // ejected until then: not the first hop of a path if there is an alternative
 	Trials              int           // trials of this VM that have not begun to answer; no other request starts here if there is an alternative
 	MissedProbes        int           // unanswered probes in a row
