Bound the bytes of queued log lines

What callers saw: none yet. While the output of the log is slow, 4,096 lines wait, and a line may name a request ID of up to 32 KiB that a caller chose: 134 MB on a VM of 184 MB.

Cause: the queue was bounded in lines only. Evidence: the new test without the bound: ' bytes are queued, want at most 4194304'.

Lines beyond 4 MiB of text are dropped and counted, as those beyond 4,096 are.

--- a/entryvm/decisionlog.go
+++ b/entryvm/decisionlog.go
@@ -15,6 +15,10 @@
 // dropped.
 const decisionQueueSize = 4096
 
+// decisionQueueBytes is the maximum size of the text of queued decisions, in bytes;
+// further ones are dropped. A decision may name what a caller sent.
+const decisionQueueBytes = 4 << 20
+
 // decisionLog writes a log line for each decision on its own goroutine, so that
 // neither the control goroutine nor a request blocks on the output. If the
 // writer falls behind, decisions are dropped and their number is logged.
@@ -22,6 +26,7 @@
 	logger  *logrus.Logger
 	name    string
 	queue   chan lentilmux.Decision
+	queued  atomic.Int64 // bytes of text in queue
 	dropped atomic.Int64
 }
 
@@ -31,13 +36,28 @@
 	return &decisionLog{logger: logger, name: name, queue: make(chan lentilmux.Decision, decisionQueueSize)}
 }
 
-// enqueue queues a decision without blocking, or drops it if the queue is full.
+// enqueue queues a decision without blocking, or drops it if the queue is full
+// or has too much text.
 func (l *decisionLog) enqueue(d lentilmux.Decision) {
-	select {
-	case l.queue <- d:
-	default:
-		l.dropped.Add(1)
+	size := textSize(d)
+	if l.queued.Add(size) <= decisionQueueBytes {
+		select {
+		case l.queue <- d:
+			return
+		default:
+		}
+	}
+	l.queued.Add(-size)
+	l.dropped.Add(1)
+}
+
+// textSize returns the size of a decision's text, in bytes.
+func textSize(d lentilmux.Decision) (size int64) {
+	size = int64(len(d.What) + len(d.Subject) + len(d.Chosen) + len(d.Reason))
+	for _, candidate := range d.Considered {
+		size += int64(len(candidate))
 	}
+	return size
 }
 
 // run writes queued decisions until ctx is canceled, then writes the rest of the
@@ -78,8 +98,9 @@
 	}
 }
 
-// writeLine writes the log line of a decision.
+// writeLine writes the log line of a decision that was taken from the queue.
 func (l *decisionLog) writeLine(d lentilmux.Decision) {
+	defer l.queued.Add(-textSize(d))
 	fields := logrus.Fields{"vm": l.name, "what": d.What, "subject": d.Subject, "chosen": d.Chosen, "reason": d.Reason}
 	if len(d.Considered) > 0 {
 		fields["considered"] = strings.Join(d.Considered, ",")
