--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,6 +33,9 @@
 // has its own context since it is also sent after the caller has disconnected.
 const reportTimeout = 5 * time.Second
 
+// errNodeSilent ends a request that the node has not answered in time.
+const errNodeSilent = errors.ConstError("the node did not answer in time")
+
 // Result describes how a request ended.
 type Result struct {
 	Kind            lentilmux.CallKind
@@ -43,6 +46,7 @@
 	TimeToFirstByte time.Duration // from arrival to the first byte of the answer; 0 without one
 	MaxEventGap     time.Duration // longest time between two events
 	Duration        time.Duration // from arrival to the end of the request
+	Promise         Promise
 	End             lentilmux.RequestEnd
 }
 
@@ -78,7 +82,8 @@
 }
 
 // Run serves one request until it is answered, refused or aborted. It reports
-// the end to the node and to the observer.
+// the end to the node and to the observer. The context ends when the caller has
+// disconnected, or with the cause [lentilmux.ErrStopped] when the process ends.
 func (r *Relay) Run(ctx context.Context, inbound lentilmux.InboundRequest, sender lentilmux.RequestSender, sink lentilmux.Sink) {
 	request := &relayedRequest{
 		relay: r, inbound: inbound, sender: sender, sink: sink, result: Result{Outcome: lentilmux.OutcomeUnknown},
@@ -92,19 +97,13 @@
 	request.serve(ctx)
 }
 
-// Abandon ends a request whose body did not arrive completely. Nothing of it was
-// sent to an upstream.
-func (r *Relay) Abandon(inbound lentilmux.InboundRequest, sink lentilmux.Sink) {
-	request := &relayedRequest{relay: r, inbound: inbound, sink: sink, result: Result{Outcome: lentilmux.OutcomeNotRun, Reason: lentilmux.ReasonCanceled}}
-	request.result.End.Cause = lentilmux.EndBodyUnreadable
-	request.breakOff()
-	request.reportDone()
-}
-
-// Refuse ends a request that was not passed to [Relay.Run] with a refusal.
-func (r *Relay) Refuse(inbound lentilmux.InboundRequest, refusal *lentilmux.Refusal, sink lentilmux.Sink) {
+// Reject refuses a request whose body did not arrive as it should. Nothing of it was
+// sent to an upstream. A request that has been forwarded may have run elsewhere, which
+// decides the outcome of the refusal.
+func (r *Relay) Reject(inbound lentilmux.InboundRequest, cause lentilmux.EndCause, refusal lentilmux.Refusal, sink lentilmux.Sink) {
 	request := &relayedRequest{relay: r, inbound: inbound, sink: sink}
-	request.refuse(refusal)
+	refusal.Outcome = request.unfinished(refusal.Reason, refusal.Detail).Outcome
+	request.refuseBecause(cause, &refusal)
 	request.reportDone()
 }
 
@@ -116,9 +115,10 @@
 	sender  lentilmux.RequestSender
 	sink    lentilmux.Sink
 
-	headersSent bool      // whether status and headers were sent to the caller
+	headersSent bool      // whether status and headers were sent to the caller, or are being sent
 	lastEventAt time.Time // when the last event was sent to the caller
 	deadline    time.Time // of the attempts; zero before the first
+	sentAt      time.Time // when the first attempt was sent; zero before
 	result      Result
 
 	race       race
@@ -128,7 +128,8 @@
 
 // serve makes attempts until the request has ended.
 func (r *relayedRequest) serve(ctx context.Context) {
-	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
+	defer r.recoverServe(ctx)
+	answer, err := r.ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
 	for err == nil {
 		var failure *lentilmux.ForwardFailedMsg
 		switch x := answer.(type) {
@@ -141,6 +142,7 @@
 				return
 			}
 			attempt := r.startAttempt(ctx, x.Attempt)
+			r.recordSent(attempt)
 			r.race.add(attempt)
 			failure = r.runAttempt(ctx, attempt, r.begin(attempt))
 		case lentilmux.WaitAnswer:
@@ -149,7 +151,7 @@
 				return
 			}
 			if result.attempt == nil {
-				answer = result.answer
+				answer, err = result.answer, result.err
 				continue
 			}
 			failure = r.runAttempt(ctx, result.attempt, nil)
@@ -160,11 +162,18 @@
 		if failure == nil {
 			return
 		}
-		answer, err = r.relay.node.Ask(ctx, *failure)
+		answer, err = r.ask(ctx, *failure)
 	}
 	r.abort(ctx, err)
 }
 
+// ask asks the node for an attempt, for as long as the caller waits.
+func (r *relayedRequest) ask(ctx context.Context, msg lentilmux.Msg) (answer lentilmux.Answer, err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, r.inbound.Deadline.Sub(r.relay.clock()), errNodeSilent)
+	defer cancel()
+	return r.relay.node.Ask(ctx, msg)
+}
+
 // awaitContender waits for the result of an attempt beside the one that failed. It
 // ends the request and returns false if the caller disconnects or the deadline
 // passes.
