--- a/forward/failure.go
+++ b/forward/failure.go
@@ -15,6 +15,9 @@
 func (r *relayedRequest) handleError(ctx context.Context, a *runningAttempt, err error) (failure *lentilmux.ForwardFailedMsg) {
 	switch {
 	case errors.Is(err, errCallerDisconnected), ctx.Err() != nil:
+		if isDialFailure(err) || errors.Is(err, errUnsuccessful) && a.verdict == lentilmux.VerdictNotRun {
+			r.race.recordNotRun()
+		}
 		r.abort(ctx, err)
 		return nil
 	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
@@ -23,7 +26,7 @@
 	}
 	failure = r.describeFailure(a, err)
 	if failure.Answered && !failure.NotRun && failure.PeerRefusal == nil && !a.Kind.Repeatable() && !r.headersSent {
-		r.recordAnswer(r.sink.WriteReply(a.response, a.body))
+		r.recordAnswer(r.writeReply(a.response, a.body))
 		return nil
 	}
 	return failure
--- a/service/service.go
+++ b/service/service.go
@@ -64,16 +64,6 @@
 	return func(t *http.Transport, _ *net.Dialer) { t.MaxIdleConnsPerHost = count }
 }
 
-// WithDeadConnTimeout closes connections whose peer has not responded for
-// timeout. TCP keep-alive covers idle connections; on Linux, TCP_USER_TIMEOUT
-// covers those with unacknowledged data.
-func WithDeadConnTimeout(timeout time.Duration) Option {
-	return func(_ *http.Transport, d *net.Dialer) {
-		d.Control = tcpUserTimeout(timeout)
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: timeout / 2, Interval: timeout / 4, Count: 2}
-	}
-}
-
 // WithoutKeepAlive opens a connection for each call and closes it afterwards, so
 // that nothing that a service wrote before can be taken for the answer.
 func WithoutKeepAlive() Option {
@@ -145,13 +135,16 @@
 // response header has arrived. The caller must close the response body. A
 // failure is a [*lentilmux.UpstreamError].
 func (c *Client) Send(request *http.Request) (response *http.Response, err error) {
-	var writeStarted atomic.Bool
+	var connected, writeStarted atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn:          func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteHeaderField: func(string, []string) { writeStarted.Store(true) },
 	})
 	response, err = c.client.Do(request.WithContext(ctx))
 	if err != nil {
-		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, writeStarted.Load()), Err: err}
+		// A call that is canceled once it has a connection may still be being written.
+		mayBeWritten := writeStarted.Load() || connected.Load() && ctx.Err() != nil
+		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, mayBeWritten), Err: err}
 	}
 	return response, nil
 }
