--- a/entryvm/memoryusage.go
+++ b/entryvm/memoryusage.go
@@ -18,16 +18,23 @@
 // goroutine and its buffers, in bytes.
 const connectionBytes = 24 << 10
 
-// countConnection makes the memory budget account for connections as they open and
-// close.
-func (g *Gateway) countConnection(_ net.Conn, state http.ConnState) {
-	budget := g.dependencies.Memory
-	switch {
-	case budget == nil:
-	case state == http.StateNew:
-		budget.Occupy(connectionBytes)
-	case state == http.StateClosed, state == http.StateHijacked:
-		budget.Occupy(-connectionBytes)
+// countConnections makes the memory budget account for the connections of a server as
+// they open and close, besides what else follows their states.
+func (g *Gateway) countConnections(server *http.Server) {
+	budget, next := g.dependencies.Memory, server.ConnState
+	if budget == nil {
+		return
+	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if next != nil {
+			next(conn, state)
+		}
+		switch state {
+		case http.StateNew:
+			budget.Occupy(connectionBytes)
+		case http.StateClosed, http.StateHijacked:
+			budget.Occupy(-connectionBytes)
+		}
 	}
 }
 
