--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -47,6 +47,7 @@
 	}
 	s.callerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, g.metrics.countClosedConn)
 	s.callerConns.install(s.caller)
+	g.countConnections(s.caller)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.state.ready.Load() {
@@ -76,6 +77,7 @@
 	s.peers = s.forwarded.newServer()
 	s.peers.ReadHeaderTimeout, s.peers.MaxHeaderBytes = g.config.HeaderTimeout, g.config.MaxHeaderBytes+forwardedHeaderBytes
 	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
+	g.countConnections(s.peers)
 	if _, err := g.serve(s.peers, g.config.PeerAddr, nil); err != nil {
 		return err
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,10 +98,12 @@
 }
 
 // Reject refuses a request whose body did not arrive as it should. Nothing of it was
-// sent to an upstream. A request that has been forwarded may have run elsewhere.
-func (r *Relay) Reject(inbound lentilmux.InboundRequest, cause lentilmux.EndCause, reason lentilmux.Reason, detail string, sink lentilmux.Sink) {
+// sent to an upstream. A request that has been forwarded may have run elsewhere, which
+// decides the outcome of the refusal.
+func (r *Relay) Reject(inbound lentilmux.InboundRequest, cause lentilmux.EndCause, refusal lentilmux.Refusal, sink lentilmux.Sink) {
 	request := &relayedRequest{relay: r, inbound: inbound, sink: sink}
-	request.refuseBecause(cause, request.unfinished(reason, detail))
+	refusal.Outcome = request.unfinished(refusal.Reason, refusal.Detail).Outcome
+	request.refuseBecause(cause, &refusal)
 	request.reportDone()
 }
 
