--- a/entryvm/forwardedrequests.go
+++ b/entryvm/forwardedrequests.go
@@ -25,9 +25,6 @@
 	idle     chan struct{} // closed when no request is in flight; nil if nothing waits for that
 }
 
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
-
 // newServer returns a server for the port for peers, without limits of its own but for
 // idle connections.
 func (f *forwardedRequests) newServer() *http.Server {
