Take an upstream for ended only if its address refuses connections

Streams were moved from sound upstreams, which lost their new requests as well, after one probe that could not open a connection for any reason.

Cause: each failed dial but a late one counted as a proof that no process listens: a network without a route for a moment, a connection that is reset while it is opened (a worker does that beyond its number of connections), no free port of the VM itself, and a kept connection that was found closed before the first byte was written.

service.Client now names the refusal by lentilmux.ErrNotListening, and only that is a proof. Other failures count as missed probes, two of which make an upstream dead. The stand-ins of the tests that mean a refusal say so; no other golden file changes.

--- a/engine.go
+++ b/engine.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // LayerRange is a contiguous range of a model's layers. First and Last are both
@@ -100,6 +102,10 @@
 	Err  error
 }
 
+// ErrNotListening is wrapped by the error of a call whose connection the upstream's
+// address refused: no process listens there.
+const ErrNotListening = errors.ConstError("nothing listens at the address")
+
 // Error returns the kind and the cause.
 func (u *UpstreamError) Error() string { return u.Kind.String() + ": " + u.Err.Error() }
 
--- a/fleet/racing_test.go
+++ b/fleet/racing_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
 	"lentilmux.example/lentilmux"
@@ -229,7 +228,7 @@
 	msg := lentilmux.UpstreamReportMsg{Upstream: name, Report: lentilmux.UpstreamReport{Slowdown: 1, StartedAt: time.Unix(0, 0)}}
 	msg.Report.Layers, msg.Report.HasLayers = parseLayers(racingUpstreams[name])
 	if rapid.IntRange(0, 3).Draw(f.t, "refused") > 0 {
-		msg.Err = &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: errors.New("refused")}
+		msg.Err = &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: lentilmux.ErrNotListening}
 	}
 	f.tick(nil, msg)
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -264,8 +263,7 @@
 	if !t.trustsLinks() {
 		return
 	}
-	var upstreamErr *lentilmux.UpstreamError
-	refused := errors.As(msg.Err, &upstreamErr) && upstreamErr.Kind == lentilmux.FailureDial && !errors.Is(msg.Err, context.DeadlineExceeded)
+	refused := errors.Is(msg.Err, lentilmux.ErrNotListening)
 	missed := row.MissedProbes
 	if row.ReportedByPeer {
 		missed++
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -304,11 +304,15 @@
 // report returns the message for a report of an upstream, or for a failed probe.
 func (s *scenario) report(name string, fields map[string]string) lentilmux.Msg {
 	if fields["error"] != "" {
-		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial}[fields["error"]]
+		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial, "unreachable": lentilmux.FailureDial}[fields["error"]]
 		if fields["error"] == "late" {
 			kind = lentilmux.FailureTimeout
 		}
-		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}, Took: parseDuration(fields["took"])}
+		cause := errors.New(fields["error"])
+		if fields["error"] == "refused" {
+			cause = errors.WithType(cause, lentilmux.ErrNotListening)
+		}
+		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: cause}, Took: parseDuration(fields["took"])}
 	}
 	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0), Draining: fields["draining"] == "true"}
 	report.Layers, report.HasLayers = parseLayers(fields["layers"])
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -287,7 +287,7 @@
 func (s *simulation) report(vm *simulatedVM, id string) {
 	upstream := s.byID[id]
 	if s.now.Before(upstream.downUntil) {
-		s.deliver(vm, lentilmux.UpstreamReportMsg{Upstream: id, Err: &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: fmt.Errorf("refused")}})
+		s.deliver(vm, lentilmux.UpstreamReportMsg{Upstream: id, Err: &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: lentilmux.ErrNotListening}})
 		return
 	}
 	s.deliver(vm, lentilmux.UpstreamReportMsg{Upstream: id, Report: lentilmux.UpstreamReport{
--- a/forward/race_test.go
+++ b/forward/race_test.go
@@ -83,7 +83,7 @@
 			time.Sleep(5 * time.Millisecond)
 			msg := lentilmux.UpstreamReportMsg{Upstream: x.Upstream, Report: lentilmux.UpstreamReport{Layers: lentilmux.LayerRange{Last: 7}, HasLayers: true, Slowdown: 1}}
 			if refused {
-				msg.Err = &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: errors.New("refused")}
+				msg.Err = &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: lentilmux.ErrNotListening}
 			}
 			_ = f.node.Send(f.t.Context(), msg)
 		}()
--- a/service/service.go
+++ b/service/service.go
@@ -17,6 +17,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -132,7 +133,8 @@
 
 // Send sends a request made by [NewRequest] once and returns as soon as the
 // response header has arrived. The caller must close the response body. A
-// failure is a [*lentilmux.UpstreamError].
+// failure is a [*lentilmux.UpstreamError], which wraps [lentilmux.ErrNotListening] if
+// the connection was refused.
 func (c *Client) Send(request *http.Request) (response *http.Response, err error) {
 	var writeStarted atomic.Bool
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
@@ -140,7 +142,11 @@
 	})
 	response, err = c.client.Do(request.WithContext(ctx))
 	if err != nil {
-		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, writeStarted.Load()), Err: err}
+		kind := failureKind(err, writeStarted.Load())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			err = errors.WithType(err, lentilmux.ErrNotListening)
+		}
+		return nil, &lentilmux.UpstreamError{Kind: kind, Err: err}
 	}
 	return response, nil
 }
