Take only what began at about the same time for evidence against a first hop

Cause: an overdue request races if others begin elsewhere, and any stream that runs counted as one that begins. Streams go on for seconds, so in the first seconds of a burst a VM has several that began before it.

Change: only attempts that were sent since twice as long ago as the request has waited count as begun. What is overdue elsewhere counts however old it is.

--- a/fleet/notbegun.go
+++ b/fleet/notbegun.go
@@ -14,8 +14,8 @@
 	// overdueFactor is the multiple of the expected time after which a stalled attempt
 	// that has not begun is overdue.
 	overdueFactor = 2
-	// minBegunPerOverdue is how many attempts at other upstreams must have begun for
-	// each that is overdue there.
+	// minBegunPerOverdue is how many attempts at other upstreams, sent at about the same
+	// time, must have begun for each that is overdue there.
 	minBegunPerOverdue = 3
 )
 
@@ -32,18 +32,22 @@
 }
 
 // onlyItWaits reports whether the newest attempt of a request is overdue while those
-// with other first hops begin, and records that at its first hop. It has delivered nothing if delivered is what the caller
+// with other first hops that were sent at about the same time begin, and records that at
+// its first hop. It has delivered nothing if delivered is what the caller
 // had when it was sent.
 func (t *Tables) onlyItWaits(request *RequestRow, delivered int, now time.Time) bool {
 	if len(request.Older) > 0 || delivered > request.Delivered || !t.isOverdue(request, now) {
 		return false
 	}
 	begun, overdue := 0, 0
+	since := request.SentAt.Add(-now.Sub(request.SentAt)) // what began earlier says little of the present
 	for _, other := range t.Requests.Rows {
 		switch {
 		case other.Service != request.Service || len(other.Hops) == 0 || other.LastUpstream == request.LastUpstream:
 		case other.AnswerStarted:
-			begun++
+			if !other.SentAt.Before(since) {
+				begun++
+			}
 		case t.isOverdue(other, now):
 			overdue++
 		}
