Test that connections count towards the memory budget while they are open

The budget's room was tested, that the servers report their connections was not: without the call of Occupy the new test ends with 'capacity 24576, want 12288', without its return at the end with 'capacity 12288, want 24576'.

--- a/entryvm/memoryusage_test.go
+++ b/entryvm/memoryusage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
@@ -51,3 +52,40 @@
 	}
 	goldie.New(t).Assert(t, "memory_refusals", []byte(out.String()))
 }
+
+// TestConnectionsAreCounted guards against connections that still take room in the memory
+// budget after their end, or never take any.
+func TestConnectionsAreCounted(t *testing.T) {
+	budget := memory.NewBudget(connectionBytes)
+	g := &Gateway{dependencies: GatewayDependencies{Memory: budget}}
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	g.countConnections(server.Config)
+	server.Start()
+	defer server.Close()
+	client := server.Client()
+	waitCapacity := func(want int64) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); budget.Usage().Capacity != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("capacity %d, want %d", budget.Usage().Capacity, want)
+			}
+		}
+	}
+	for range 3 {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	waitCapacity(connectionBytes / 2)
+	response, err := client.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	client.CloseIdleConnections()
+	waitCapacity(connectionBytes / 2)
+	server.CloseClientConnections()
+	waitCapacity(connectionBytes)
+}
