--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/operator"
 	"lentilmux.example/lentilmux/peer"
 )
@@ -38,6 +39,8 @@
 	callerConns     *connTable
 	controlConns    *connTable
 	logger          *logrus.Logger
+
+	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
 // listen opens both listeners and creates their servers without starting them.
@@ -51,11 +54,14 @@
 		_ = callerListener.Close() // no connection was accepted yet
 		return nil, errors.Annotate(err, "listening for peers and operators")
 	}
+	requests, cancelRequests := context.WithCancelCause(context.Background())
 	s = &servers{
 		caller: newServer(v.Handler()), control: newServer(v.controlHandler()), logger: v.config.Logger,
-		callerConns:  newConnTable(time.Now, v.effects.recordDecision, v.metrics.countClosedConn),
-		controlConns: newConnTable(time.Now, v.effects.recordDecision, func(connEnd) {}),
+		cancelRequests: cancelRequests,
+		callerConns:    newConnTable(time.Now, v.effects.recordDecision, v.metrics.countClosedConn),
+		controlConns:   newConnTable(time.Now, v.effects.recordDecision, func(connEnd) {}),
 	}
+	s.caller.BaseContext = func(net.Listener) context.Context { return requests }
 	s.callerConns.install(s.caller)
 	s.controlConns.install(s.control)
 	s.callerListener = v.withTLS(s.callerConns.listen(limitConns(callerListener, maxCallerConns)))
@@ -118,6 +124,16 @@
 	}
 }
 
+// abortRequests ends callers' requests in flight and waits until they are answered or
+// broken off, for abortTimeout at most.
+func (s *servers) abortRequests() {
+	s.cancelRequests(lentilmux.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.callerListener.Close() // it is not used any more
+	_ = s.callerConns.drain(ctx) // close follows in any case
+}
+
 // close closes both servers and their connections immediately.
 func (s *servers) close() {
 	_ = s.caller.Close() // the process or test is ending
