Count one wait for memory in the price, however many wait before

Suspected cause: where all upstreams are crowded the unseen requests spread over them, but each counted them all, so the price of upstreams with little room rose by 27 and more and their memory stayed unused.

Change: a request that may find no room pays for one wait, about its whole path. The model of steps still has none that never begins (fleet/testdata/herds.golden), and the fast upstreams are used as much or more.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -122,8 +122,8 @@
 		cost *= c.zoneFactor(node.Zone)
 		draw := c.random.Float64()
 		cost *= 1 + costJitter*draw
-		if excess := (draw*node.Unseen+1)*need + float64(node.Reserved) - maxMemoryUse*float64(node.Capacity); excess > 0 {
-			cost *= waitFactor(request, node, excess)
+		if (draw*node.Unseen+1)*need+float64(node.Reserved) > maxMemoryUse*float64(node.Capacity) {
+			cost *= waitFactor(request, node)
 		}
 		c.layerCosts = append(c.layerCosts, cost)
 		c.addCandidate(nodes, i)
@@ -140,14 +140,14 @@
 }
 
 // waitFactor returns by how much the cost of a node rises for a request that may find
-// too little free KV cache there; excess is what would be used above maxMemoryUse. All
-// VMs see the same free cache until they learn of each other's requests. Each therefore
-// takes a random place among the unseen ones, so that only about as many as there is
-// room for expect to find some. A request without room waits until others end, which
-// takes about as long as its whole path.
-func waitFactor(request lentilmux.PathRequest, node *lentilmux.PathNode, excess float64) (factor float64) {
-	rounds := math.Ceil(excess / (maxMemoryUse * float64(node.Capacity)))
-	return 1 + rounds*float64(request.Model.Layers)/float64(max(node.Layers.Len(), 1))
+// too little free KV cache there. All VMs see the same free cache until they learn of
+// each other's requests. Each therefore takes a random place among the unseen ones, so
+// that only about as many as there is room for expect to find some. A request without
+// room waits until another ends, which takes about as long as its whole path. How many
+// wait before it does not count: where all upstreams are crowded, the unseen requests
+// spread over them.
+func waitFactor(request lentilmux.PathRequest, node *lentilmux.PathNode) (factor float64) {
+	return 1 + float64(request.Model.Layers)/float64(max(node.Layers.Len(), 1))
 }
 
 // isFinite reports whether a cost can be added and compared. A node with another
