--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -108,11 +109,15 @@
 func (s *servers) shutdown(ctx context.Context) {
 	_ = s.callerListener.Close() // they are not used any more
 	_ = s.controlListener.Close()
+	var running sync.WaitGroup
 	for _, conns := range []*connTable{s.callerConns, s.controlConns} {
-		if err := conns.drain(ctx); err != nil {
-			s.logger.WithError(err).Warn("server shut down with requests in flight")
-		}
+		running.Go(func() {
+			if err := conns.drain(ctx); err != nil {
+				s.logger.WithError(err).Warn("server shut down with requests in flight")
+			}
+		})
 	}
+	running.Wait()
 }
 
 // close closes both servers and their connections immediately.
@@ -155,6 +160,9 @@
 // NetConn returns the connection without the limit.
 func (c *limitedConn) NetConn() net.Conn { return c.Conn }
 
+// CloseWrite closes the sending half.
+func (c *limitedConn) CloseWrite() (err error) { return closeWrite(c.Conn) }
+
 // Close implements [net.Conn].
 func (c *limitedConn) Close() (err error) {
 	select {
