--- a/entryvm/connrow.go
+++ b/entryvm/connrow.go
@@ -95,6 +95,18 @@
 	return r.Conn.Close()
 }
 
+// CloseWrite closes the sending half, so that the caller can read an error that the
+// server answers before it has read the whole request.
+func (r *connRow) CloseWrite() (err error) { return closeWrite(r.Conn) }
+
+// closeWrite closes the sending half of a connection, if it can be closed alone.
+func closeWrite(conn net.Conn) (err error) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // SetDeadline implements [net.Conn].
 func (r *connRow) SetDeadline(deadline time.Time) (err error) {
 	if err := r.SetReadDeadline(deadline); err != nil {
--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -40,25 +40,33 @@
 // install makes a server record the state of its connections in the table. During a
 // drain its responses ask to close the connection.
 func (t *connTable) install(server *http.Server) {
-	handler := server.Handler
-	server.ConnState = t.setState
+	handler, connState, connContext := server.Handler, server.ConnState, server.ConnContext
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(conn, state)
+		}
+		t.setState(conn, state)
+	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+		if connContext != nil {
+			ctx = connContext(ctx, conn)
+		}
+		return context.WithValue(ctx, connRowKey{}, findConnRow(conn))
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if row := findConnRow(r.Context().Value(connKey{})); row != nil && t.markHandled(row) {
+		if row, ok := r.Context().Value(connRowKey{}).(*connRow); ok && row != nil && t.markHandled(row) {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
+// connRowKey is the key of the row of a request's connection in its context.
+type connRowKey struct{}
 
 // findConnRow returns the row of a server's connection, which may be wrapped in TLS, or
 // nil if it has none.
-func findConnRow(conn any) *connRow {
+func findConnRow(conn net.Conn) *connRow {
 	for {
 		switch x := conn.(type) {
 		case *connRow:
@@ -80,7 +88,7 @@
 	return t.draining
 }
 
-// setState implements the field ConnState of [http.Server].
+// setState records the state of a connection.
 func (t *connTable) setState(conn net.Conn, state http.ConnState) {
 	row := findConnRow(conn)
 	if row == nil {
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -199,12 +199,21 @@
 		g.state.draining.Store(true)
 		servers.abortRequests()
 	}
+	g.flushNode(ctx)
 	g.decisionLog.enqueue(lentilmux.Decision{What: "stopped", Subject: g.config.Name})
 	cancel()
 	running.Wait()
 	return nil
 }
 
+// flushNode waits until the ends of requests that were reported are logged, for
+// abortTimeout at most.
+func (g *Gateway) flushNode(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, abortTimeout)
+	defer cancel()
+	_ = g.node.Flush(ctx) // the node stops in any case
+}
+
 // runDrain drains the entry VM. It becomes not ready immediately, but accepts
 // connections until newConnGrace before MinDrainDuration, so that the load balancer
 // can notice. Then it accepts no more and closes those without a request. It serves
@@ -233,6 +242,7 @@
 		g.decisionLog.enqueue(lentilmux.Decision{What: "drain_incomplete", Subject: g.config.Name, Reason: err.Error()})
 		servers.abortRequests()
 	}
+	servers.drainPeers()
 }
 
 // logCopyReadError logs that a copy of a stream could not be read from the VM at
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -31,7 +31,9 @@
 	forwarded forwardedRequests
 
 	callerListener net.Listener
-	callerConns    *connTable              // connections of the callers' server
+	callerConns    *connTable // connections of the callers' server
+	peerListener   net.Listener
+	peerConns      *connTable              // connections of the peers' server
 	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
@@ -77,8 +79,10 @@
 	s.peers = s.forwarded.newServer()
 	s.peers.ReadHeaderTimeout, s.peers.MaxHeaderBytes = g.config.HeaderTimeout, g.config.MaxHeaderBytes+forwardedHeaderBytes
 	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
+	s.peerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, func(connEnd) {})
+	s.peerConns.install(s.peers)
 	g.countConnections(s.peers)
-	if _, err := g.serve(s.peers, g.config.PeerAddr, nil); err != nil {
+	if s.peerListener, err = g.serve(s.peers, g.config.PeerAddr, s.peerConns); err != nil {
 		return err
 	}
 	s.callerListener, err = g.serve(s.caller, g.config.CallerAddr, s.callerConns)
@@ -110,6 +114,16 @@
 	return s.callerConns.drain(ctx)
 }
 
+// drainPeers accepts no more connections of peers and waits, for abortTimeout at most,
+// until those that are open have ended: the last requests that were read are refused, and
+// reads of copies, which wait for changes, are cut off.
+func (s *gatewayServers) drainPeers() {
+	_ = s.peerListener.Close() // it is not used any more
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.peerConns.drain(ctx) // close follows in any case
+}
+
 // abortRequests ends the requests of callers and peers in flight and waits until they are
 // answered or broken off, for abortTimeout at most.
 func (s *gatewayServers) abortRequests() {
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -174,6 +174,9 @@
 // NetConn returns the connection without the limit.
 func (c *limitedConn) NetConn() net.Conn { return c.Conn }
 
+// CloseWrite closes the sending half.
+func (c *limitedConn) CloseWrite() (err error) { return closeWrite(c.Conn) }
+
 // Close implements [net.Conn].
 func (c *limitedConn) Close() (err error) {
 	select {
--- a/node.go
+++ b/node.go
@@ -26,6 +26,7 @@
 	stopped           chan struct{}
 	replies           map[CorrelationID]chan<- Answer
 	lastCorrelationID CorrelationID
+	flushes           []chan struct{} // of the calls of Flush that the next tick ends
 	clock             func() time.Time
 }
 
@@ -79,12 +80,13 @@
 		case <-ctx.Done():
 			return
 		case envelope := <-n.inbox:
-			batch = n.drainInbox(append(batch, n.assignCorrelationID(envelope)))
+			batch = n.drainInbox(n.accept(batch, envelope))
 		case <-timer.C:
 		}
 		now := n.clock()
 		effects, nextTick := n.model.Tick(now, batch)
 		n.runEffects(effects)
+		n.endFlushes()
 		timer.Reset(nextTick.Sub(now))
 	}
 }
@@ -95,7 +97,7 @@
 	for range cap(n.inbox) {
 		select {
 		case envelope := <-n.inbox:
-			batch = append(batch, n.assignCorrelationID(envelope))
+			batch = n.accept(batch, envelope)
 		default:
 			return batch
 		}
@@ -103,6 +105,24 @@
 	return batch
 }
 
+// accept appends an envelope to the batch of the next tick, or notes whom to tell when
+// that tick has ended.
+func (n *Node) accept(batch []Envelope, envelope Envelope) []Envelope {
+	if envelope.flushed != nil {
+		n.flushes = append(n.flushes, envelope.flushed)
+		return batch
+	}
+	return append(batch, n.assignCorrelationID(envelope))
+}
+
+// endFlushes tells the calls of Flush that the messages before them are handled.
+func (n *Node) endFlushes() {
+	for _, flushed := range n.flushes {
+		close(flushed)
+	}
+	n.flushes = n.flushes[:0]
+}
+
 // assignCorrelationID gives the envelope a correlation ID if its sender waits
 // for an answer.
 func (n *Node) assignCorrelationID(envelope Envelope) Envelope {
@@ -156,6 +176,23 @@
 	}
 }
 
+// Flush waits until the messages sent before it are handled and their effects passed on.
+// It returns [ErrStopped] or the cause of the context's end.
+func (n *Node) Flush(ctx context.Context) (err error) {
+	flushed := make(chan struct{})
+	if err := n.enqueue(ctx, Envelope{flushed: flushed}); err != nil {
+		return err
+	}
+	select {
+	case <-flushed:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
 func (n *Node) enqueue(ctx context.Context, envelope Envelope) (err error) {
 	select {
 	case n.inbox <- envelope:
