Keep a request that was read together with the one before in a drain

A caller that sends its next request before the last is answered could lose it in a planned stop: its stream was cut after 1.9 of 3 s, and the log blamed the caller (caller_disconnected). Cause: a connection counted as waiting for a request while no byte had been read since the last answer, but net/http had read that request before; the drain's deadline failed the read that waits for the caller's leaving, which ends the request. A connection with a request at its handler does not wait now, and 50 ms pass before a waiting one is closed, in which such a request reaches its handler. Deadlines go by the runtime's clock: the gateway's does not follow the wall clock, by which the deadline of a read without a monotonic reading goes.

--- a/entryvm/connrow.go
+++ b/entryvm/connrow.go
@@ -14,6 +14,10 @@
 // request, which a caller sends as soon as the connection is open.
 const newConnGrace = 300 * time.Millisecond
 
+// pipelinedGrace is the time in which a request that was read together with the one
+// before it reaches its handler. A drain closes no connection sooner.
+const pipelinedGrace = 50 * time.Millisecond
+
 // connEnd is the reason why a connection of a server was closed.
 type connEnd string
 
@@ -45,7 +49,7 @@
 }
 
 // Read implements [net.Conn]. During a drain it fails at the earlier deadline of
-// [connRow.applyDeadline] only if no byte of a request has arrived.
+// [connRow.applyDeadline] only if there is no request.
 func (r *connRow) Read(buffer []byte) (n int, err error) {
 	for {
 		n, err = r.Conn.Read(buffer)
@@ -56,27 +60,35 @@
 }
 
 // recordRead records the result of a read. It reports whether the read has to be
-// repeated, since bytes arrived at the deadline that the drain set.
+// repeated, since a request was there at the deadline that the drain set: its bytes have
+// arrived, or were read together with the request before.
 func (r *connRow) recordRead(n int, err error) (repeat bool) {
-	t := r.table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	drained := t.draining && r.received == 0
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	awaited := r.awaitsRequest()
 	r.received += int64(n)
 	r.readErr = err
-	if !drained || n > 0 {
-		if drained {
+	if !r.table.draining {
+		return false
+	}
+	if n > 0 {
+		if awaited {
 			_ = r.Conn.SetReadDeadline(r.deadline) // the next read reports it
 		}
 		return false
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) || !hasUnreadBytes(r.Conn) || !r.deadline.IsZero() && t.clock().After(r.deadline) {
+	passed := !r.deadline.IsZero() && !time.Now().Before(r.deadline)
+	if passed || !errors.Is(err, os.ErrDeadlineExceeded) || awaited && !hasUnreadBytes(r.Conn) {
 		return false
 	}
 	_ = r.Conn.SetReadDeadline(r.deadline) // the next read reports it
 	return true
 }
 
+// awaitsRequest reports whether no byte of a request has been read since the last
+// response. A request may also have been read together with the one before it.
+func (r *connRow) awaitsRequest() bool { return r.received == 0 && !r.handled }
+
 // Write implements [net.Conn].
 func (r *connRow) Write(data []byte) (n int, err error) {
 	n, err = r.Conn.Write(data)
@@ -124,13 +136,14 @@
 }
 
 // applyDeadline sets the deadline for reads: that of the server, or during a drain, if
-// no byte of a request has been read, the end of the last response or of newConnGrace.
+// no request is known, the end of pipelinedGrace from now, for a new connection that of
+// newConnGrace.
 func (r *connRow) applyDeadline() (err error) {
 	deadline := r.deadline
-	if r.table.draining && r.received == 0 {
-		deadline = r.since
-		if !r.answered {
-			deadline = deadline.Add(newConnGrace)
+	if r.table.draining && r.awaitsRequest() {
+		deadline = time.Now().Add(pipelinedGrace)
+		if end := r.since.Add(newConnGrace); !r.answered && end.After(deadline) {
+			deadline = end
 		}
 	}
 	return r.Conn.SetReadDeadline(deadline)
--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -16,7 +16,6 @@
 // [http.Server.Shutdown] is not used for a drain: it closes connections whose next
 // request has arrived in part, and answers no request that it reads afterwards.
 type connTable struct {
-	clock     func() time.Time
 	logClosed func(lentilmux.Decision)
 	count     func(cause connEnd)
 
@@ -28,8 +27,8 @@
 
 // newConnTable returns an empty table. Closes are counted by count, and those that
 // lose a request are logged by log.
-func newConnTable(clock func() time.Time, log func(lentilmux.Decision), count func(cause connEnd)) *connTable {
-	return &connTable{clock: clock, logClosed: log, count: count, rows: make(map[*connRow]struct{})}
+func newConnTable(log func(lentilmux.Decision), count func(cause connEnd)) *connTable {
+	return &connTable{logClosed: log, count: count, rows: make(map[*connRow]struct{})}
 }
 
 // listen returns a listener whose connections are rows of the table.
@@ -98,7 +97,7 @@
 	case http.StateIdle:
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		row.received, row.sent, row.handled, row.answered, row.since = 0, 0, false, true, t.clock()
+		row.received, row.sent, row.handled, row.answered, row.since = 0, 0, false, true, time.Now()
 	case http.StateClosed, http.StateHijacked:
 		t.remove(row)
 	}
@@ -106,7 +105,7 @@
 
 // add adds an accepted connection.
 func (t *connTable) add(conn net.Conn) *connRow {
-	row := &connRow{Conn: conn, table: t, since: t.clock()}
+	row := &connRow{Conn: conn, table: t, since: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rows[row] = struct{}{}
@@ -123,7 +122,7 @@
 		t.empty = nil
 	}
 	end, draining := row.end(), t.draining
-	closed := row.describe(t.clock(), draining)
+	closed := row.describe(time.Now(), draining)
 	t.mu.Unlock()
 	if !open {
 		return
--- a/entryvm/conntable_test.go
+++ b/entryvm/conntable_test.go
@@ -36,15 +36,14 @@
 func startConnFixture(t *testing.T, idle, header time.Duration) *connFixture {
 	t.Helper()
 	f := &connFixture{}
-	f.table = newConnTable(time.Now, f.log, f.count)
-	f.server = &http.Server{IdleTimeout: idle, ReadHeaderTimeout: header, MaxHeaderBytes: 1, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.handled.Add(1)
-		_, _ = io.Copy(io.Discard, r.Body)
-		if f.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		_, _ = io.WriteString(w, "answer")
-	})}
+	f.start(t, &http.Server{IdleTimeout: idle, ReadHeaderTimeout: header, MaxHeaderBytes: 1, Handler: http.HandlerFunc(f.answer)})
+	return f
+}
+
+// start starts a server whose connections are in the table.
+func (f *connFixture) start(t *testing.T, server *http.Server) {
+	t.Helper()
+	f.table, f.server = newConnTable(f.log, f.count), server
 	f.table.install(f.server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -53,7 +52,16 @@
 	f.listener = f.table.listen(listener)
 	go func() { _ = f.server.Serve(f.listener) }()
 	t.Cleanup(func() { _ = f.server.Close() })
-	return f
+}
+
+// answer answers a request at once.
+func (f *connFixture) answer(w http.ResponseWriter, r *http.Request) {
+	f.handled.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	_, _ = io.WriteString(w, "answer")
 }
 
 func (f *connFixture) log(d lentilmux.Decision) {
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -47,7 +47,7 @@
 		Handler: g.dependencies.NewCallerHandler(relay, &g.state), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: g.config.MaxHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
 	}
-	s.callerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, g.metrics.countClosedConn)
+	s.callerConns = newConnTable(g.decisionLog.enqueue, g.metrics.countClosedConn)
 	s.callerConns.install(s.caller)
 	g.countConnections(s.caller)
 	ready := http.NewServeMux()
@@ -79,7 +79,7 @@
 	s.peers = s.forwarded.newServer()
 	s.peers.ReadHeaderTimeout, s.peers.MaxHeaderBytes = g.config.HeaderTimeout, g.config.MaxHeaderBytes+forwardedHeaderBytes
 	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
-	s.peerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, func(connEnd) {})
+	s.peerConns = newConnTable(g.decisionLog.enqueue, func(connEnd) {})
 	s.peerConns.install(s.peers)
 	g.countConnections(s.peers)
 	if s.peerListener, err = g.serve(s.peers, g.config.PeerAddr, s.peerConns); err != nil {
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -58,8 +58,8 @@
 	s = &servers{
 		caller: newServer(v.Handler()), control: newServer(v.controlHandler()), logger: v.config.Logger,
 		cancelRequests: cancelRequests,
-		callerConns:    newConnTable(time.Now, v.effects.recordDecision, v.metrics.countClosedConn),
-		controlConns:   newConnTable(time.Now, v.effects.recordDecision, func(connEnd) {}),
+		callerConns:    newConnTable(v.effects.recordDecision, v.metrics.countClosedConn),
+		controlConns:   newConnTable(v.effects.recordDecision, func(connEnd) {}),
 	}
 	s.caller.BaseContext = func(net.Listener) context.Context { return requests }
 	s.callerConns.install(s.caller)
