Report a stall within the deadline of its request

The report of a stalled attempt waited for the node without a limit of its own, and the end of the attempt waits for that report: a node that does not answer delayed the 504 beyond the caller's deadline. It is asked like all else now, until that deadline. Read in the code by a review; no test holds it.

--- a/forward/contender.go
+++ b/forward/contender.go
@@ -24,9 +24,9 @@
 		return 0
 	}
 	delivered := r.race.deliveredEvents()
-	answer, err := r.relay.node.Ask(ctx, lentilmux.ForwardStalledMsg{Request: stalled.Request, Epoch: stalled.Epoch, Delivered: delivered})
+	answer, err := r.ask(ctx, lentilmux.ForwardStalledMsg{Request: stalled.Request, Epoch: stalled.Epoch, Delivered: delivered})
 	if err != nil {
-		return 0 // the request has ended
+		return 0 // the request has ended, or the node does not answer in time
 	}
 	switch x := answer.(type) {
 	case lentilmux.WaitAnswer:
