--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -49,6 +49,7 @@
 	}
 	s.callerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, g.metrics.countClosedConn)
 	s.callerConns.install(s.caller)
+	g.countConnections(s.caller)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.state.ready.Load() {
@@ -80,6 +81,7 @@
 	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
 	s.peerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, func(connEnd) {})
 	s.peerConns.install(s.peers)
+	g.countConnections(s.peers)
 	if s.peerListener, err = g.serve(s.peers, g.config.PeerAddr, s.peerConns); err != nil {
 		return err
 	}
--- a/entryvm/servers.go
+++ b/entryvm/servers.go
@@ -5,12 +5,12 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/operator"
 	"lentilmux.example/lentilmux/peer"
 )
@@ -39,6 +39,8 @@
 	callerConns     *connTable
 	controlConns    *connTable
 	logger          *logrus.Logger
+
+	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
 // listen opens both listeners and creates their servers without starting them.
@@ -52,11 +54,14 @@
 		_ = callerListener.Close() // no connection was accepted yet
 		return nil, errors.Annotate(err, "listening for peers and operators")
 	}
+	requests, cancelRequests := context.WithCancelCause(context.Background())
 	s = &servers{
 		caller: newServer(v.Handler()), control: newServer(v.controlHandler()), logger: v.config.Logger,
-		callerConns:  newConnTable(time.Now, v.effects.recordDecision, v.metrics.countClosedConn),
-		controlConns: newConnTable(time.Now, v.effects.recordDecision, func(connEnd) {}),
+		cancelRequests: cancelRequests,
+		callerConns:    newConnTable(time.Now, v.effects.recordDecision, v.metrics.countClosedConn),
+		controlConns:   newConnTable(time.Now, v.effects.recordDecision, func(connEnd) {}),
 	}
+	s.caller.BaseContext = func(net.Listener) context.Context { return requests }
 	s.callerConns.install(s.caller)
 	s.controlConns.install(s.control)
 	s.callerListener = v.withTLS(s.callerConns.listen(limitConns(callerListener, maxCallerConns)))
@@ -104,20 +109,29 @@
 	}
 }
 
-// shutdown closes both servers gracefully: it accepts no more connections and waits
-// until none is open or ctx ends.
+// shutdown closes both servers gracefully, that of peers and operators last: it accepts
+// no more connections and waits until none is open or ctx ends.
 func (s *servers) shutdown(ctx context.Context) {
-	_ = s.callerListener.Close() // they are not used any more
-	_ = s.controlListener.Close()
-	var running sync.WaitGroup
-	for _, conns := range []*connTable{s.callerConns, s.controlConns} {
-		running.Go(func() {
-			if err := conns.drain(ctx); err != nil {
-				s.logger.WithError(err).Warn("server shut down with requests in flight")
-			}
-		})
+	s.drain(ctx, s.callerListener, s.callerConns)
+	s.drain(ctx, s.controlListener, s.controlConns)
+}
+
+// drain closes a listener and waits until none of its connections is open or ctx ends.
+func (s *servers) drain(ctx context.Context, listener net.Listener, conns *connTable) {
+	_ = listener.Close() // it is not used any more
+	if err := conns.drain(ctx); err != nil {
+		s.logger.WithError(err).Warn("server shut down with requests in flight")
 	}
-	running.Wait()
+}
+
+// abortRequests ends callers' requests in flight and waits until they are answered or
+// broken off, for abortTimeout at most.
+func (s *servers) abortRequests() {
+	s.cancelRequests(lentilmux.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.callerListener.Close() // it is not used any more
+	_ = s.callerConns.drain(ctx) // close follows in any case
 }
 
 // close closes both servers and their connections immediately.
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -291,6 +291,7 @@
 func (s *scenario) failedAttempt(name string, fields map[string]string) lentilmux.Msg {
 	kinds := map[string]lentilmux.FailureKind{
 		"dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash, "timeout": lentilmux.FailureTimeout, "refused": lentilmux.FailureRefused,
+		"too_large": lentilmux.FailureTooLarge, "no_memory": lentilmux.FailureNoMemory,
 	}
 	msg := lentilmux.ForwardFailedMsg{
 		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]],
@@ -324,11 +325,15 @@
 // report returns the message for a report of an upstream, or for a failed probe.
 func (s *scenario) report(name string, fields map[string]string) lentilmux.Msg {
 	if fields["error"] != "" {
-		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial}[fields["error"]]
+		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial, "unreachable": lentilmux.FailureDial}[fields["error"]]
 		if fields["error"] == "late" {
 			kind = lentilmux.FailureTimeout
 		}
-		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}}
+		cause := errors.New(fields["error"])
+		if fields["error"] == "refused" {
+			cause = errors.WithType(cause, lentilmux.ErrNotListening)
+		}
+		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: cause}, Took: parseDuration(fields["took"])}
 	}
 	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0), Draining: fields["draining"] == "true"}
 	report.Layers, report.HasLayers = parseLayers(fields["layers"])
--- a/outcome.go
+++ b/outcome.go
@@ -63,6 +63,7 @@
 	ReasonUpstreamFailed   Reason = "upstream_failed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonNoMemory         Reason = "no_memory"
 	ReasonInternal         Reason = "internal_error"
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBodyUnreadable   Reason = "body_unreadable"
