--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -22,21 +22,25 @@
 		request.Older = nil // the relay has canceled them
 		if !request.AnswerStarted {
 			t.markAnswerStarted(request)
-			t.clearEjection(request)
+			t.clearEjection(request, false)
 			t.clearParts(request, now)
 		}
 	}
 	for _, msg := range t.Events.Done {
 		request := t.Requests.Find(msg.Request)
+		if msg.End.Panic != "" {
+			t.RecordDecision(lentilmux.Decision{What: "request_panicked", Subject: string(msg.Request), Chosen: string(msg.End.Cause), Reason: msg.End.Panic})
+		}
 		if msg.End.Unanswered {
 			t.recordUnanswered(msg, request, now)
 		}
 		if request == nil {
+			t.recordRefusedByRelay(msg)
 			t.dropPending(msg.Request)
 			continue
 		}
 		if msg.Outcome == lentilmux.OutcomeAnswered {
-			t.clearEjection(request)
+			t.clearEjection(request, true)
 			t.clearParts(request, now)
 		}
 		t.endAttempt(request)
@@ -44,12 +48,40 @@
 		t.RecordDecision(lentilmux.Decision{
 			What: "request_done", Subject: string(msg.Request), Chosen: fmt.Sprint(msg.Status),
 			// legs is the number of attempts, first the time to the first byte, pause the
-			// longest gap between events and took the total duration.
-			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + request.describeForwarding(),
+			// longest gap between events and took the total duration. promised is the
+			// expected time from the first attempt to the first event, waited the measured
+			// one.
+			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + describePromise(msg) + request.describeForwarding(),
 		})
 	}
 }
 
+// recordRefusedByRelay logs a request that is not in the table and that the relay has
+// refused by itself. It was not sent to an upstream.
+func (t *Tables) recordRefusedByRelay(msg lentilmux.ForwardDoneMsg) {
+	switch msg.End.Cause {
+	case lentilmux.EndNodeStopped, lentilmux.EndNodeFailed, lentilmux.EndPanicked, lentilmux.EndBodyUnreadable:
+	default:
+		return // the line of the refusal says why
+	}
+	if msg.End.Unanswered {
+		return
+	}
+	t.RecordDecision(lentilmux.Decision{
+		What: "request_refused", Subject: string(msg.Request), Chosen: msg.Outcome.String(),
+		Reason: fmt.Sprintf("%s: %s; status=%d took=%dms", msg.Reason, msg.End.Cause, msg.Status, msg.Duration.Milliseconds()),
+	})
+}
+
+// describePromise returns the expected and the measured time to the first event, for the
+// log. It is empty if none was expected.
+func describePromise(msg lentilmux.ForwardDoneMsg) (text string) {
+	if msg.Promised <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(" promised=%dms waited=%dms", msg.Promised.Milliseconds(), msg.WaitedForFirst.Milliseconds())
+}
+
 // recordUnanswered logs a request that ended without a complete answer or a
 // refusal. A request that is not in the table was not sent to an upstream.
 func (t *Tables) recordUnanswered(msg lentilmux.ForwardDoneMsg, request *RequestRow, now time.Time) {
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -40,23 +40,34 @@
 		a.continueOlder(t, request, failed, now)
 		return
 	}
+	if refusal := a.retryFailed(t, request, failed, now); refusal != nil && !a.holdToResume(t, request, failed, refusal, now) {
+		a.refuse(t, request.ID, failed.CorrelationID, refusal, now)
+	}
+}
+
+// retryFailed logs a failed attempt and answers with another one, or returns why there
+// is none.
+func (a *AdmitRequests) retryFailed(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (refusal *lentilmux.Refusal) {
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	t.recordFailedAttempt(request, failed, map[bool]string{true: "resend", false: "end"}[reason == ""], detail)
-	var refusal *lentilmux.Refusal
 	if reason == "" {
-		request.continueAfter(t, failed.Delivered)
-		if refusal = a.sendAttempt(t, request, failed.CorrelationID, now); refusal != nil && charged {
-			t.refundRetry(request.Service, now)
-		}
-	} else {
-		refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
-		if failed.PeerRefusal != nil {
-			refusal.RetryAfter = failed.PeerRefusal.RetryAfter
-		}
+		return a.sendRetry(t, request, failed, charged, now)
 	}
-	if refusal != nil {
-		a.refuse(t, request.ID, failed.CorrelationID, refusal, now)
+	refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+	if failed.PeerRefusal != nil {
+		refusal.RetryAfter = failed.PeerRefusal.RetryAfter
 	}
+	return refusal
+}
+
+// sendRetry answers with another attempt, or returns why there is none. It takes back
+// the charge for one that is not sent.
+func (a *AdmitRequests) sendRetry(t *Tables, request *RequestRow, failed FailedAttemptRow, charged bool, now time.Time) (refusal *lentilmux.Refusal) {
+	request.continueAfter(t, failed.Delivered)
+	if refusal = a.sendAttempt(t, request, failed.CorrelationID, now); refusal != nil && charged {
+		t.refundRetry(request.Service, now)
+	}
+	return refusal
 }
 
 // continueOlder handles the failure of an attempt beside which others are in
@@ -98,10 +109,12 @@
 }
 
 // replaceOrKeep answers with another attempt if the newest one of a request cannot
-// continue and a retry after failed is allowed, and else lets the attempts in
-// flight go on.
+// continue, or has not begun while others have, and a retry after failed is allowed. It
+// else lets the attempts in flight go on.
 func (a *AdmitRequests) replaceOrKeep(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) {
-	if !t.cannotContinue(request, now) || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, now) {
+	stuck := t.cannotContinue(request, now)
+	elsewhere := !stuck && t.onlyItWaits(request, failed.Delivered, now)
+	if !stuck && !elsewhere || !request.Route.Kind.Repeatable() || !a.replaceAttempt(t, request, failed, elsewhere, now) {
 		t.Answer(failed.CorrelationID, lentilmux.WaitAnswer{Wait: t.Limits.StallReportInterval})
 	}
 }
@@ -143,9 +156,10 @@
 }
 
 // replaceAttempt sends another attempt beside one that is still in flight, if a
-// retry is allowed and there is an alternative. The one in flight gives up its
-// reservations, since one of the two ends soon.
-func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (sent bool) {
+// retry is allowed and there is an alternative: one with another first hop, if
+// elsewhere is set. The one in flight gives up its reservations, since one of the two
+// ends soon.
+func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, elsewhere bool, now time.Time) (sent bool) {
 	mayHaveRun, possibleRuns, stalled := request.MayHaveRun, request.PossibleRuns, request.AttemptState
 	request.countRun()
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
@@ -154,7 +168,7 @@
 		older.Reservations = slices.Clone(older.Reservations)
 		t.release(request)
 		older.TrialUpstream, stalled.TrialUpstream = "", ""
-		request.AttemptState = AttemptState{LastUpstream: older.LastUpstream}
+		request.AttemptState = AttemptState{LastUpstream: older.LastUpstream, Elsewhere: elsewhere}
 		request.continueAfter(t, failed.Delivered)
 		if a.sendAttempt(t, request, failed.CorrelationID, now) == nil {
 			request.Older = append(request.Older, older)
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -39,6 +39,8 @@
 
 // scenario plays the events of a file to one entry VM.
 type scenario struct {
+	paused      bool                 // whether the control goroutine does not run
+	queued      []lentilmux.Envelope // messages of the next tick
 	model       *fleet.Schedule
 	start       time.Time
 	now         time.Time // of the last tick
@@ -101,7 +103,7 @@
 		return err
 	}
 	now := s.start.Add(elapsed)
-	for !s.nextTick.After(now) {
+	for !s.paused && !s.nextTick.After(now) {
 		s.tick(s.nextTick)
 	}
 	fmt.Fprintf(&s.out, "> %s\n", line)
@@ -111,13 +113,27 @@
 			fields[name] = value
 		}
 	}
+	switch words[1] {
+	case "pause": // no tick runs, and messages queue
+		s.paused = true
+		return nil
+	case "resume": // one tick gets them all
+		s.paused = false
+		s.tick(now, s.queued...)
+		s.queued = nil
+		return nil
+	}
 	msg, err := s.message(words, fields, now)
 	if err != nil || msg == nil {
 		return err
 	}
 	s.lastID++
 	s.labels[s.lastID] = strings.Join(words[1:min(len(words), 3)], " ")
-	s.tick(now, lentilmux.Envelope{Msg: msg, CorrelationID: s.lastID})
+	s.queued = append(s.queued, lentilmux.Envelope{Msg: msg, CorrelationID: s.lastID})
+	if !s.paused {
+		s.tick(now, s.queued...)
+		s.queued = nil
+	}
 	return nil
 }
 
@@ -203,13 +219,17 @@
 }
 
 // requestDone returns the message for the end of a request: an answer, or the cause
-// for which the caller got none.
+// for which the caller got none, or for which the relay refused it.
 func (s *scenario) requestDone(name string, fields map[string]string) lentilmux.Msg {
 	msg := lentilmux.ForwardDoneMsg{Request: lentilmux.RequestID(name), Outcome: lentilmux.OutcomeAnswered, Status: 200}
 	if cause := lentilmux.EndCause(fields["unanswered"]); cause != "" {
 		msg.Outcome, msg.Reason, msg.Status = lentilmux.OutcomeUnknown, lentilmux.ReasonUpstreamFailed, parseInt(fields["status"])
 		msg.End = lentilmux.RequestEnd{Cause: cause, Unanswered: true, Epoch: s.epochs[name], Failures: parseInt(fields["failed"]), LastFailure: lentilmux.FailureCrash, Canceled: parseInt(fields["canceled"])}
 	}
+	if cause := lentilmux.EndCause(fields["refused"]); cause != "" {
+		msg.Outcome, msg.Reason, msg.Status = lentilmux.OutcomeNotRun, lentilmux.ReasonDraining, 503
+		msg.End.Cause, msg.End.Panic = cause, fields["panic"]
+	}
 	return msg
 }
 
@@ -271,6 +291,7 @@
 func (s *scenario) failedAttempt(name string, fields map[string]string) lentilmux.Msg {
 	kinds := map[string]lentilmux.FailureKind{
 		"dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash, "timeout": lentilmux.FailureTimeout, "refused": lentilmux.FailureRefused,
+		"too_large": lentilmux.FailureTooLarge, "no_memory": lentilmux.FailureNoMemory,
 	}
 	msg := lentilmux.ForwardFailedMsg{
 		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]],
--- a/msg.go
+++ b/msg.go
@@ -25,7 +25,8 @@
 	Msg           Msg
 	CorrelationID CorrelationID
 
-	reply chan<- Answer // nil if no answer is expected
+	reply   chan<- Answer // nil if no answer is expected
+	flushed chan struct{} // of a call of Flush, which has no message; nil otherwise
 }
 
 // Model is the state of a node and the rules that change it. Only the control
--- a/service/refused_test.go
+++ b/service/refused_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = service.ReadBody(response, 100)
+	_, err = service.ReadBody(response, 100, nil)
 	_ = response.Body.Close()
 	return err
 }
--- a/service/silence_linux_test.go
+++ b/service/silence_linux_test.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = service.ReadBody(response, 100)
+	_, err = service.ReadBody(response, 100, nil)
 	return err
 }
 
