--- a/engine.go
+++ b/engine.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // LayerRange is a contiguous range of a model's layers. First and Last are both
@@ -87,11 +89,17 @@
 	// FailureAborted means that the node canceled the attempt because it found
 	// an upstream of the attempt dead.
 	FailureAborted
+	// FailureTooLarge means that the upstream's output exceeded a size limit.
+	FailureTooLarge
+	// FailureNoMemory means that the upstream's output was not read to its end, since
+	// this VM held too many bytes for requests in flight. It is no sign of a fault of
+	// the upstream.
+	FailureNoMemory
 )
 
 // String returns the kind in snake case, as log lines show it.
 func (f FailureKind) String() string {
-	return [...]string{"refused", "dial", "crash", "timeout", "protocol", "aborted"}[f]
+	return [...]string{"refused", "dial", "crash", "timeout", "protocol", "aborted", "too_large", "no_memory"}[f]
 }
 
 // UpstreamError is the error of a failed call to an upstream.
@@ -100,6 +108,10 @@
 	Err  error
 }
 
+// ErrNotListening is wrapped by the error of a call whose connection the upstream's
+// address refused: no process listens there.
+const ErrNotListening = errors.ConstError("nothing listens at the address")
+
 // Error returns the kind and the cause.
 func (u *UpstreamError) Error() string { return u.Kind.String() + ": " + u.Err.Error() }
 
--- a/entryvm/gateway.go
+++ b/entryvm/gateway.go
@@ -45,6 +45,7 @@
 	PeerCopies lentilmux.StreamCopies
 	Engine     lentilmux.PathEngine
 	Placement  lentilmux.RangePlacement // nil for [placement.ZoneSearch]
+	Memory     lentilmux.MemoryBudget   // of the requests in flight; nil if it is not observed
 	// NewCallerHandler returns the handler of callers' requests.
 	NewCallerHandler func(relay *forward.Relay, state *GatewayState) http.Handler
 	// NewPeerHandler returns the handler of requests that peers forward. If it is
@@ -109,6 +110,13 @@
 	if err = g.metrics.observeReachability(&g.unreachable); err != nil {
 		return nil, err
 	}
+	if budget := dependencies.Memory; budget != nil {
+		refusals := &refusalLog{budget: budget, clock: config.Clock, log: g.logRefusal}
+		budget.OnRefusal(refusals.record)
+		if err = g.metrics.observeMemory(budget); err != nil {
+			return nil, err
+		}
+	}
 	g.state.maxBodyBytes.Store(defaultMaxBodyBytes)
 	g.limits.Store(&config.Limits)
 	g.sharedReads.Store(true)
@@ -137,6 +145,20 @@
 	return g.node.Send(ctx, fleet.LimitsMsg{Limits: limits})
 }
 
+// SetMemoryBudget replaces the number of bytes that requests in flight may hold
+// together, while the VM is running.
+func (g *Gateway) SetMemoryBudget(bytes int64) {
+	if budget := g.dependencies.Memory; budget != nil {
+		budget.Resize(bytes)
+	}
+}
+
+// logRefusal logs a decision of traffic and counts it.
+func (g *Gateway) logRefusal(d lentilmux.Decision) {
+	g.metrics.countDecision(d)
+	g.decisionLog.enqueue(d)
+}
+
 // LogDecision adds a line to the decision log without counting it in the
 // metrics. It does not block.
 func (g *Gateway) LogDecision(d lentilmux.Decision) { g.decisionLog.enqueue(d) }
@@ -177,31 +199,42 @@
 		g.state.draining.Store(true)
 		servers.abortRequests()
 	}
+	g.flushNode(ctx)
 	g.decisionLog.enqueue(lentilmux.Decision{What: "stopped", Subject: g.config.Name})
 	cancel()
 	running.Wait()
 	return nil
 }
 
+// flushNode waits until the ends of requests that were reported are logged, for
+// abortTimeout at most.
+func (g *Gateway) flushNode(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, abortTimeout)
+	defer cancel()
+	_ = g.node.Flush(ctx) // the node stops in any case
+}
+
 // runDrain drains the entry VM. It becomes not ready immediately, but accepts
-// requests for MinDrainDuration, so that the load balancer can notice. Then it
-// accepts no more and completes the requests in flight, until MaxDrainDuration
-// at the latest.
+// connections until newConnGrace before MinDrainDuration, so that the load balancer
+// can notice. Then it accepts no more and closes those without a request. It serves
+// requests that still arrive on others until MinDrainDuration, refuses later ones, and
+// completes those in flight, until MaxDrainDuration at the latest.
 func (g *Gateway) runDrain(ctx context.Context, servers *gatewayServers) {
 	g.state.draining.Store(true)
 	// Send fails only when the node stops.
 	_ = g.node.Send(ctx, lentilmux.BeginDrainMsg{})
 	limits := g.limits.Load()
-	timer := time.NewTimer(limits.MinDrainDuration)
+	accepting := limits.MinDrainDuration - newConnGrace
+	timer := time.NewTimer(accepting)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, limits.MaxDrainDuration-limits.MinDrainDuration)
+	ctx, cancel := context.WithTimeout(ctx, limits.MaxDrainDuration-accepting)
 	defer cancel()
-	err := servers.caller.Shutdown(ctx)
+	err := servers.drainCallers(ctx)
 	if err == nil {
 		err = servers.forwarded.wait(ctx)
 	}
@@ -209,6 +242,7 @@
 		g.decisionLog.enqueue(lentilmux.Decision{What: "drain_incomplete", Subject: g.config.Name, Reason: err.Error()})
 		servers.abortRequests()
 	}
+	servers.drainPeers()
 }
 
 // logCopyReadError logs that a copy of a stream could not be read from the VM at
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -30,6 +30,10 @@
 	peers     *http.Server
 	forwarded forwardedRequests
 
+	callerListener net.Listener
+	callerConns    *connTable // connections of the callers' server
+	peerListener   net.Listener
+	peerConns      *connTable              // connections of the peers' server
 	cancelRequests context.CancelCauseFunc // ends all requests of callers in flight
 }
 
@@ -43,6 +47,9 @@
 		Handler: g.dependencies.NewCallerHandler(relay, &g.state), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: g.config.MaxHeaderBytes, BaseContext: func(net.Listener) context.Context { return requests },
 	}
+	s.callerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, g.metrics.countClosedConn)
+	s.callerConns.install(s.caller)
+	g.countConnections(s.caller)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+g.config.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !g.state.ready.Load() {
@@ -50,7 +57,7 @@
 		}
 	})
 	s.readiness = &http.Server{Handler: ready, ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout}
-	if err := g.serve(s.readiness, g.config.ReadyAddr); err != nil {
+	if _, err := g.serve(s.readiness, g.config.ReadyAddr, nil); err != nil {
 		return err
 	}
 	if g.config.MetricsAddr.IsValid() {
@@ -59,7 +66,7 @@
 		mux.HandleFunc("GET "+heldPartsPath, g.listHeldParts)
 		mux.HandleFunc("POST "+releasePartPath, g.releaseHeldPart)
 		s.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: g.config.HeaderTimeout}
-		if err := g.serve(s.metrics, g.config.MetricsAddr); err != nil {
+		if _, err := g.serve(s.metrics, g.config.MetricsAddr, nil); err != nil {
 			return err
 		}
 	}
@@ -72,25 +79,49 @@
 	s.peers = s.forwarded.newServer()
 	s.peers.ReadHeaderTimeout, s.peers.MaxHeaderBytes = g.config.HeaderTimeout, g.config.MaxHeaderBytes+forwardedHeaderBytes
 	s.peers.BaseContext = func(net.Listener) context.Context { return requests }
-	if err := g.serve(s.peers, g.config.PeerAddr); err != nil {
+	s.peerConns = newConnTable(g.config.Clock, g.decisionLog.enqueue, func(connEnd) {})
+	s.peerConns.install(s.peers)
+	g.countConnections(s.peers)
+	if s.peerListener, err = g.serve(s.peers, g.config.PeerAddr, s.peerConns); err != nil {
 		return err
 	}
-	return g.serve(s.caller, g.config.CallerAddr)
+	s.callerListener, err = g.serve(s.caller, g.config.CallerAddr, s.callerConns)
+	return err
 }
 
-// serve listens on an address and serves it in the background until the server
-// is closed.
-func (g *Gateway) serve(server *http.Server, addr netip.AddrPort) (err error) {
-	listener, err := net.Listen("tcp", addr.String())
+// serve listens on an address and serves it in the background until the server or
+// the listener is closed. It records the connections in conns, unless that is nil.
+func (g *Gateway) serve(server *http.Server, addr netip.AddrPort, conns *connTable) (listener net.Listener, err error) {
+	listener, err = net.Listen("tcp", addr.String())
 	if err != nil {
-		return errors.Annotatef(err, "listening on %s", addr)
+		return nil, errors.Annotatef(err, "listening on %s", addr)
+	}
+	if conns != nil {
+		listener = conns.listen(listener)
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.decisionLog.enqueue(lentilmux.Decision{What: "server_failed", Subject: addr.String(), Reason: err.Error()})
 		}
 	}()
-	return nil
+	return listener, nil
+}
+
+// drainCallers accepts no more connections of callers and waits until those that are
+// open have ended, or ctx ends.
+func (s *gatewayServers) drainCallers(ctx context.Context) (err error) {
+	_ = s.callerListener.Close() // it is not used any more
+	return s.callerConns.drain(ctx)
+}
+
+// drainPeers accepts no more connections of peers and waits, for abortTimeout at most,
+// until those that are open have ended: the last requests that were read are refused, and
+// reads of copies, which wait for changes, are cut off.
+func (s *gatewayServers) drainPeers() {
+	_ = s.peerListener.Close() // it is not used any more
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	_ = s.peerConns.drain(ctx) // close follows in any case
 }
 
 // abortRequests ends the requests of callers and peers in flight and waits until they are
@@ -99,7 +130,7 @@
 	s.cancelRequests(lentilmux.ErrStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
-	_ = s.caller.Shutdown(ctx) // close follows in any case
+	_ = s.drainCallers(ctx) // close follows in any case
 	_ = s.forwarded.wait(ctx)
 }
 
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -11,6 +10,11 @@
 	"lentilmux.example/lentilmux"
 )
 
+// maxProbeDuration is the time after which a probe that failed was read late: it has
+// half of this for its answer, so this VM was stalled while the answer came, or should
+// have come.
+const maxProbeDuration = 500 * time.Millisecond
+
 // ApplyReports applies the load digests of peers, the reports of upstreams and
 // the results of orders. It reads Events.Digests, Events.Reports and
 // Events.OrderResults and writes VMs, FleetLoads, Zones, Upstreams and
@@ -173,7 +177,7 @@
 		return
 	}
 	if msg.Err != nil {
-		a.recordMissedProbe(t, row, msg.Err, now)
+		a.recordMissedProbe(t, row, msg, now)
 		return
 	}
 	report := msg.Report
@@ -181,7 +185,7 @@
 		a.handleProcessChange(t, row, report, now)
 		return
 	}
-	row.MissedProbes, row.Dead, row.ReportedByPeer = 0, false, false
+	row.MissedProbes, row.ReadLate, row.Dead, row.Ended, row.ReportedByPeer = 0, false, false, false, false
 	if !row.SuspectUntil.IsZero() {
 		row.SuspectUntil = time.Time{}
 		t.RecordDecision(lentilmux.Decision{What: "upstream_recovered", Subject: row.ID, Reason: "state report received"})
@@ -205,6 +209,7 @@
 // wrote the entry. The registered process has ended, and its address now serves
 // an upstream whose entry has not been read yet.
 func (a *ApplyReports) handleProcessChange(t *Tables, row *UpstreamRow, report lentilmux.UpstreamReport, now time.Time) {
+	row.Ended = true
 	if !row.Dead {
 		row.Dead, t.NewSuspects = true, true
 		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("process started at %s answered, expected the one started at %s", report.StartedAt.UTC().Format(time.RFC3339Nano), row.StartedAt.UTC().Format(time.RFC3339Nano))})
@@ -239,14 +244,26 @@
 // process listens, so the upstream is dead. Any other failure may be a lost
 // answer, so the upstream is dead only after MaxMissedProbes failures in a row, or
 // after one if a peer reported it as dead too. While this VM doubts its links, the
-// failure says nothing of the upstream.
-func (a *ApplyReports) recordMissedProbe(t *Tables, row *UpstreamRow, err error, now time.Time) {
+// failure says nothing of the upstream, nor does one that was read late, unless the
+// next is read late too.
+func (a *ApplyReports) recordMissedProbe(t *Tables, row *UpstreamRow, msg lentilmux.UpstreamReportMsg, now time.Time) {
+	row.ReadLate = msg.Took > maxProbeDuration && !row.ReadLate
+	if row.ReadLate {
+		row.ProbedAt = time.Time{}
+		t.probe(row, now)
+		return
+	}
+	if row.MissedProbes == 0 {
+		row.SilentSince = now
+		if !row.ProbedAt.IsZero() {
+			row.SilentSince = row.ProbedAt
+		}
+	}
 	row.MissedProbes++
 	if !t.trustsLinks() {
 		return
 	}
-	var upstreamErr *lentilmux.UpstreamError
-	refused := errors.As(err, &upstreamErr) && upstreamErr.Kind == lentilmux.FailureDial && !errors.Is(err, context.DeadlineExceeded)
+	refused := errors.Is(msg.Err, lentilmux.ErrNotListening)
 	missed := row.MissedProbes
 	if row.ReportedByPeer {
 		missed++
@@ -256,10 +273,10 @@
 		t.probe(row, now)
 		return
 	}
-	row.ReportedByPeer = false
+	row.ReportedByPeer, row.Ended = false, row.Ended || refused
 	if !row.Dead {
 		row.Dead, t.NewSuspects = true, true
-		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d consecutive probes failed: %v", row.MissedProbes, err)})
+		t.RecordDecision(lentilmux.Decision{What: "upstream_dead", Subject: row.ID, Reason: fmt.Sprintf("%d consecutive probes failed: %v", row.MissedProbes, msg.Err)})
 	}
 	t.markSuspected(row, now, "probe failed")
 }
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -39,6 +39,8 @@
 
 // scenario plays the events of a file to one entry VM.
 type scenario struct {
+	paused      bool                 // whether the control goroutine does not run
+	queued      []lentilmux.Envelope // messages of the next tick
 	model       *fleet.Schedule
 	start       time.Time
 	now         time.Time // of the last tick
@@ -101,7 +103,7 @@
 		return err
 	}
 	now := s.start.Add(elapsed)
-	for !s.nextTick.After(now) {
+	for !s.paused && !s.nextTick.After(now) {
 		s.tick(s.nextTick)
 	}
 	fmt.Fprintf(&s.out, "> %s\n", line)
@@ -111,13 +113,27 @@
 			fields[name] = value
 		}
 	}
+	switch words[1] {
+	case "pause": // no tick runs, and messages queue
+		s.paused = true
+		return nil
+	case "resume": // one tick gets them all
+		s.paused = false
+		s.tick(now, s.queued...)
+		s.queued = nil
+		return nil
+	}
 	msg, err := s.message(words, fields, now)
 	if err != nil || msg == nil {
 		return err
 	}
 	s.lastID++
 	s.labels[s.lastID] = strings.Join(words[1:min(len(words), 3)], " ")
-	s.tick(now, lentilmux.Envelope{Msg: msg, CorrelationID: s.lastID})
+	s.queued = append(s.queued, lentilmux.Envelope{Msg: msg, CorrelationID: s.lastID})
+	if !s.paused {
+		s.tick(now, s.queued...)
+		s.queued = nil
+	}
 	return nil
 }
 
@@ -212,7 +228,7 @@
 	}
 	if cause := lentilmux.EndCause(fields["refused"]); cause != "" {
 		msg.Outcome, msg.Reason, msg.Status = lentilmux.OutcomeNotRun, lentilmux.ReasonDraining, 503
-		msg.End.Cause = cause
+		msg.End.Cause, msg.End.Panic = cause, fields["panic"]
 	}
 	return msg
 }
@@ -275,6 +291,7 @@
 func (s *scenario) failedAttempt(name string, fields map[string]string) lentilmux.Msg {
 	kinds := map[string]lentilmux.FailureKind{
 		"dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash, "timeout": lentilmux.FailureTimeout, "refused": lentilmux.FailureRefused,
+		"too_large": lentilmux.FailureTooLarge, "no_memory": lentilmux.FailureNoMemory,
 	}
 	msg := lentilmux.ForwardFailedMsg{
 		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]],
@@ -308,11 +325,15 @@
 // report returns the message for a report of an upstream, or for a failed probe.
 func (s *scenario) report(name string, fields map[string]string) lentilmux.Msg {
 	if fields["error"] != "" {
-		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial}[fields["error"]]
+		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial, "unreachable": lentilmux.FailureDial}[fields["error"]]
 		if fields["error"] == "late" {
 			kind = lentilmux.FailureTimeout
 		}
-		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: errors.New(fields["error"])}}
+		cause := errors.New(fields["error"])
+		if fields["error"] == "refused" {
+			cause = errors.WithType(cause, lentilmux.ErrNotListening)
+		}
+		return lentilmux.UpstreamReportMsg{Upstream: name, Err: &lentilmux.UpstreamError{Kind: kind, Err: cause}, Took: parseDuration(fields["took"])}
 	}
 	report := lentilmux.UpstreamReport{AcceptedOrders: parseInt(fields["accepted_orders"]), Slowdown: 1, StartedAt: time.Unix(int64(parseInt(fields["started_at"])), 0), Draining: fields["draining"] == "true"}
 	report.Layers, report.HasLayers = parseLayers(fields["layers"])
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,10 +98,12 @@
 }
 
 // Reject refuses a request whose body did not arrive as it should. Nothing of it was
-// sent to an upstream. A request that has been forwarded may have run elsewhere.
-func (r *Relay) Reject(inbound lentilmux.InboundRequest, cause lentilmux.EndCause, reason lentilmux.Reason, detail string, sink lentilmux.Sink) {
+// sent to an upstream. A request that has been forwarded may have run elsewhere, which
+// decides the outcome of the refusal.
+func (r *Relay) Reject(inbound lentilmux.InboundRequest, cause lentilmux.EndCause, refusal lentilmux.Refusal, sink lentilmux.Sink) {
 	request := &relayedRequest{relay: r, inbound: inbound, sink: sink}
-	request.refuseBecause(cause, request.unfinished(reason, detail))
+	refusal.Outcome = request.unfinished(refusal.Reason, refusal.Detail).Outcome
+	request.refuseBecause(cause, &refusal)
 	request.reportDone()
 }
 
@@ -113,7 +115,7 @@
 	sender  lentilmux.RequestSender
 	sink    lentilmux.Sink
 
-	headersSent bool      // whether status and headers were sent to the caller
+	headersSent bool      // whether status and headers were sent to the caller, or are being sent
 	lastEventAt time.Time // when the last event was sent to the caller
 	deadline    time.Time // of the attempts; zero before the first
 	sentAt      time.Time // when the first attempt was sent; zero before
@@ -126,6 +128,7 @@
 
 // serve makes attempts until the request has ended.
 func (r *relayedRequest) serve(ctx context.Context) {
+	defer r.recoverServe(ctx)
 	answer, err := r.ask(ctx, lentilmux.ForwardMsg{Inbound: r.inbound})
 	for err == nil {
 		var failure *lentilmux.ForwardFailedMsg
--- a/node_test.go
+++ b/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +59,43 @@
 		}
 	})
 }
+
+// TestFlushWaitsForEarlierMessages guards against a stop that loses what was reported
+// just before.
+func TestFlushWaitsForEarlierMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		handled := 0
+		node := lentilmux.NewNode(effectModel{}, lentilmux.WithEffector(effectorFunc(func(lentilmux.Effect) { handled++ })))
+		for range 100 {
+			if err := node.Send(ctx, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		go node.Run(ctx)
+		if err := node.Flush(ctx); err != nil || handled != 100 {
+			t.Errorf("after a flush (%v) the effects of %d messages were passed on, expected 100", err, handled)
+		}
+		cancel()
+		synctest.Wait()
+		if err := node.Flush(context.Background()); !errors.Is(err, lentilmux.ErrStopped) {
+			t.Errorf("Flush on a stopped node returned %v, expected ErrStopped", err)
+		}
+	})
+}
+
+// effectModel has one effect for each message.
+type effectModel struct{}
+
+func (effectModel) Tick(now time.Time, batch []lentilmux.Envelope) (effects []lentilmux.Effect, nextTick time.Time) {
+	for _, envelope := range batch {
+		effects = append(effects, lentilmux.DecisionEffect{Decision: lentilmux.Decision{Subject: fmt.Sprint(envelope.Msg)}})
+	}
+	return effects, now.Add(time.Minute)
+}
+
+// effectorFunc implements [lentilmux.Effector].
+type effectorFunc func(lentilmux.Effect)
+
+func (f effectorFunc) Do(effect lentilmux.Effect) { f(effect) }
