Test that a forwarded request that ran elsewhere is not said to have not run

A request that a peer forwards may have run before; if this VM stops before its first attempt, its answer must not be 503. The new case of TestRelay gives 'refused not_run' without it.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -304,6 +304,7 @@
 		script     script
 		disconnect time.Duration // when the caller disconnects; zero for never
 		stop       time.Duration // when the process ends; zero for never
+		ranBefore  int           // attempts that may have run before the request was forwarded
 	}{
 		{name: "complete stream", script: script{kind: lentilmux.CallResumableStream, attempts: 1, steps: [][]step{events(tick, 0, 1, 2)}}},
 		{name: "connection lost and resumed", script: script{kind: lentilmux.CallResumableStream, attempts: 2, steps: [][]step{append(events(tick, 0, 1), connectionLost), events(tick, 2, 3)}}},
@@ -353,6 +354,7 @@
 		{name: "node stopped after a failure response", script: script{kind: lentilmux.CallRepeatable, attempts: 2, badAsk: 2, badErr: lentilmux.ErrStopped, steps: [][]step{verdict(lentilmux.VerdictFailed)}}},
 		{name: "node stopped after a stream was cut", script: script{kind: lentilmux.CallResumableStream, attempts: 2, badAsk: 2, badErr: lentilmux.ErrStopped, steps: [][]step{append(events(tick, 0), connectionLost)}}},
 		{name: "node stopped while another attempt fails", script: script{kind: lentilmux.CallResumableStream, attempts: 3, badAsk: 3, badErr: lentilmux.ErrStopped, replaceStalled: []bool{true}, steps: [][]step{append(events(tick, 0), step{after: 250 * time.Millisecond, err: connectionLost.err}), {{after: 200 * time.Millisecond, err: connectionLost.err}}}}},
+		{name: "node stopped before the first attempt of a forwarded request that may have run", ranBefore: 1, script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: lentilmux.ErrStopped}},
 		{name: "node gives an unexpected answer", script: script{kind: lentilmux.CallOnce, badAsk: 1, badAnswer: "odd"}},
 		{name: "node gives an unexpected answer to a failure", script: script{kind: lentilmux.CallResumableStream, attempts: 2, badAsk: 2, badAnswer: "odd", steps: [][]step{{connectionLost}}}},
 		{name: "node does not answer", disconnect: 3 * time.Second, script: script{kind: lentilmux.CallOnce, badAsk: 1, badErr: errSilent}},
@@ -381,7 +383,9 @@
 				time.AfterFunc(c.stop, func() { cancel(lentilmux.ErrStopped) })
 			}
 			relay := forward.NewRelay(s)
-			relay.Run(ctx, lentilmux.InboundRequest{ID: "r", ReceivedAt: s.started, Deadline: s.started.Add(2 * time.Second), ResumeAfter: -1}, sender{s}, s)
+			inbound := lentilmux.InboundRequest{ID: "r", ReceivedAt: s.started, Deadline: s.started.Add(2 * time.Second), ResumeAfter: -1}
+			inbound.Forwarded.PossibleRuns = c.ranBefore
+			relay.Run(ctx, inbound, sender{s}, s)
 			lines := s.out.String()
 			if races {
 				lines = closesLast(lines)
