Take back the price of requests that are not known yet

In a burst all nodes count as crowded by the requests of all VMs, and the price then ranks them by how few layers they hold.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -107,9 +107,9 @@
 	c.groups.reset(len(nodes))
 	for i := range nodes {
 		node := &nodes[i]
-		use, need := math.Inf(1), float64(cacheTokens)*float64(min(node.Layers.Len(), request.Layers.Len()))
+		use := math.Inf(1)
 		if node.Capacity > 0 && node.StepFactor > 0 {
-			use = (float64(node.Reserved) + need) / float64(node.Capacity)
+			use = (float64(node.Reserved) + float64(cacheTokens)*float64(min(node.Layers.Len(), request.Layers.Len()))) / float64(node.Capacity)
 		}
 		c.memoryUse = append(c.memoryUse, use)
 		step := node.StepFactor * (model.StepTime.Seconds() + streamWeight*float64(node.Streams+1)*perStream)
@@ -119,13 +119,7 @@
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
 		}
-		cost *= c.zoneFactor(node.Zone)
-		draw := c.random.Float64()
-		cost *= 1 + costJitter*draw
-		if (draw*node.Unseen+1)*need+float64(node.Reserved) > maxMemoryUse*float64(node.Capacity) {
-			cost *= waitFactor(request, node)
-		}
-		c.layerCosts = append(c.layerCosts, cost)
+		c.layerCosts = append(c.layerCosts, cost*c.zoneFactor(node.Zone)*(1+costJitter*c.random.Float64()))
 		c.addCandidate(nodes, i)
 	}
 	for _, i := range c.candidates {
@@ -139,17 +133,6 @@
 	c.boundaries = slices.Compact(c.boundaries)
 }
 
-// waitFactor returns by how much the cost of a node rises for a request that may find
-// too little free KV cache there. All VMs see the same free cache until they learn of
-// each other's requests. Each therefore takes a random place among the unseen ones, so
-// that only about as many as there is room for expect to find some. A request without
-// room waits until another ends, which takes about as long as its whole path. How many
-// wait before it does not count: where all upstreams are crowded, the unseen requests
-// spread over them.
-func waitFactor(request lentilmux.PathRequest, node *lentilmux.PathNode) (factor float64) {
-	return 1 + float64(request.Model.Layers)/float64(max(node.Layers.Len(), 1))
-}
-
 // isFinite reports whether a cost can be added and compared. A node with another
 // one, which takes an impossible speed or load, runs nothing.
 func isFinite(cost float64) bool { return cost >= 0 && cost < math.MaxFloat64/math.MaxInt32 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -116,7 +116,6 @@
 // new requests.
 func (a *AdmitRequests) collectNodes(t *Tables, service string, now time.Time) {
 	a.nodes, a.rows, a.atLimit = a.nodes[:0], a.rows[:0], 0
-	rate := t.peerRate(service, now) / float64(t.Zones.Count())
 	for _, row := range t.Upstreams.Rows {
 		if row.Service != service || !row.HasLayers || !row.Usable(now) || row.backsOff(now) || now.Before(row.FullUntil) {
 			continue
@@ -136,8 +135,7 @@
 			StepFactor: accelerator.StepFactor * row.Slowdown, PrefillFactor: accelerator.PrefillFactor * row.Slowdown,
 			Streams: row.OwnLoad.Streams + row.PeerLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens + row.PeerLoad.PendingPromptTokens,
 			Reserved: row.OwnLoad.Reserved + row.PeerLoad.Reserved, Capacity: model.CacheCapacity(accelerator, max(row.Layers.Len(), row.plannedLayers().Len())),
-			Unseen: rate * t.loadAge(row).Seconds(),
-			Full:   atLimit || row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
+			Full: atLimit || row.Slots > 0 && row.OwnLoad.Streams+row.PeerLoad.Streams >= row.Slots,
 		})
 	}
 }
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -90,9 +90,7 @@
 		return nil, nil, false
 	}
 	m.Admit.collectNodes(t, request.Service, now)
-	moving := t.peerStreams(path[lost].Upstream)
 	for i, row := range m.Admit.rows {
-		m.Admit.nodes[i].Unseen += moving
 		if slices.ContainsFunc(path, func(h lentilmux.Hop) bool { return h.Upstream == row.ID }) || slices.Contains(request.LostHops, row.ID) {
 			m.Admit.nodes[i].Capacity = 0
 		}
--- a/fleet/notbegun.go
+++ b/fleet/notbegun.go
@@ -5,7 +5,8 @@
 // An upstream may accept a request, look healthy and begin others, and not begin this
 // one: its memory is full, or it has lost the request. Such a request gets another
 // attempt elsewhere, which races with the first. If requests at other upstreams do not
-// begin either, all are busy and a second attempt would only add to their work.
+// begin either, or upstreams refuse requests for lack of room, a second attempt would
+// only add to their work.
 
 const (
 	// stallFactor is the multiple of the expected time to the first event after which
@@ -36,7 +37,7 @@
 // its first hop. It has delivered nothing if delivered is what the caller
 // had when it was sent.
 func (t *Tables) onlyItWaits(request *RequestRow, delivered int, now time.Time) bool {
-	if len(request.Older) > 0 || delivered > request.Delivered || !t.isOverdue(request, now) {
+	if len(request.Older) > 0 || delivered > request.Delivered || !t.isOverdue(request, now) || t.isCrowded(now) {
 		return false
 	}
 	begun, overdue := 0, 0
@@ -61,6 +62,11 @@
 	return true
 }
 
+// isCrowded reports whether upstreams lately lacked room for requests of this VM.
+func (t *Tables) isCrowded(now time.Time) bool {
+	return !t.CrowdedAt.IsZero() && now.Sub(t.CrowdedAt) < t.Limits.MaxReportAge
+}
+
 // excludeOverdue keeps upstreams at which attempts were overdue lately from being the
 // first hop of a path.
 func (a *AdmitRequests) excludeOverdue(t *Tables, now time.Time) {
--- a/fleet/pending.go
+++ b/fleet/pending.go
@@ -70,6 +70,7 @@
 // upstreams are in a back-off that lasts longer, or if so many requests wait already
 // that this one would get no room in time.
 func (a *AdmitRequests) holdForRoom(t *Tables, row PendingRow, request *RequestRow, now time.Time) (pending bool) {
+	t.CrowdedAt = now
 	until := request.ReceivedAt.Add(time.Duration(t.Limits.RoomWaitFraction * float64(request.Route.FirstByteTarget)))
 	row.RetryAt = t.backOffEnd(request.Service, now)
 	if !now.Before(until) || row.RetryAt.After(until) {
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -195,6 +195,7 @@
 	if row == nil {
 		row = t.Upstreams.Find(request.LastUpstream)
 	}
+	t.CrowdedAt = now
 	if row != nil {
 		row.FullUntil = now.Add(t.Limits.FullDuration)
 		t.RecordDecision(lentilmux.Decision{What: "upstream_full", Subject: row.ID, Chosen: t.Limits.FullDuration.String(), Reason: "refused request " + string(request.ID)})
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -45,6 +45,7 @@
 	Zones           Zones
 	ProbeBucket     TokenBucket // rate limit of probes because of failures and stalls
 	CrossZoneBucket TokenBucket // rate limit of activations that cross zones, in bits
+	CrowdedAt       time.Time   // when a request last found no room, or was refused for lack of it; zero if none was
 	Events          Events
 	NewSuspects     bool // whether an upstream was found dead that the last digest does not list
 	NewRules        bool // whether a configuration replaced another one that the last digest names
--- a/path.go
+++ b/path.go
@@ -88,7 +88,6 @@
 	PendingPromptTokens int     // prompt tokens of all entry VMs that wait for prefill
 	Reserved            int64   // KV cache reserved for requests of all entry VMs, in tokens times layers
 	Capacity            int64   // KV cache, in tokens times layers
-	Unseen              float64 // requests that other entry VMs may have sent to its zone since the load above was reported
 	Full                bool    // whether it accepts no more requests as the first hop of a path
 }
 
