--- a/fleet/notbegun.go
+++ b/fleet/notbegun.go
@@ -34,8 +34,8 @@
 
 // onlyItWaits reports whether the newest attempt of a request is overdue while those
 // with other first hops that were sent at about the same time begin, and records that at
-// its first hop. It has delivered nothing if delivered is what the caller
-// had when it was sent.
+// its first hop. delivered counts the events that the caller has; an attempt that has
+// added to them has begun.
 func (t *Tables) onlyItWaits(request *RequestRow, delivered int, now time.Time) bool {
 	if len(request.Older) > 0 || delivered > request.Delivered || !t.isOverdue(request, now) || t.isCrowded(now) {
 		return false
--- a/service/refused_test.go
+++ b/service/refused_test.go
@@ -66,7 +66,7 @@
 // get sends one call.
 func get(t *testing.T, client *service.Client, addr netip.AddrPort) (err error) {
 	t.Helper()
-	request, err := service.NewRequest(t.Context(), http.MethodGet, "http://"+addr.String()+"/api/report", nil)
+	request, err := service.NewRequest(t.Context(), http.MethodGet, "http://"+addr.String()+"/state", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
