--- a/review/_cases/cases.go
+++ b/review/_cases/cases.go
@@ -282,8 +282,8 @@
 	for _, v := range vms {
 		group.Go(func() {
 			c := d.connect(v)
-			for ctx.Err() == nil {
-				sent := c.do("POST", "/order/other", "key-stitching-1", "order", time.Second)
+			for i := 0; ctx.Err() == nil; i++ {
+				sent := c.do("POST", "/order/other", "key-stitching-1", fmt.Sprintf("order %d of %s", i, v.name), time.Second)
 				answer := fmt.Sprint(sent.Status)
 				if sent.Err != nil {
 					answer = "none"
