--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -25,10 +25,10 @@
 	crossZoneEntrySeconds = 0.02
 	// maxMemoryUse is the fraction of an upstream's KV cache that its requests
 	// may be expected to fill. Paths avoid upstreams above it.
-	maxMemoryUse = 0.97
+	maxMemoryUse = 1.0
 	// memoryUseLimit sets how steeply the cost of an upstream rises as its KV
 	// cache fills: costs are divided by this limit minus the fraction in use.
-	memoryUseLimit = 1.1
+	memoryUseLimit = 1.3
 	// answerCacheFraction is the fraction of the completion tokens that counts
 	// as KV cache in use. It is below 1 since a completion grows while the
 	// request runs.
@@ -109,12 +109,13 @@
 		node := &nodes[i]
 		use := math.Inf(1)
 		if node.Capacity > 0 && node.StepFactor > 0 {
-			use = (float64(node.Reserved) + float64(cacheTokens)*float64(min(node.Layers.Len(), request.Layers.Len()))) / float64(node.Capacity)
+			use = (float64(node.Reserved) + cacheOf(node, request, cacheTokens)) / float64(node.Capacity)
 		}
 		c.memoryUse = append(c.memoryUse, use)
 		step := node.StepFactor * (model.StepTime.Seconds() + streamWeight*float64(node.Streams+1)*perStream)
 		prefill := node.PrefillFactor * (float64(request.PromptTokens) + pendingPrefillFraction*float64(node.PendingPromptTokens)) / model.PrefillTokensPerSecond
-		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / (memoryUseLimit - use)
+		unseen := request.UnseenRequests * cacheOf(node, request, cacheTokens) / float64(max(node.Capacity, 1))
+		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / memoryHeadroom(use+unseen)
 		if use > maxMemoryUse || !isFinite(cost) {
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
@@ -133,6 +134,23 @@
 	c.boundaries = slices.Compact(c.boundaries)
 }
 
+// cacheOf returns the KV cache that a request is expected to hold at a node, in tokens
+// times layers, if it uses all layers of the node that it can.
+func cacheOf(node *lentilmux.PathNode, request lentilmux.PathRequest, cacheTokens int64) float64 {
+	return float64(cacheTokens) * float64(min(node.Layers.Len(), request.Layers.Len()))
+}
+
+// memoryHeadroom returns the divisor of a node's cost, which falls as the KV cache
+// fills. It stays positive beyond a full cache: requests that the loads do not show
+// make a node expensive, but do not exclude it, since in a burst they would exclude
+// all.
+func memoryHeadroom(use float64) (headroom float64) {
+	if use <= 1 {
+		return memoryUseLimit - use
+	}
+	return (memoryUseLimit - 1) / (use * use)
+}
+
 // isFinite reports whether a cost can be added and compared. A node with another
 // one, which takes an impossible speed or load, runs nothing.
 func isFinite(cost float64) bool { return cost >= 0 && cost < math.MaxFloat64/math.MaxInt32 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -15,6 +15,7 @@
 func (a *AdmitRequests) choosePath(t *Tables, request *RequestRow, model *lentilmux.ModelProfile, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
+	pathRequest.UnseenRequests = t.unseenRequests(request.Service, model, a.nodes, now)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
 	if request.Elsewhere {
 		a.excludeOverdue(t, now)
--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -16,6 +16,7 @@
 	requests      [bucketCount]int
 	retries       [bucketCount]int
 	currentBucket int64 // number of the bucket that is filling, counted from the Unix epoch
+	dealt         TokenBucket
 }
 
 // RetryBudgets is the table of retry budgets, by service.
@@ -74,7 +75,9 @@
 	slack := t.Limits.RetrySlack / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
 	ownShare := t.Limits.RetryRatio*float64(requests) + slack
 	if float64(retries+1) > ownShare {
-		if float64(retries+1) > maxBorrowFactor*ownShare || !t.canBorrow(service, requests, retries, now) {
+		left := t.retriesLeft(service, requests, retries, now)
+		perSecond := left / 4 / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1)) / 0.3 // TODO
+		if left <= 0 || !row.dealt.take(now, perSecond, max(1, perSecond*0.3), 1) {
 			return false
 		}
 	}
@@ -90,28 +93,23 @@
 	}
 }
 
-const (
-	// maxBorrowFactor is the maximum use of the budget by one VM, as a multiple
-	// of its share. Together with retryRatioFraction and retrySlackFraction it
-	// keeps the sum over VMs that know of each other within the deployment's budget, however late they
-	// learn of each other's retries.
-	maxBorrowFactor = 1 / retryRatioFraction
-	// borrowFraction is the fraction of the fleet-wide budget up to which VMs
-	// may borrow.
-	borrowFraction = 0.3
-)
+const dealtFraction = 0.6
+
+func (t *Tables) retriesLeft(service string, requests, retries int, now time.Time) (left float64) {
+	requests, retries = t.fleetCounts(service, requests, retries, now)
+	return dealtFraction*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack) - float64(retries)
+}
 
-// canBorrow reports whether all VMs together have used less than borrowFraction
-// of a budget.
-func (t *Tables) canBorrow(service string, requests, retries int, now time.Time) bool {
+// fleetCounts returns the requests and retries of a service in the retry window on all
+// VMs, as last known. requests and retries are those of this VM.
+func (t *Tables) fleetCounts(service string, requests, retries int, now time.Time) (allRequests, allRetries int) {
 	if t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
-		requests, retries = addRetryCounts(t.FleetLoads.RetryCounts, service, 0, 0) // includes this VM's own counts
-	} else {
-		for _, vm := range t.digestSources(now) {
-			requests, retries = addRetryCounts(vm.RetryCounts, service, requests, retries)
-		}
+		return addRetryCounts(t.FleetLoads.RetryCounts, service, 0, 0) // includes this VM's own counts
+	}
+	for _, vm := range t.digestSources(now) {
+		requests, retries = addRetryCounts(vm.RetryCounts, service, requests, retries)
 	}
-	return float64(retries+1) <= borrowFraction*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack)
+	return requests, retries
 }
 
 // addRetryCounts adds the counts of a service to requests and retries.
--- a/path.go
+++ b/path.go
@@ -100,6 +100,10 @@
 	SourceZone     int        // zone of the entry VM, or of the preceding upstream
 	PromptTokens   int        // prompt tokens to prefill
 	AnswerTokens   int        // expected completion tokens
+	// UnseenRequests is the number of requests of other entry VMs that each node is
+	// expected to have got since its load was known. A node with room for few requests
+	// is full by then, although it seems the emptiest.
+	UnseenRequests float64
 }
 
 // PathHop is one hop of a chosen path. Node is an index into the nodes that were
