--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -120,7 +120,7 @@
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
 		}
-		c.layerCosts = append(c.layerCosts, cost*c.zoneFactor(node.Zone)*(1+costJitter*c.random.Float64()))
+		c.layerCosts = append(c.layerCosts, cost*c.zoneFactor(node.Zone)*c.costFactor(request))
 		c.addCandidate(nodes, i)
 	}
 	for _, i := range c.candidates {
@@ -166,6 +166,17 @@
 	return c.zoneFactors[zone]
 }
 
+// costFactor returns the random factor of a node's cost. A part of a path is replaced
+// when an upstream has crashed, and all VMs do that within some milliseconds: the
+// factor then spreads their requests over the nodes in inverse proportion to their
+// costs, so that the lost layers are computed by all that hold them.
+func (c *CheapestPath) costFactor(request lentilmux.PathRequest) (factor float64) {
+	if request.HasPredecessor {
+		return c.random.ExpFloat64()
+	}
+	return 1 + costJitter*c.random.Float64()
+}
+
 // addCandidate makes a node a candidate unless its group has a cheaper one. A
 // group is formed by zone and layer range; nodes that cannot be the first hop
 // are grouped separately.
