Tell upstreams the priority of a request

Cause: RequestRow.Priority was set and never read, so an upstream that ranks its work treated all requests alike.

Change: an attempt carries the priority of its request, and the platform sends it as Request-Priority, 0 to 9, where requests to the service can have more than one priority. Priorities out of range are clamped when a configuration is installed and logged once for it.

Measured: told_priority.scenario and TestPriorityHeader pass, and all other golden files of TestScenarios are unchanged.

--- a/fleet/rules.go
+++ b/fleet/rules.go
@@ -8,9 +8,12 @@
 	"lentilmux.example/lentilmux"
 )
 
-// install replaces the configuration and rebuilds the indexes.
-func (r *Rules) install(rules *lentilmux.Ruleset) {
+// install replaces the configuration and rebuilds the indexes. It returns the
+// priorities that are out of range.
+func (r *Rules) install(rules *lentilmux.Ruleset) (invalidPriorities []string) {
 	r.Ruleset = *rules
+	invalidPriorities = r.clampPriorities()
+	r.indexPriorities()
 	r.Loaded = true
 	r.EngineService = ""
 	r.routesByHost = make(map[string][]*lentilmux.RouteRule)
@@ -37,6 +40,7 @@
 			r.EngineService = service.Name
 		}
 	}
+	return invalidPriorities
 }
 
 // Route returns the route of the host with the longest matching path prefix, or
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -88,6 +88,7 @@
 	for _, key := range strings.Split(fields["keys"], ",") {
 		rules.Workspaces = append(rules.Workspaces, lentilmux.WorkspaceRule{Name: "workspace-" + key, Keys: []string{key}})
 	}
+	setPriorities(rules, fields)
 	return rules
 }
 
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -122,7 +122,11 @@
 		if answer.Attempt.Peer != "" {
 			return fmt.Sprintf("answer %s: attempt %d at peer %s, workspace=%q possible_runs=%d min_rules=%d deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Peer, answer.Attempt.Workspace, answer.Attempt.PossibleRuns, answer.Attempt.MinRules, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
 		}
-		return fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
+		text := fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
+		if answer.Attempt.HasPriority {
+			text += fmt.Sprintf(" priority=%d", answer.Attempt.Priority)
+		}
+		return text
 	case lentilmux.RefusalAnswer:
 		text := fmt.Sprintf("answer %s: %s %s", label, answer.Refusal.Outcome, answer.Refusal.Reason)
 		if after := answer.Refusal.RetryAfter; answer.Refusal.Reason == lentilmux.ReasonNoUpstream && after != fleet.DefaultLimits().RefusalRetryAfter {
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -159,7 +159,7 @@
 		return
 	}
 	previous := t.Rules.Version
-	t.Rules.install(rules)
+	invalidPriorities := t.Rules.install(rules)
 	t.Rules.InstalledAt, t.NewRules = now, previous > 0
 	t.AddEffect(lentilmux.BodyLimitEffect{MaxBytes: rules.Limits.MaxBodyBytes})
 	t.AddEffect(lentilmux.RulesVersionEffect{Version: rules.Version})
@@ -167,6 +167,7 @@
 		What: "rules_installed", Subject: fmt.Sprint(rules.Version), Chosen: fmt.Sprintf("%d routes, %d workspaces", len(rules.Routes), len(rules.Workspaces)),
 		Reason: fmt.Sprintf("previous version %d", previous),
 	})
+	t.recordInvalidPriorities(invalidPriorities)
 }
 
 // ModelAndAccelerator returns the model that an upstream runs and its
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -53,12 +53,13 @@
 // Rules is the configuration in force with its lookup indexes.
 type Rules struct {
 	lentilmux.Ruleset
-	routesByHost   map[string][]*lentilmux.RouteRule // longest prefix first
-	workspaceByKey map[string]*lentilmux.WorkspaceRule
-	serviceByName  map[string]*lentilmux.ServiceRule
-	InstalledAt    time.Time
-	Loaded         bool   // whether a configuration has been read
-	EngineService  string // name of the service whose upstreams hold layers; empty if there is none
+	routesByHost        map[string][]*lentilmux.RouteRule // longest prefix first
+	workspaceByKey      map[string]*lentilmux.WorkspaceRule
+	serviceByName       map[string]*lentilmux.ServiceRule
+	prioritiesByService map[string][]int // that requests can have, the most urgent first
+	InstalledAt         time.Time
+	Loaded              bool   // whether a configuration has been read
+	EngineService       string // name of the service whose upstreams hold layers; empty if there is none
 }
 
 // Service returns a service's rule, or nil if the service is unknown.
--- a/forward.go
+++ b/forward.go
@@ -59,6 +59,8 @@
 	Addr              netip.AddrPort
 	Path              []Hop // empty if the upstream runs all layers itself
 	Workspace         string
+	Priority          int           // 0 is the most urgent; valid if HasPriority
+	HasPriority       bool          // whether the upstream is told the priority
 	Deadline          time.Time     // by which the answer has to be complete
 	Promised          time.Duration // expected time to the first event; 0 if none is expected
 	FirstEventTimeout time.Duration // time without a first event after which the attempt is stalled; 0 for no limit
