Spread the times at which refused callers may return

Cause: each refusal for want of room or for a spent retry budget named 0.5 s. A caller retries only once, so that many came back together, found no room again and were refused for good.

Change: for services whose upstreams hold layers, the time lies between about 1 s and 1 s plus the typical duration of the service's recent streams on this VM (500 ms to 10 s, 2 s before one was measured), by a hash of the VM and the request, and is at most a quarter of what the caller has left. request_refused shows it where it is not the usual time.

Measured: refused_together.scenario and TestRefusedCallersReturnSpread (2,000 callers of 100 VMs) pass.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -216,10 +216,14 @@
 // refuse answers a request with a refusal and logs it.
 func (a *AdmitRequests) refuse(t *Tables, id lentilmux.RequestID, correlationID lentilmux.CorrelationID, refusal *lentilmux.Refusal, now time.Time) {
 	t.Answer(correlationID, lentilmux.RefusalAnswer{Refusal: *refusal})
+	retryAfter := "" // unless it is the usual one
+	if refusal.RetryAfter != t.Limits.RefusalRetryAfter {
+		retryAfter = fmt.Sprintf(" retry_after=%dms", refusal.RetryAfter.Milliseconds())
+	}
 	t.RecordDecision(lentilmux.Decision{
 		What: "request_refused", Subject: string(id), Chosen: refusal.Outcome.String(),
 		// rules is the version of the configuration, age the time since it was last
 		// read.
-		Reason: fmt.Sprintf("%s: %s; rules=%d age=%dms", refusal.Reason, refusal.Detail, t.Rules.Version, now.Sub(t.Streams.Rules.AsOf).Milliseconds()),
+		Reason: fmt.Sprintf("%s: %s; rules=%d age=%dms", refusal.Reason, refusal.Detail, t.Rules.Version, now.Sub(t.Streams.Rules.AsOf).Milliseconds()) + retryAfter,
 	})
 }
--- a/fleet/backoffs.go
+++ b/fleet/backoffs.go
@@ -165,6 +165,7 @@
 // later than its own deadline.
 func (t *Tables) noRoomRefusal(request *RequestRow, detail string, now time.Time) *lentilmux.Refusal {
 	refusal := t.notRunRefusal(lentilmux.ReasonNoUpstream, detail)
+	refusal.RetryAfter = t.shortageRetryAfter(request, now)
 	if end := t.backOffEnd(request.Service, now); !end.IsZero() {
 		refusal.RetryAfter = max(refusal.RetryAfter, earliest(end, request.Deadline).Sub(now))
 		refusal.Detail += fmt.Sprintf(", all back off for %s", end.Sub(now).Round(time.Millisecond))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,7 @@
 		&ApplyStoreUpdates{},
 		&TrackReach{},
 		&ApplyReports{},
+		&MeasureStreams{},
 		&FinishRequests{},
 		&TrackCrashes{},
 		&ApplyRequestLimits{},
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -50,7 +50,7 @@
 	if reason == "" {
 		return a.sendRetry(t, request, failed, charged, now)
 	}
-	refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+	refusal = a.adjustOutcome(request, t.noRetryRefusal(request, reason, detail, now))
 	if failed.PeerRefusal != nil {
 		refusal.RetryAfter = failed.PeerRefusal.RetryAfter
 	}
--- a/fleet/resumewaits.go
+++ b/fleet/resumewaits.go
@@ -79,7 +79,7 @@
 func (a *AdmitRequests) resume(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (refusal *lentilmux.Refusal) {
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	if reason != "" {
-		return a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+		return a.adjustOutcome(request, t.noRetryRefusal(request, reason, detail, now))
 	}
 	return a.sendRetry(t, request, failed, charged, now)
 }
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -227,7 +227,7 @@
 // requestDone returns the message for the end of a request: an answer, or the cause
 // for which the caller got none, or for which the relay refused it.
 func (s *scenario) requestDone(name string, fields map[string]string) lentilmux.Msg {
-	msg := lentilmux.ForwardDoneMsg{Request: lentilmux.RequestID(name), Outcome: lentilmux.OutcomeAnswered, Status: 200}
+	msg := lentilmux.ForwardDoneMsg{Request: lentilmux.RequestID(name), Outcome: lentilmux.OutcomeAnswered, Status: 200, Duration: parseDuration(fields["took"])}
 	if cause := lentilmux.EndCause(fields["unanswered"]); cause != "" {
 		msg.Outcome, msg.Reason, msg.Status = lentilmux.OutcomeUnknown, lentilmux.ReasonUpstreamFailed, parseInt(fields["status"])
 		msg.End = lentilmux.RequestEnd{Cause: cause, Unanswered: true, Epoch: s.epochs[name], Failures: parseInt(fields["failed"]), LastFailure: lentilmux.FailureCrash, Canceled: parseInt(fields["canceled"])}
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -40,6 +40,7 @@
 	Drains          Drains
 	BackOffs        BackOffs
 	RetryBudgets    RetryBudgets
+	StreamDurations StreamDurations
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
 	Zones           Zones
