Give short capacity to the more urgent requests first

Cause: waiting requests got room oldest first, streams that wait to resume oldest first, and moves went in the order of the table. Less urgent requests could take all places to wait for room and the whole retry budget.

Change: the interface ShortagePolicy in the root package, implemented by admission.UrgentFirst, orders waiting requests, waiting streams and moves. Where all places to wait are taken, a more urgent request gets that of the last one. Services whose requests have one priority are served as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,7 +1,8 @@
 // Package admission implements policies that divide the capacity between
-// workspaces.
+// workspaces, and between requests of different priority while there is too little.
 //
-// [FairShare] is the default; [ArrivalOrder] is a baseline for comparison.
+// [FairShare] is the default for workspaces; [ArrivalOrder] is a baseline for
+// comparison. [UrgentFirst] is the default for priorities.
 //
 // The package does no I/O; it is named for the policy it implements.
 //
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -10,10 +10,12 @@
 
 // AdmitRequests admits or refuses requests and selects the upstreams of each
 // attempt, including retries. It reads Rules, Streams and Upstreams and writes
-// Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, CrashSuspects and CrossZoneBucket.
+// Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, PriorityShares, CrashSuspects and
+// CrossZoneBucket.
 type AdmitRequests struct {
 	PathSelector lentilmux.PathSelector
 	Dispatch     lentilmux.Dispatch
+	Shortage     lentilmux.ShortagePolicy
 
 	nodes      []lentilmux.PathNode // candidates for a hop of a path
 	rows       []*UpstreamRow       // rows of nodes or candidates
@@ -31,12 +33,15 @@
 		a.handleStalledAttempt(t, stalled, now)
 	}
 	a.resumeStreams(t, now)
-	a.resumePending(t, now)
+	rows := a.takeReadyPending(t, now)
 	for _, arrival := range t.Events.Arrivals {
 		if !t.endedThisTick(arrival.Inbound.ID) && !a.holdPending(t, arrival, now) {
-			a.admitOrRefuse(t, PendingRow{ArrivalRow: arrival}, now)
+			rows = append(rows, PendingRow{ArrivalRow: arrival})
 		}
 	}
+	for _, row := range a.orderPending(t, rows, now) {
+		a.admitOrRefuse(t, row, now)
+	}
 }
 
 // admitOrRefuse sends the first attempt of a request, lets it wait for room or
@@ -55,12 +60,16 @@
 		request.WaitedForPeer = row.ForPeer && !now.Before(row.Until)
 		t.Requests.Put(request)
 		if refusal = a.sendAttempt(t, request, row.CorrelationID, now); refusal == nil {
+			t.countDecided(request, true, now)
 			return
 		}
 		t.Requests.Remove(request.ID)
 		if refusal.Reason == lentilmux.ReasonNoUpstream && a.holdForRoom(t, row, request, now) || refusal.Reason == lentilmux.ReasonNotReady && a.holdForPeer(t, row, request, now) {
 			return
 		}
+		if refusal.Reason == lentilmux.ReasonNoUpstream {
+			t.countDecided(request, false, now)
+		}
 	}
 	a.refuse(t, row.Inbound.ID, row.CorrelationID, refusal, now)
 }
@@ -79,7 +88,7 @@
 		}
 		return nil, t.notRunRefusal(lentilmux.ReasonUnknownRoute, "no route")
 	}
-	request = &RequestRow{InboundRequest: *inbound, Parts: suspectableParts(inbound), Route: route, Priority: route.Priority, Service: selectService(route, lentilmux.ComputeFingerprint(string(inbound.ID)))}
+	request = &RequestRow{InboundRequest: *inbound, Parts: suspectableParts(inbound), Route: route, Priority: t.Rules.priority(route, inbound), Service: selectService(route, lentilmux.ComputeFingerprint(string(inbound.ID)))}
 	if inbound.Forwarded.IsForwarded() {
 		return request, t.admitForwarded(request, now)
 	}
@@ -87,9 +96,6 @@
 	switch {
 	case workspace != nil:
 		request.Workspace = workspace.Name
-		if workspace.HasPriority {
-			request.Priority = workspace.Priority
-		}
 	case !route.Anonymous && len(t.Rules.Workspaces) > 0 && !stale:
 		return nil, t.notRunRefusal(lentilmux.ReasonUnknownKey, "unknown key")
 	}
@@ -115,11 +121,6 @@
 	case t.ConfigStale(now), t.Rules.Version < forwarded.MinRules:
 		return t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old")
 	}
-	for i := range t.Rules.Workspaces {
-		if workspace := &t.Rules.Workspaces[i]; workspace.Name == forwarded.Workspace && workspace.HasPriority {
-			request.Priority = workspace.Priority
-		}
-	}
 	request.Workspace, request.PossibleRuns, request.MayHaveRun = forwarded.Workspace, forwarded.PossibleRuns, forwarded.PossibleRuns > 0
 	request.Deadline = earliest(request.Deadline, request.ReceivedAt.Add(request.Route.Timeout))
 	return t.checkCrashes(request, now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/admission"
 	"lentilmux.example/lentilmux/dispatch"
 )
 
@@ -43,6 +44,7 @@
 	systems      []System
 	pathSelector lentilmux.PathSelector
 	dispatch     lentilmux.Dispatch
+	shortage     lentilmux.ShortagePolicy
 }
 
 // Option configures a [Schedule] in [New].
@@ -60,17 +62,24 @@
 	return func(s *Schedule) { s.dispatch = d }
 }
 
+// WithShortagePolicy sets the policy that decides which requests get capacity first while
+// there is too little. The default is [admission.UrgentFirst].
+func WithShortagePolicy(policy lentilmux.ShortagePolicy) Option {
+	return func(s *Schedule) { s.shortage = policy }
+}
+
 // New returns a schedule with empty tables.
 func New(self Self, limits Limits, options ...Option) *Schedule {
 	s := &Schedule{
 		tables:       newTables(self, limits),
 		pathSelector: dispatch.NewCheapestPath(self.Incarnation),
 		dispatch:     dispatch.NewTwoChoices(self.Incarnation),
+		shortage:     admission.UrgentFirst{},
 	}
 	for _, option := range options {
 		option(s)
 	}
-	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch}
+	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch, Shortage: s.shortage}
 	s.systems = []System{
 		&ApplyStoreUpdates{},
 		&TrackReach{},
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -26,12 +26,16 @@
 	}
 	anyDead := m.anyDead(t)
 	roomFreed := t.Events.mayFreeRoom()
+	var movable []*RequestRow
 	for _, request := range t.Requests.Rows {
 		ready := request.Move == MoveIdle || request.Move == MoveBlocked && roomFreed
 		if len(request.Hops) > 1 && ready && request.Moves < t.Limits.MaxMoves && (anyDead || len(request.LostHops) > 0) {
-			m.moveRequest(t, request, now)
+			movable = append(movable, request)
 		}
 	}
+	for _, request := range m.Admit.orderMoves(t, t.withLostHops(movable), now) {
+		m.moveRequest(t, request, now)
+	}
 }
 
 func (m *MoveRequests) anyDead(t *Tables) bool {
@@ -49,6 +53,13 @@
 	return t.isDead(hop.Upstream) || slices.Contains(request.LostHops, hop.Upstream)
 }
 
+// withLostHops returns the requests that have lost a hop of their path.
+func (t *Tables) withLostHops(requests []*RequestRow) []*RequestRow {
+	return slices.DeleteFunc(requests, func(request *RequestRow) bool {
+		return !slices.ContainsFunc(request.Hops, func(hop lentilmux.Hop) bool { return t.isLost(request, hop) })
+	})
+}
+
 // moveRequest replaces all lost hops of a path at once. The first hop of the path
 // cannot be replaced, since its connection carries the answer.
 func (m *MoveRequests) moveRequest(t *Tables, request *RequestRow, now time.Time) {
--- a/fleet/pending.go
+++ b/fleet/pending.go
@@ -13,6 +13,7 @@
 	RetryAt  time.Time // when a back-off ends that all upstreams are in; zero if they are not
 	ForRoom  bool      // whether it waits for room at the upstreams, and not for the first reads of the store
 	ForPeer  bool      // whether it waits for a peer to apply the newest configuration
+	Service  string    // if it waits for room
 	Admitted bool      // whether its route and key were checked and the request was counted
 }
 
@@ -36,12 +37,12 @@
 	return true
 }
 
-// resumePending decides on queued requests, oldest first: those that wait for
-// the first reads once these are done, those that wait for room whenever some
-// may have become free, and all of them when their wait is over.
-func (a *AdmitRequests) resumePending(t *Tables, now time.Time) {
+// takeReadyPending returns the queued requests to decide on, oldest first: those that
+// wait for the first reads once these are done, those that wait for room whenever some
+// may have become free, and all of them when their wait is over. The others stay queued.
+func (a *AdmitRequests) takeReadyPending(t *Tables, now time.Time) (readyRows []PendingRow) {
 	if len(t.Pending) == 0 {
-		return
+		return nil
 	}
 	rows := t.Pending
 	t.Pending = nil
@@ -59,8 +60,9 @@
 			t.WakeAt(row.Until)
 			continue
 		}
-		a.admitOrRefuse(t, row, now)
+		readyRows = append(readyRows, row)
 	}
+	return readyRows
 }
 
 // holdForRoom queues a request for which no upstream has room at the moment,
@@ -78,12 +80,16 @@
 	}
 	if !row.ForRoom {
 		maxWaiters := max(1, t.Limits.MaxRoomWaiters*float64(len(t.Requests.Rows)))
-		if float64(t.roomWaiters()) >= maxWaiters || row.RetryAt.IsZero() && !a.fitsIdleUpstreams(t, request, now) {
+		request.NeverFits = row.RetryAt.IsZero() && !a.fitsIdleUpstreams(t, request, now)
+		if request.NeverFits {
+			return false
+		}
+		if float64(t.roomWaiters()) >= maxWaiters && !a.displaceWaiter(t, &row, request, now) {
 			return false
 		}
 		t.RecordDecision(lentilmux.Decision{What: "request_waiting", Subject: string(request.ID), Chosen: until.Sub(now).String(), Reason: "no upstream of " + request.Service + " has room"})
 	}
-	row.Until, row.ForRoom, row.Admitted = until, true, true
+	row.Until, row.ForRoom, row.Admitted, row.Service = until, true, true, request.Service
 	t.Pending = append(t.Pending, row)
 	t.WakeAt(until)
 	return true
--- a/fleet/priorities.go
+++ b/fleet/priorities.go
@@ -59,6 +59,27 @@
 	return priorities
 }
 
+// priority returns the priority of a request: that of its workspace if it has one, else
+// that of its route.
+func (r *Rules) priority(route *lentilmux.RouteRule, inbound *lentilmux.InboundRequest) (priority int) {
+	workspace := r.Workspace(inbound.Key)
+	if inbound.Forwarded.IsForwarded() {
+		workspace = r.workspaceNamed(inbound.Forwarded.Workspace)
+	}
+	if workspace != nil && workspace.HasPriority {
+		return workspace.Priority
+	}
+	return route.Priority
+}
+
+// workspaceNamed returns the workspace with a name, or nil if there is none.
+func (r *Rules) workspaceNamed(name string) *lentilmux.WorkspaceRule {
+	if i := slices.IndexFunc(r.Workspaces, func(w lentilmux.WorkspaceRule) bool { return w.Name == name }); i >= 0 {
+		return &r.Workspaces[i]
+	}
+	return nil
+}
+
 // ranksRequests reports whether the requests to a service can have different
 // priorities. If not, priorities change no decision and upstreams are not told them.
 func (r *Rules) ranksRequests(service string) bool { return len(r.prioritiesByService[service]) > 1 }
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -219,6 +219,8 @@
 		return lentilmux.ReasonQuarantined, "it crashes upstreams, or has a prompt part that does", false
 	case failed.Kind == lentilmux.FailureDial && failed.NotRun && !failed.Answered:
 		return "", "", false // nothing reached the upstream
+	case !a.leavesRetries(t, request, now):
+		return lentilmux.ReasonRetryBudget, "the rest of the retry budget is kept for more urgent requests", false
 	case !t.spendRetry(request.Service, now):
 		return lentilmux.ReasonRetryBudget, "the retry budget is spent", false
 	default:
--- a/fleet/resumewaits.go
+++ b/fleet/resumewaits.go
@@ -40,19 +40,20 @@
 	return true
 }
 
-// resumeStreams tries again to continue the streams that wait, oldest first, and ends
-// those whose wait is over. Once nothing of a service has room, the later streams of that
+// resumeStreams tries again to continue the streams that wait, in the order of the
+// shortage policy or else oldest first, and ends those whose wait is over. Once nothing of a service has room, the later streams of that
 // service are tried in the next interval: each search for a path costs time.
 func (a *AdmitRequests) resumeStreams(t *Tables, now time.Time) {
-	rows := t.ResumeWaits
+	rows := a.orderResumeWaits(t, t.ResumeWaits, now)
 	t.ResumeWaits = nil
+	dueServices := t.dueServices(rows, now)
 	var full []string // services without room
 	for _, row := range rows {
 		request := t.findAttempt(row.Request, row.Epoch)
 		if request == nil || t.endedThisTick(row.Request) {
 			continue
 		}
-		due := !now.Before(row.RetryAt) || !now.Before(row.Until)
+		due := row.isDue(now) || slices.Contains(dueServices, request.Service)
 		if due {
 			row.RetryAt = now.Add(resumeRetryInterval)
 		}
@@ -74,6 +75,24 @@
 	}
 }
 
+// isDue reports whether a stream that waits is to be tried again.
+func (r *ResumeWaitRow) isDue(now time.Time) bool {
+	return !now.Before(r.RetryAt) || !now.Before(r.Until)
+}
+
+// dueServices returns the services whose requests differ in priority and of which a
+// stream is to be tried again. All that wait are tried then: a more urgent one that is due
+// a moment later would find the room taken.
+func (t *Tables) dueServices(rows []ResumeWaitRow, now time.Time) (services []string) {
+	for i := range rows {
+		request := t.Requests.Find(rows[i].Request)
+		if request != nil && rows[i].isDue(now) && t.Rules.ranksRequests(request.Service) && !slices.Contains(services, request.Service) {
+			services = append(services, request.Service)
+		}
+	}
+	return services
+}
+
 // resume answers with another attempt of a stream that waits, or returns why there is
 // none.
 func (a *AdmitRequests) resume(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (refusal *lentilmux.Refusal) {
--- /dev/null
+++ b/fleet/retryreserve.go
@@ -0,0 +1,21 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// leavesRetries reports whether a retry of a request leaves enough of this VM's share of
+// the retry budget to more urgent ones, or all VMs together have used little of it.
+func (a *AdmitRequests) leavesRetries(t *Tables, request *RequestRow, now time.Time) bool {
+	inUse := t.Rules.prioritiesByService[request.Service]
+	if len(inUse) < 2 {
+		return true
+	}
+	row := t.RetryBudgets.GetOrCreate(request.Service)
+	requests, retries := row.totals(now, t.Limits.RetryWindow)
+	slack := t.Limits.RetrySlack / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
+	ownShare := t.Limits.RetryRatio*float64(requests) + slack
+	rank, _ := slices.BinarySearch(inUse, request.Priority)
+	return float64(retries+1) <= a.Shortage.RetryFraction(rank, len(inUse))*ownShare || t.canBorrow(request.Service, requests, retries, now)
+}
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -41,6 +41,7 @@
 	BackOffs        BackOffs
 	RetryBudgets    RetryBudgets
 	StreamDurations StreamDurations
+	PriorityShares  PriorityShares
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
 	Zones           Zones
