--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -50,7 +50,7 @@
 	if reason == "" {
 		return a.sendRetry(t, request, failed, charged, now)
 	}
-	refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+	refusal = a.adjustOutcome(request, t.noRetryRefusal(request, reason, detail, now))
 	if failed.PeerRefusal != nil {
 		refusal.RetryAfter = failed.PeerRefusal.RetryAfter
 	}
@@ -219,6 +219,8 @@
 		return lentilmux.ReasonQuarantined, "it crashes upstreams, or has a prompt part that does", false
 	case failed.Kind == lentilmux.FailureDial && failed.NotRun && !failed.Answered:
 		return "", "", false // nothing reached the upstream
+	case !a.leavesRetries(t, request, now):
+		return lentilmux.ReasonRetryBudget, "the rest of the retry budget is kept for more urgent requests", false
 	case !t.spendRetry(request.Service, now):
 		return lentilmux.ReasonRetryBudget, "the retry budget is spent", false
 	default:
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -26,6 +26,7 @@
 		digest.BackOffs = []lentilmux.BackOffHint{{Upstream: lentilmux.HashUpstream(upstream), Remaining: parseDuration(remaining)}}
 	}
 	digest.Parts = partSuspicions(fields)
+	digest.Shortages = serviceShortages(fields)
 	digest.Drains = announcedDrains(fields)
 	if upstream, perSecond, ok := strings.Cut(fields["limit"], ":"); ok {
 		digest.Limits = []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream(upstream), Named: perSecond != "none", PerSecond: parseFloat(perSecond), Age: parseDuration(fields["age"])}}
@@ -88,6 +89,7 @@
 	for _, key := range strings.Split(fields["keys"], ",") {
 		rules.Workspaces = append(rules.Workspaces, lentilmux.WorkspaceRule{Name: "workspace-" + key, Keys: []string{key}})
 	}
+	setPriorities(rules, fields)
 	return rules
 }
 
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -40,6 +40,9 @@
 	Drains          Drains
 	BackOffs        BackOffs
 	RetryBudgets    RetryBudgets
+	StreamDurations StreamDurations
+	PriorityShares  PriorityShares
+	Shortages       Shortages
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
 	Zones           Zones
