--- a/fleet/retryreserve.go
+++ b/fleet/retryreserve.go
@@ -17,5 +17,5 @@
 	slack := t.Limits.RetrySlack / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
 	ownShare := t.Limits.RetryRatio*float64(requests) + slack
 	rank, _ := slices.BinarySearch(inUse, request.Priority)
-	return float64(retries+1) <= a.Shortage.RetryFraction(rank, len(inUse))*ownShare || t.canBorrow(request.Service, requests, retries, now)
+	return float64(retries+1) <= a.Shortage.RetryFraction(rank, len(inUse))*ownShare || t.retriesLeft(request.Service, requests, retries, now) > 0
 }
