Count by priority which requests get room

Cause: the metrics showed neither which priorities are refused for want of room nor whether returning callers are served.

Change: lentilmux_room_decisions_total has the labels priority (0 to 9), served and returning. TestBurstOfReturns also plays a relay that ends before the burst, and the round trip of digests covers the new fields.

Measured: the tests of package peer and TestBurstOfReturns pass.

--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -27,6 +27,7 @@
 	tokens          metric.Int64Counter
 	unanswered      metric.Int64Counter
 	decisions       metric.Int64Counter
+	roomDecisions   metric.Int64Counter
 	closedConns     metric.Int64Counter
 	requestDuration metric.Float64Histogram
 	firstToken      metric.Float64Histogram
@@ -62,6 +63,9 @@
 	if m.decisions, err = meter.Int64Counter("lentilmux_decisions", metric.WithDescription("Decisions, by what was decided.")); err != nil {
 		return nil, err
 	}
+	if m.roomDecisions, err = meter.Int64Counter("lentilmux_room_decisions", metric.WithDescription("Requests that got room at upstreams that hold layers, or were refused for want of it, by priority.")); err != nil {
+		return nil, err
+	}
 	if m.requestDuration, err = meter.Float64Histogram("lentilmux_request_duration", metric.WithUnit("s"), metric.WithDescription("Time until a request ended.")); err != nil {
 		return nil, err
 	}
@@ -181,3 +185,10 @@
 		m.longestPause.Record(ctx, result.MaxEventGap.Seconds())
 	}
 }
+
+// countRoomDecision counts a request that got room or was refused for want of it. Its
+// priority is one of ten.
+func (m *metrics) countRoomDecision(effect lentilmux.RoomDecisionEffect) {
+	m.roomDecisions.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.Int("priority", lentilmux.ClampPriority(effect.Priority)), attribute.Bool("served", effect.Served), attribute.Bool("returning", effect.Returning)))
+}
--- a/fleet/shortageorder.go
+++ b/fleet/shortageorder.go
@@ -102,10 +102,14 @@
 }
 
 // countDecided counts a request that was served or refused for want of room, for the
-// share of its priority. One that does not fit into idle upstreams either says nothing of
+// share of its priority and for metrics. One that does not fit into idle upstreams either says nothing of
 // the share.
 func (t *Tables) countDecided(request *RequestRow, served bool, now time.Time) {
-	if t.Rules.ranksRequests(request.Service) && t.hasLayers(request.Service) && !request.NeverFits {
+	if request.NeverFits || !t.hasLayers(request.Service) {
+		return
+	}
+	t.AddEffect(lentilmux.RoomDecisionEffect{Priority: request.Priority, Served: served, Returning: request.Returning})
+	if t.Rules.ranksRequests(request.Service) {
 		t.PriorityShares.record(request.Service, request.Priority, served, now)
 	}
 }
--- a/fleet/urgencysimulation_test.go
+++ b/fleet/urgencysimulation_test.go
@@ -56,13 +56,14 @@
 
 // play sends requests of each kind at its rate, evenly, and plays until all have ended.
 func (p *urgencyPlay) play() {
+	elapsed := p.now.Sub(p.start)
 	for _, kind := range p.kinds {
 		for sent := 0.0; kind.perSecond > 0 && sent < kind.perSecond*(urgencyEnd-urgencyStart).Seconds(); sent++ {
 			at := urgencyStart + time.Duration((sent+p.random.Float64())/kind.perSecond*float64(time.Second))
-			p.after(at, func() { p.ask(kind, "") })
+			p.after(at-elapsed, func() { p.ask(kind, "") })
 		}
 	}
-	p.run(urgencyEnd + urgencyTail)
+	p.run(urgencyEnd + urgencyTail - elapsed)
 	for request, kind := range p.kindOf {
 		if request.done && request.refused == "" && request.delivery > 0 {
 			kind.served++
--- a/peer/loaddigest_test.go
+++ b/peer/loaddigest_test.go
@@ -62,6 +62,8 @@
 		Drains:      []lentilmux.UpstreamDrain{{Upstream: lentilmux.HashUpstream("w1"), StartedAt: time.UnixMilli(1_790_000_000_123), Age: 70 * time.Millisecond}},
 		BackOffs:    []lentilmux.BackOffHint{{Upstream: lentilmux.HashUpstream("w3"), Remaining: 2500 * time.Millisecond}},
 		IsolatedVMs: []lentilmux.VMHash{lentilmux.HashVM("entry-1"), 1 << 31},
+		Shortages:   []lentilmux.ServiceShortage{{Service: 1 << 31, Priority: 2, Age: 250 * time.Millisecond}},
+		Refused:     []lentilmux.RefusedRequest{{Request: 1 << 31, Remaining: 2500 * time.Millisecond}},
 		Slices:      8,
 		Slice:       5,
 		Rules:       1 << 40,
--- a/shortage.go
+++ b/shortage.go
@@ -15,6 +15,14 @@
 	Age      time.Duration // since one of that priority last found none
 }
 
+// RoomDecisionEffect counts a request to a service whose upstreams hold layers that got
+// room, or was refused for want of it.
+type RoomDecisionEffect struct {
+	Priority  int
+	Served    bool
+	Returning bool // whether its caller was refused before
+}
+
 // RequestHash identifies the contents of a request in load digests, by the lower 32 bits
 // of its fingerprint.
 type RequestHash uint32
