Test that urgent overload leaves shares to less urgent requests

Cause: strict order by urgency serves the less urgent requests hardly at all when the urgent ones alone exceed the room.

Change: a play of such a load, which guards the guaranteed share.

--- a/fleet/urgencysimulation_test.go
+++ b/fleet/urgencysimulation_test.go
@@ -153,3 +153,31 @@
 	p.play()
 	return p
 }
+
+// TestUrgentOverloadLeavesShares plays fleets that get more urgent requests alone than
+// they have room for. It guards against urgent requests that are served hardly more often
+// than all (by less than 10 in 100), against less urgent kinds that are served less than a
+// quarter as often as all, as strict order would have it, and against a more urgent kind
+// that is served less often than a less urgent one, by more than 5 in 100.
+func TestUrgentOverloadLeavesShares(t *testing.T) {
+	for _, vms := range []int{6, 24} {
+		for seed := range uint64(2) {
+			p := newUrgencyPlay(t, seed, vms, 6, "llm:0,bulk:1,rest:2")
+			p.kinds[0].perSecond, p.kinds[1].perSecond, p.kinds[2].perSecond = 80, 20, 20
+			p.play()
+			all := p.total()
+			t.Logf("%d VMs, seed %d: served %.2f %.2f %.2f, all %.2f", vms, seed, p.kinds[0].share(), p.kinds[1].share(), p.kinds[2].share(), all.share())
+			if p.kinds[0].share() < all.share()+0.1 {
+				t.Errorf("%d VMs, seed %d: the most urgent requests are served hardly more often than all", vms, seed)
+			}
+			for i, kind := range p.kinds {
+				if kind.share() < 0.25*all.share() {
+					t.Errorf("%d VMs, seed %d: priority %d is served less than a quarter as often as all", vms, seed, i)
+				}
+				if i > 0 && kind.share() > p.kinds[i-1].share()+0.05 {
+					t.Errorf("%d VMs, seed %d: priority %d is served more often than priority %d", vms, seed, i, i-1)
+				}
+			}
+		}
+	}
+}
