--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -9,9 +9,9 @@
 )
 
 // AdmitRequests admits or refuses requests and selects the upstreams of each
-// attempt, including retries. It reads Rules, Streams and Upstreams and writes
-// Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, PriorityShares, Shortages,
-// CrashSuspects and CrossZoneBucket.
+// attempt, including retries. It reads Rules, Streams, Upstreams and StreamDurations and
+// writes Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, PriorityShares, Shortages,
+// RefusedRequests, CrashSuspects and CrossZoneBucket.
 type AdmitRequests struct {
 	PathSelector lentilmux.PathSelector
 	Dispatch     lentilmux.Dispatch
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -12,8 +12,8 @@
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
 // dead or announced its drain. It writes its address to the store at each
 // AnnounceInterval, and again if a restored store lacks it. A relay also sends
-// sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
-// reads and writes VMs.
+// sums of the loads of other VMs. It reads Upstreams, Streams, RetryBudgets,
+// Shortages and RefusedRequests and reads and writes VMs.
 type SendDigests struct {
 	sequence        uint64
 	rounds          int // digests sent so far
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -13,8 +13,8 @@
 // MoveRequests moves requests in flight off dead upstreams: other upstreams take
 // over the layers of the dead hop, and the remaining hops keep their KV cache.
 // Requests for which no upstream has room are tried again whenever some may have
-// become free, before new requests get it. It reads Upstreams and
-// Events.MoveResults and writes Requests, Upstreams and CrossZoneBucket.
+// become free, before new requests get it. More urgent requests are moved first. It reads
+// Upstreams, PriorityShares and Events.MoveResults and writes Requests, Upstreams and CrossZoneBucket.
 type MoveRequests struct {
 	Admit *AdmitRequests
 }
--- a/fleet/priorityshares.go
+++ b/fleet/priorityshares.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -79,3 +80,10 @@
 	}
 	return ownServed / ownDecided * allDecided / allServed
 }
+
+// forgetServices removes what was measured of services that are no longer in the
+// configuration.
+func (t *Tables) forgetServices() {
+	t.PriorityShares.Rows = slices.DeleteFunc(t.PriorityShares.Rows, func(row PriorityShareRow) bool { return t.Rules.Service(row.Service) == nil })
+	t.StreamDurations.Rows = slices.DeleteFunc(t.StreamDurations.Rows, func(row StreamDurationRow) bool { return t.Rules.Service(row.Service) == nil })
+}
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -10,7 +10,8 @@
 // ApplyStoreUpdates applies new limits and the results of reads from the store:
 // configuration, upstreams and entry VMs. It reads Events.Limits,
 // Events.StreamUpdates, Events.StreamFailures and Events.StreamsBehind and writes
-// Limits, Streams, Rules, Upstreams, Departures, PartSuspects, VMs, Zones and Self.
+// Limits, Streams, Rules, Upstreams, Departures, PartSuspects, VMs, Zones, Self,
+// PriorityShares and StreamDurations.
 type ApplyStoreUpdates struct{}
 
 // Run implements [System].
@@ -168,6 +169,7 @@
 		Reason: fmt.Sprintf("previous version %d", previous),
 	})
 	t.recordInvalidPriorities(invalidPriorities)
+	t.forgetServices()
 }
 
 // ModelAndAccelerator returns the model that an upstream runs and its
