--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -12,8 +12,8 @@
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
 // dead or announced its drain. It writes its address to the store at each
 // AnnounceInterval, and again if a restored store lacks it. A relay also sends
-// sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
-// reads and writes VMs.
+// sums of the loads of other VMs. It reads Upstreams, Streams, RetryBudgets,
+// Shortages and RefusedRequests and reads and writes VMs.
 type SendDigests struct {
 	sequence        uint64
 	rounds          int // digests sent so far
@@ -123,6 +123,7 @@
 	digest.Sequence = s.sequence
 	digest.Parts, digest.Limits, digest.Drains = t.PartSuspects.suspicions(now), t.knownLimits(now), t.knownDrains(now)
 	digest.BackOffs, digest.Shortages = t.knownBackOffs(now), t.knownShortages(now)
+	digest.Refused = t.knownRefused(digest.Scope, now)
 	t.AddEffect(lentilmux.LoadDigestEffect{Digest: digest, To: to})
 }
 
--- a/fleet/urgencysimulation_test.go
+++ b/fleet/urgencysimulation_test.go
@@ -56,13 +56,14 @@
 
 // play sends requests of each kind at its rate, evenly, and plays until all have ended.
 func (p *urgencyPlay) play() {
+	elapsed := p.now.Sub(p.start)
 	for _, kind := range p.kinds {
 		for sent := 0.0; kind.perSecond > 0 && sent < kind.perSecond*(urgencyEnd-urgencyStart).Seconds(); sent++ {
 			at := urgencyStart + time.Duration((sent+p.random.Float64())/kind.perSecond*float64(time.Second))
-			p.after(at, func() { p.ask(kind, "") })
+			p.after(at-elapsed, func() { p.ask(kind, "") })
 		}
 	}
-	p.run(urgencyEnd + urgencyTail)
+	p.run(urgencyEnd + urgencyTail - elapsed)
 	for request, kind := range p.kindOf {
 		if request.done && request.refused == "" && request.delivery > 0 {
 			kind.served++
@@ -108,8 +109,9 @@
 }
 
 // TestOverloadServesUrgentFirst plays fleets that get a third more requests than they have
-// room for. It guards against a more urgent kind that is served less often than a less
-// urgent one, by more than 5 in 100, against a kind that is served less than a quarter as
+// room for. It guards against urgent requests that are served hardly more often than all
+// (by less than 10 in 100), against a more urgent kind that is served less often than a
+// less urgent one by more than 5 in 100, against a kind that is served less than a quarter as
 // often as all, and against room that is left idle for urgent requests: at least nine
 // tenths are served of what is served where all have one priority.
 func TestOverloadServesUrgentFirst(t *testing.T) {
@@ -125,6 +127,9 @@
 			equal := overload(t, seed, c.vms, c.pairs, "llm:1,bulk:1,rest:1")
 			all := ranked.total()
 			t.Logf("%s: served %.2f %.2f %.2f, all %.2f; with one priority %.2f %.2f %.2f", label, ranked.kinds[0].share(), ranked.kinds[1].share(), ranked.kinds[2].share(), all.share(), equal.kinds[0].share(), equal.kinds[1].share(), equal.kinds[2].share())
+			if ranked.kinds[0].share() < all.share()+0.1 {
+				t.Errorf("%s: the most urgent requests are served hardly more often than all", label)
+			}
 			for i, kind := range ranked.kinds {
 				if i > 0 && kind.share() > ranked.kinds[i-1].share()+0.05 {
 					t.Errorf("%s: priority %d is served more often than priority %d", label, i, i-1)
@@ -148,3 +153,31 @@
 	p.play()
 	return p
 }
+
+// TestUrgentOverloadLeavesShares plays fleets that get more urgent requests alone than
+// they have room for. It guards against urgent requests that are served hardly more often
+// than all (by less than 10 in 100), against less urgent kinds that are served less than a
+// quarter as often as all, as strict order would have it, and against a more urgent kind
+// that is served less often than a less urgent one, by more than 5 in 100.
+func TestUrgentOverloadLeavesShares(t *testing.T) {
+	for _, vms := range []int{6, 24} {
+		for seed := range uint64(2) {
+			p := newUrgencyPlay(t, seed, vms, 6, "llm:0,bulk:1,rest:2")
+			p.kinds[0].perSecond, p.kinds[1].perSecond, p.kinds[2].perSecond = 80, 20, 20
+			p.play()
+			all := p.total()
+			t.Logf("%d VMs, seed %d: served %.2f %.2f %.2f, all %.2f", vms, seed, p.kinds[0].share(), p.kinds[1].share(), p.kinds[2].share(), all.share())
+			if p.kinds[0].share() < all.share()+0.1 {
+				t.Errorf("%d VMs, seed %d: the most urgent requests are served hardly more often than all", vms, seed)
+			}
+			for i, kind := range p.kinds {
+				if kind.share() < 0.25*all.share() {
+					t.Errorf("%d VMs, seed %d: priority %d is served less than a quarter as often as all", vms, seed, i)
+				}
+				if i > 0 && kind.share() > p.kinds[i-1].share()+0.05 {
+					t.Errorf("%d VMs, seed %d: priority %d is served more often than priority %d", vms, seed, i, i-1)
+				}
+			}
+		}
+	}
+}
