Value short paths and the loss of a group in the search

The search raised the rate of each zone and what a single lost upstream leaves. In zones of uneven cards that gives ranges of four to six layers whose ends do not meet, paths of up to 14 hops, and a rate that falls by 40% when three upstreams crash together.

Zones of 20 upstreams and more are now valued by the rate, the mean rate without groups of three, and the number of hops. New moves shift a shared boundary, swap ranges, lengthen a range, and align or copy one. Smaller zones are searched as before: the placement of 33 upstreams is unchanged.

--- a/placement/evaluation.go
+++ b/placement/evaluation.go
@@ -46,6 +46,7 @@
 	Replaceable       float64       // fraction of the hops whose layers another upstream of the zone holds as well
 	MaxUse            float64       // fraction of KV cache in use at the fullest upstream at the demand
 	Routed            float64       // fraction of the demand for which the zone has room
+	SingleRate        float64       // greatest rate after the loss of one upstream, mean of all
 	GroupHit          float64       // fraction of the zone's streams that the loss of a group hits, mean of all groups
 	WorstGroupHit     float64       // of the group with the greatest fraction
 	GroupRate         float64       // greatest rate after the loss of a group, mean of all groups
@@ -103,11 +104,16 @@
 	return e
 }
 
-// evaluateGroups sets the figures for the loss of each group of a zone.
+// evaluateGroups sets the figures for the loss of each upstream and of each group
+// of a zone.
 func (e *ZoneEvaluation) evaluateGroups(rate *pipelineRate, ranges []lentilmux.LayerRange, paths [][]int) {
 	groups, count := 0.0, len(ranges)
 	without := slices.Clone(ranges)
 	for a := range count {
+		without[a] = lentilmux.LayerRange{Last: -1}
+		left, _ := rate.estimate(without)
+		without[a] = ranges[a]
+		e.SingleRate += left / float64(count)
 		for b := a + 1; b < count; b++ {
 			for c := b + 1; c < count; c++ {
 				for _, lost := range [groupSize]int{a, b, c} {
--- a/placement/zonesearch.go
+++ b/placement/zonesearch.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -12,19 +13,17 @@
 	// are compared, the latter divided by the number of nodes.
 	maxCandidates = 12
 	candidateWork = 600
-	// trialWork bounds the changes of single ranges that are tried in a zone. It is
-	// divided by the square of the zone's nodes, since each trial estimates the
-	// zone without each of them.
-	trialWork = 700_000
-	// minTrialsPerNode is the least number of changes tried for each free node, as
-	// far as maxTrialWork allows, which is divided as trialWork is.
-	minTrialsPerNode = 12
-	maxTrialWork     = 1_500_000
-	// maxTemperature is the greatest fraction of the rate by which a change may
-	// lower it and still be kept.
-	maxTemperature = 0.02
 	// searchSeed makes the search repeatable, so that all entry VMs place alike.
 	searchSeed = 1
+	// trialWork is the number of trials of a refinement, times the zone's nodes.
+	trialWork = 250_000
+	// maxTrials bounds the trials in small zones, which find their best ranges
+	// with fewer.
+	maxTrials = 12_000
+	// maxTemperature is the greatest fall of the value with which a change may
+	// still be kept, times the zone's nodes. A change of one range matters less in a
+	// large zone.
+	maxTemperature = 0.6
 	// maxShift is how many segments an end of a range is moved in a trial.
 	maxShift = 2
 )
@@ -36,9 +35,9 @@
 }
 
 // ZoneSearch spreads layers to maximize the requests per second of every
-// availability zone, also after the loss of one of its upstreams. It computes
-// several greedy placements with [ZoneBalanced]'s rule, keeps for each zone the
-// one with the highest estimated rate, and then tries changes of single ranges.
+// availability zone, also after the loss of one or several of its upstreams, with
+// short paths. It computes several greedy placements with [ZoneBalanced]'s rule,
+// keeps for each zone the one of the greatest value, and then tries changes.
 //
 // It takes up to a second, so it should not run on the control goroutine.
 type ZoneSearch struct{}
@@ -50,8 +49,13 @@
 	ranges = slices.Clone(candidates[0])
 	for zone := range max(zones, 1) {
 		s := newZoneSearch(model, zone, nodes, random)
-		s.pickBest(candidates)
-		s.improve()
+		if s.isSmall() {
+			s.pickBestSmall(candidates)
+			s.improveSmall()
+		} else {
+			s.pickBest(candidates)
+			s.improve()
+		}
 		s.fillGap()
 		for i, member := range s.members {
 			ranges[member] = s.best[i]
@@ -76,18 +80,20 @@
 
 // zoneSearch is the search for the ranges of one zone.
 type zoneSearch struct {
-	model    *lentilmux.ModelProfile
-	random   *rand.Rand
-	members  []int // indexes of the zone's nodes
-	nodes    []lentilmux.RangeNode
-	rate     *zoneRate
-	best     []lentilmux.LayerRange
-	bestRate float64 // expected requests per second of best
+	model     *lentilmux.ModelProfile
+	random    *rand.Rand
+	members   []int // indexes of the zone's nodes
+	nodes     []lentilmux.RangeNode
+	rate      *zoneRate
+	values    *zoneValue
+	best      []lentilmux.LayerRange
+	bestValue float64 // of best; negative infinity if the zone cannot run the model
+	bestRate  float64 // expected requests per second of best in a small zone
 }
 
 // newZoneSearch returns the search for the nodes of a zone.
 func newZoneSearch(model *lentilmux.ModelProfile, zone int, nodes []lentilmux.RangeNode, random *rand.Rand) *zoneSearch {
-	s := &zoneSearch{model: model, random: random}
+	s := &zoneSearch{model: model, random: random, bestValue: math.Inf(-1)}
 	for i, n := range nodes {
 		if n.Zone == zone {
 			s.members = append(s.members, i)
@@ -95,6 +101,9 @@
 		}
 	}
 	s.rate = newZoneRate(model, s.nodes)
+	if !s.isSmall() {
+		s.values = newZoneValue(model, s.nodes, random)
+	}
 	return s
 }
 
@@ -102,51 +111,59 @@
 // the zone cannot run the model with any of them.
 func (s *zoneSearch) pickBest(candidates [][]lentilmux.LayerRange) {
 	for _, candidate := range candidates {
-		ranges := make([]lentilmux.LayerRange, len(s.members))
-		for i, member := range s.members {
-			ranges[i] = candidate[member]
-		}
-		if rate := s.rate.expected(ranges, s.bestRate); s.best == nil || rate > s.bestRate {
-			s.best, s.bestRate = ranges, rate
+		ranges := s.rangesOf(candidate)
+		if value := s.values.value(ranges, s.bestValue); s.best == nil || value > s.bestValue {
+			s.best, s.bestValue = ranges, value
 		}
 	}
 }
 
-// improve searches for better ranges by simulated annealing: each trial changes
-// the ranges of one or two nodes. A change that lowers the rate a little may be
-// kept as well, ever less so as the search goes on, since some better placements
-// are reached only through worse ones.
-func (s *zoneSearch) improve() {
-	var free []int // nodes that are not pinned
-	for i, n := range s.nodes {
-		if !n.Pinned {
-			free = append(free, i)
-		}
+// rangesOf returns the zone's ranges of a candidate.
+func (s *zoneSearch) rangesOf(candidate []lentilmux.LayerRange) (ranges []lentilmux.LayerRange) {
+	ranges = make([]lentilmux.LayerRange, len(s.members))
+	for i, member := range s.members {
+		ranges[i] = candidate[member]
 	}
-	if len(free) == 0 || s.bestRate <= 0 {
+	return ranges
+}
+
+// improve searches for better ranges by simulated annealing: each trial makes one
+// of the moves of [zoneSearch.change]. A change that lowers the value a little may
+// be kept as well, ever less so as the search goes on, since some better
+// placements are reached only through worse ones.
+func (s *zoneSearch) improve() {
+	free := s.freeNodes()
+	if len(free) == 0 || math.IsInf(s.bestValue, -1) {
 		return
 	}
-	count := len(s.nodes)
-	trials := max(trialWork*len(free)/(count*count*count), min(minTrialsPerNode*len(free), maxTrialWork/(count*count)))
-	current, currentRate := slices.Clone(s.best), s.bestRate
-	changed := slices.Clone(current)
+	current, changed := slices.Clone(s.best), slices.Clone(s.best)
+	currentValue := s.bestValue
+	trials := min(trialWork/len(s.nodes), maxTrials)
 	for trial := range trials {
 		copy(changed, current)
-		for range 1 + s.random.IntN(2) {
-			i := free[s.random.IntN(len(free))]
-			changed[i] = s.propose(s.nodes[i], changed[i])
-		}
-		temperature := maxTemperature * float64(trials-trial) / float64(trials)
-		rate := s.rate.expected(changed, currentRate*(1-temperature*s.random.Float64()))
-		if rate <= 0 {
+		s.change(changed, free)
+		temperature := maxTemperature / float64(len(s.nodes)) * float64(trials-trial) / float64(trials)
+		threshold := currentValue - temperature*s.random.Float64()
+		value := s.values.value(changed, threshold)
+		if value < threshold {
 			continue
 		}
-		current, changed, currentRate = changed, current, rate
-		if rate > s.bestRate {
+		current, changed, currentValue = changed, current, value
+		if value > s.bestValue {
 			copy(s.best, current)
-			s.bestRate = rate
+			s.bestValue = value
+		}
+	}
+}
+
+// freeNodes returns the indexes of the nodes that are not pinned.
+func (s *zoneSearch) freeNodes() (free []int) {
+	for i, n := range s.nodes {
+		if !n.Pinned {
+			free = append(free, i)
 		}
 	}
+	return free
 }
 
 // propose returns another range for a node: its own with both ends moved a
