Estimate the tokens of answers from those observed

Requests were planned with the caller's Length-Hint or the model's typical answer, which is right at the median and often far off.

Answers that were cut off are lower bounds. Nothing uses it yet.

--- /dev/null
+++ b/costestimator.go
@@ -0,0 +1,44 @@
+package lentilmux
+
+import "time"
+
+// CostQuery describes a request whose answer is to be estimated.
+type CostQuery struct {
+	Service         string
+	Route           string
+	Workspace       string     // empty for an anonymous request
+	SharedPart      PromptPart // first shared part of the prompt; 0 without one
+	HintTokens      int        // the caller's own estimate; one that is not positive or above [MaxHintTokens] counts as none
+	TypicalTokens   int        // answer of a request without a hint, by the model's profile
+	MaxTokens       int        // maximum number of completion tokens; not positive for no limit
+	DeliveredTokens int        // completion tokens that the caller has already
+}
+
+// MaxHintTokens is the largest estimate of a caller that is used. It exceeds the
+// context of any model, so that a larger one is a mistake of the caller.
+const MaxHintTokens = 1 << 20
+
+// CostEstimate is the distribution of the completion tokens that a request still
+// generates.
+type CostEstimate struct {
+	MeanTokens      float64
+	HighTokens      float64 // 95 in 100 requests need no more
+	DeviationTokens float64 // standard deviation
+	Learned         bool    // whether enough answers were observed; the other fields are zero otherwise
+}
+
+// AnswerLength is the measured length of an answer.
+type AnswerLength struct {
+	Tokens   int
+	Complete bool // whether the answer ended by itself; otherwise Tokens is a lower bound
+}
+
+// CostEstimator learns how many completion tokens requests need. It is not safe for
+// concurrent use.
+type CostEstimator interface {
+	// Estimate returns the distribution of the tokens that the request still
+	// generates after those that were delivered.
+	Estimate(query CostQuery, now time.Time) (estimate CostEstimate)
+	// Observe learns from an answer. DeliveredTokens of the query is ignored.
+	Observe(query CostQuery, answer AnswerLength, now time.Time)
+}
--- /dev/null
+++ b/workload/buckets.go
@@ -0,0 +1,56 @@
+package workload
+
+import (
+	"math"
+
+	"lentilmux.example/lentilmux"
+)
+
+const (
+	// bucketsPerOctave is the number of buckets for a factor of two. A ratio differs
+	// from the centre of its bucket by at most 9 in 100.
+	bucketsPerOctave = 4
+	// lowestOctave and highestOctave bound the ratios that are told apart: from 1/32
+	// to 128.
+	lowestOctave  = -5
+	highestOctave = 7
+	bucketCount   = (highestOctave-lowestOctave)*bucketsPerOctave + 1
+	// unitBucket is the bucket of answers as long as estimated.
+	unitBucket = -lowestOctave * bucketsPerOctave
+)
+
+// bucketRatios are the centres of the buckets.
+var bucketRatios = computeBucketRatios()
+
+func computeBucketRatios() (ratios [bucketCount]float64) {
+	for i := range ratios {
+		ratios[i] = math.Exp2(float64(i-unitBucket) / bucketsPerOctave)
+	}
+	return ratios
+}
+
+// bucketOf returns the bucket of a positive ratio.
+func bucketOf(ratio float64) (bucket int) {
+	return min(max(int(math.Round(math.Log2(ratio)*bucketsPerOctave))+unitBucket, 0), bucketCount-1)
+}
+
+// hint returns the caller's own estimate, or 0 if it gave none that can be used.
+func hint(query lentilmux.CostQuery) (tokens int) {
+	if query.HintTokens <= 0 || query.HintTokens > lentilmux.MaxHintTokens {
+		return 0
+	}
+	return query.HintTokens
+}
+
+// baseTokens returns the tokens that the ratios of a query refer to: the caller's
+// estimate or the typical answer, but not more than its maximum.
+func baseTokens(query lentilmux.CostQuery) (tokens float64) {
+	base := hint(query)
+	if base == 0 {
+		base = query.TypicalTokens
+	}
+	if query.MaxTokens > 0 {
+		base = min(base, query.MaxTokens)
+	}
+	return float64(max(base, 1))
+}
