Plan paths with the learned length of answers

The expected answer was the caller's hint or the typical answer of the model, whatever answers had shown. Upstreams that the plan had overfilled preempted streams.

What the sum of the streams at an upstream exceeds its mean by, at the 95th percentile, counts as reserved: a quantile of each request alone would leave memory unused. An answer is observed when its request ends; cut off answers are lower bounds.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -13,6 +13,7 @@
 // attempt. Ejected upstreams and the first hop of the last attempt are excluded
 // as first hop, unless that leaves no path.
 func (a *AdmitRequests) choosePath(t *Tables, request *RequestRow, model *lentilmux.ModelProfile, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
+	t.estimateCost(request, model, now)
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
@@ -33,6 +34,7 @@
 	if !ok {
 		return false
 	}
+	t.Costs.recordSpread(request.Cost.Estimate)
 	cacheTokens := dispatch.CacheTokens(pathRequest.PromptTokens, pathRequest.AnswerTokens)
 	request.Reservations = request.Reservations[:0]
 	for _, hop := range hops {
@@ -71,6 +73,7 @@
 // selectPath selects a path within one availability zone. If there is none, it
 // selects one that crosses zones, as far as the bandwidth between zones allows.
 func (a *AdmitRequests) selectPath(t *Tables, pathRequest lentilmux.PathRequest, now time.Time) (hops []lentilmux.PathHop, estimate lentilmux.PathEstimate, ok bool) {
+	t.Costs.reserveSpread(a.nodes)
 	pathRequest.SingleZone = true
 	hops, estimate, ok = a.PathSelector.Choose(pathRequest, a.nodes, a.hops[:0])
 	a.hops = hops[:0]
@@ -149,8 +152,12 @@
 }
 
 // expectedAnswerTokens returns the number of completion tokens that a request is
-// expected to generate, at least 1.
+// expected to generate, at least 1. Before enough answers were observed, it is the
+// caller's estimate or the typical answer of the model.
 func expectedAnswerTokens(request *RequestRow, model *lentilmux.ModelProfile) int {
+	if estimate := request.Cost.Estimate; estimate.Learned {
+		return max(int(estimate.MeanTokens), 1)
+	}
 	tokens := model.TypicalAnswerTokens
 	if request.ExpectedTokens > 0 {
 		tokens = request.ExpectedTokens
--- /dev/null
+++ b/fleet/costs.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"lentilmux.example/lentilmux"
+)
+
+// Costs is what this VM has learned of the cost of requests to services whose
+// upstreams hold layers.
+type Costs struct {
+	Estimator      lentilmux.CostEstimator
+	StreamVariance float64 // of the tokens that a stream holds in the KV cache of each layer; a moving average over the paths chosen, 0 while unknown
+}
+
+// RequestCost is the estimate of the answer to a request.
+type RequestCost struct {
+	Query    lentilmux.CostQuery    // the request as its caller sent it; without a service if nothing is learned of it
+	Estimate lentilmux.CostEstimate // of the tokens that were missing when a path was last selected
+	First    float64                // mean of the first estimate, in tokens; 0 if none was learned
+}
+
+const (
+	// varianceWeight is the weight of one request in Costs.StreamVariance. With 1/32 it
+	// follows a change of the load within some seconds at ten requests a second.
+	varianceWeight = 1.0 / 32
+	// answerCacheFraction is the fraction of the expected tokens that
+	// [dispatch.CacheTokens] counts as KV cache in use. Their deviation counts likewise.
+	answerCacheFraction = 0.75
+	// fitDeviations is the number of standard deviations by which the KV cache of all
+	// streams at an upstream may exceed its mean and still fit: the 95th percentile of
+	// a normal distribution, which a sum of many streams is close to.
+	fitDeviations = 1.645
+)
+
+// estimateCost estimates the tokens that an answer still needs. It is called before
+// each choice of a path.
+func (t *Tables) estimateCost(request *RequestRow, model *lentilmux.ModelProfile, now time.Time) {
+	cost := &request.Cost
+	if request.Delivered == 0 { // else the request was changed to continue after the tokens delivered
+		cost.Query = costQuery(request, model)
+	}
+	cost.Estimate = lentilmux.CostEstimate{}
+	if cost.Query.Service == "" {
+		return
+	}
+	cost.Query.DeliveredTokens = request.Delivered * max(model.TokensPerEvent, 1)
+	cost.Estimate = t.Costs.Estimator.Estimate(cost.Query, now)
+	if cost.First == 0 {
+		cost.First = cost.Estimate.MeanTokens
+	}
+}
+
+// costQuery returns what an estimate of a request's answer is based on. A stream that
+// its caller resumes is the rest of an answer: nothing is learned of it.
+func costQuery(request *RequestRow, model *lentilmux.ModelProfile) (query lentilmux.CostQuery) {
+	if request.ResumeAfter >= 0 || !request.Route.Kind.Streams() {
+		return lentilmux.CostQuery{}
+	}
+	query = lentilmux.CostQuery{
+		Service: request.Service, Route: request.Route.Name, Workspace: request.Workspace,
+		HintTokens: request.ExpectedTokens, TypicalTokens: model.TypicalAnswerTokens, MaxTokens: request.MaxTokens,
+	}
+	if len(request.SharedParts) > 0 {
+		query.SharedPart = request.SharedParts[0]
+	}
+	return query
+}
+
+// recordSpread includes a request in the variance of the streams' KV cache.
+func (c *Costs) recordSpread(estimate lentilmux.CostEstimate) {
+	if estimate.Learned {
+		deviation := answerCacheFraction * estimate.DeviationTokens
+		c.StreamVariance += varianceWeight * (deviation*deviation - c.StreamVariance)
+	}
+}
+
+// reserveSpread adds to the reserved KV cache of each node what the answers of its
+// streams may exceed their means by. A sum of many answers deviates less than each of
+// them: what fits is decided on a high quantile of the sum, since a high quantile of
+// each request would leave memory unused. An upstream without streams takes each
+// request that fits by its mean.
+func (c *Costs) reserveSpread(nodes []lentilmux.PathNode) {
+	if c.StreamVariance <= 0 {
+		return
+	}
+	for i := range nodes {
+		node := &nodes[i]
+		spread := fitDeviations * math.Sqrt(float64(node.Streams)*c.StreamVariance)
+		node.Reserved += int64(spread * float64(node.Layers.Len()))
+	}
+}
+
+// observeAnswer learns from the answer to a request that ends. Events counts those of
+// all attempts. An answer from a peer is learned by that peer.
+func (t *Tables) observeAnswer(request *RequestRow, msg lentilmux.ForwardDoneMsg, now time.Time) {
+	service := t.Rules.Service(request.Service)
+	if request.Cost.Query.Service == "" || request.Peer != "" || msg.Events <= 0 || service == nil || service.Engine == nil {
+		return
+	}
+	t.Costs.Estimator.Observe(request.Cost.Query, lentilmux.AnswerLength{
+		Tokens: msg.Events * max(service.Engine.TokensPerEvent, 1), Complete: msg.Outcome == lentilmux.OutcomeAnswered && !msg.End.Unanswered,
+	}, now)
+}
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -9,7 +9,7 @@
 
 // FinishRequests records which attempts answer and removes finished requests.
 // It reads Events.AnswersStarted and Events.Done and writes Requests, Pending,
-// Upstreams and PartSuspects.
+// Upstreams, PartSuspects and Costs.
 type FinishRequests struct{}
 
 // Run implements [System].
@@ -46,6 +46,7 @@
 				t.clearParts(request, now)
 			}
 		}
+		t.observeAnswer(request, msg, now)
 		t.endAttempt(request)
 		t.Requests.Remove(request.ID)
 		t.RecordDecision(lentilmux.Decision{
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,7 @@
 
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/dispatch"
+	"lentilmux.example/lentilmux/workload"
 )
 
 // maxTickInterval is the longest time between two ticks.
@@ -43,6 +44,7 @@
 	systems      []System
 	pathSelector lentilmux.PathSelector
 	dispatch     lentilmux.Dispatch
+	estimator    lentilmux.CostEstimator
 }
 
 // Option configures a [Schedule] in [New].
@@ -60,16 +62,24 @@
 	return func(s *Schedule) { s.dispatch = d }
 }
 
+// WithCostEstimator sets what learns the lengths of answers. The default is
+// [workload.NewEstimator].
+func WithCostEstimator(estimator lentilmux.CostEstimator) Option {
+	return func(s *Schedule) { s.estimator = estimator }
+}
+
 // New returns a schedule with empty tables.
 func New(self Self, limits Limits, options ...Option) *Schedule {
 	s := &Schedule{
 		tables:       newTables(self, limits),
 		pathSelector: dispatch.NewCheapestPath(self.Incarnation),
 		dispatch:     dispatch.NewTwoChoices(self.Incarnation),
+		estimator:    workload.NewEstimator(),
 	}
 	for _, option := range options {
 		option(s)
 	}
+	s.tables.Costs.Estimator = s.estimator
 	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch}
 	s.systems = []System{
 		&ApplyStoreUpdates{},
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -10,6 +10,7 @@
 type RequestRow struct {
 	lentilmux.InboundRequest
 	AttemptState
+	Cost          RequestCost
 	Parts         []lentilmux.PromptPart // its shared parts and, last, the one that stands for it alone
 	Older         []AttemptState         // attempts in flight beside the newest, which races with them
 	Route         *lentilmux.RouteRule
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -97,6 +97,9 @@
 	onLimit   func(vm *simulatedVM, upstream *simulatedUpstream)                                // when a VM got an answer that names a limit
 	turnsAway func(request *simulatedRequest, upstream *simulatedUpstream) lentilmux.RetryAfter // what a refusal names; nothing if the request is taken
 	pickVM    func() *simulatedVM                                                               // of the next request; nil for a random one
+	runs      func(request *simulatedRequest, attempt lentilmux.Attempt)                        // runs an attempt; nil for streams that all take the same time
+	keeps     func(digest *lentilmux.LoadDigest) bool                                           // changes a digest on its way, or loses it; nil for none
+	memory    int64                                                                             // bytes of each upstream
 }
 
 // simulatedEvent is a function that runs at a time.
@@ -124,9 +127,15 @@
 
 // newSimulation starts VMs and pairs of upstreams that together hold all layers.
 func newSimulation(t *testing.T, seed uint64, vms, pairs int) *simulation {
+	return newSimulationOf(t, seed, vms, pairs, 1<<20)
+}
+
+// newSimulationOf starts VMs and pairs of upstreams with the given bytes of memory.
+func newSimulationOf(t *testing.T, seed uint64, vms, pairs int, memory int64) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), start: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		byAddr: make(map[netip.AddrPort]*simulatedVM), byID: make(map[string]*simulatedUpstream), store: make(map[string]lentilmux.PutEffect), heldParts: make(map[string]bool),
+		memory: memory,
 	}
 	s.now = s.start
 	for i := range 2 * pairs {
@@ -164,7 +173,7 @@
 	rules := *testRuleset(map[string]string{"version": "1", "keys": "k1"})
 	for i := range rules.Services {
 		if rules.Services[i].Engine != nil {
-			rules.Services[i].Engine.Accelerators[0].MemoryBytes = 1 << 20
+			rules.Services[i].Engine.Accelerators[0].MemoryBytes = s.memory
 		}
 	}
 	s.deliver(vm, lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamRules, AsOf: s.now, Updates: []lentilmux.StreamUpdate{{Key: "config", Offset: 1, Rules: &rules}}})
@@ -256,6 +265,9 @@
 			delete(vm.waiting, x.CorrelationID)
 			s.answer(request, x.Answer)
 		case lentilmux.LoadDigestEffect:
+			if s.keeps != nil && !s.keeps(&x.Digest) {
+				continue
+			}
 			for _, addr := range x.To {
 				if peer := s.byAddr[addr]; peer != nil {
 					s.after(simulatedLatency, func() { s.deliver(peer, lentilmux.LoadDigestMsg{Digest: x.Digest}) })
@@ -367,6 +379,10 @@
 	if s.turnAway(request, attempt, upstream) {
 		return
 	}
+	if s.runs != nil {
+		s.runs(request, attempt)
+		return
+	}
 	upstream.active[request] = true
 	s.after(simulatedPrefill, func() {
 		if request.done || request.attempt.Epoch != attempt.Epoch || !upstream.active[request] {
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -39,6 +39,7 @@
 	ResumeWaits     []ResumeWaitRow
 	Drains          Drains
 	BackOffs        BackOffs
+	Costs           Costs
 	RetryBudgets    RetryBudgets
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
