Let reservations follow their streams, and exchange the work left

A reservation stood at the prompt and three quarters of the expected answer from the first event to the last. A stream that ran on far beyond its estimate was planned as if it ended at once.

Traffic publishes the number of delivered events in an atomic. Before each digest, the reservation of a stream becomes what it holds and half of what it still needs, and the time that it still runs is recorded. Digests carry the sum of these times at each upstream in a new column of UpstreamLoads; without the column it is unknown. Path nodes carry it; nothing decides by it yet.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -45,7 +45,9 @@
 			Upstream: row.ID, Load: Load{Streams: 1, PendingPromptTokens: pathRequest.PromptTokens, Reserved: cacheTokens * int64(hop.Layers.Len())},
 		})
 	}
-	request.Hops = attempt.Path
+	request.setStreamWork(model, estimate)
+	attempt.Delivered = &lentilmux.EventCount{}
+	request.Hops, request.Events = attempt.Path, attempt.Delivered
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
 	request.Promised, attempt.Promised = estimate.TimeToFirstEvent, estimate.TimeToFirstEvent
 	attempt.FirstEventTimeout = t.firstEventTimeout(request.Promised)
@@ -73,6 +75,7 @@
 // selectPath selects a path within one availability zone. If there is none, it
 // selects one that crosses zones, as far as the bandwidth between zones allows.
 func (a *AdmitRequests) selectPath(t *Tables, pathRequest lentilmux.PathRequest, now time.Time) (hops []lentilmux.PathHop, estimate lentilmux.PathEstimate, ok bool) {
+	a.addWork()
 	t.Costs.reserveSpread(a.nodes)
 	pathRequest.SingleZone = true
 	hops, estimate, ok = a.PathSelector.Choose(pathRequest, a.nodes, a.hops[:0])
--- a/fleet/costlengths_test.go
+++ b/fleet/costlengths_test.go
@@ -46,3 +46,23 @@
 		t.Errorf("%d preemptions in %d answers", p.preemptions, p.answered)
 	}
 }
+
+// TestRequestsAlikeWithoutSign guards against reservations that stand still: nothing
+// tells the long answers before they run on, and the room of the short ones is dealt
+// to them as if they ended like the others.
+func TestRequestsAlikeWithoutSign(t *testing.T) {
+	p := newCostPlay(t, 2, 3, 3)
+	next := func() (part lentilmux.PromptPart, hint, tokens int) {
+		if p.random.IntN(4) == 0 {
+			return 7, 100, 1200 + p.random.IntN(300)
+		}
+		return 7, 100, 40 + p.random.IntN(20)
+	}
+	p.play(10*time.Second, 40, next)
+	p.forget()
+	p.play(30*time.Second, 40, next)
+	goldie.New(t).Assert(t, "cost_alike_no_sign", []byte(p.summary()))
+	if p.preemptions > p.answered/10 {
+		t.Errorf("%d preemptions in %d answers", p.preemptions, p.answered)
+	}
+}
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -10,7 +10,8 @@
 
 // SendDigests sends this VM's load to its peers at each DigestInterval, or
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
-// dead or announced its drain. It writes its address to the store at each
+// dead or announced its drain. Before, it brings the reservations of streams up to
+// date. It writes its address to the store at each
 // AnnounceInterval, and again if a restored store lacks it. A relay also sends
 // sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
 // reads and writes VMs.
@@ -45,6 +46,7 @@
 	s.lastSentAt, t.NewSuspects, t.NewDrains, t.NewRules = now, false, false, false
 	s.rounds++
 	t.WakeAt(now.Add(interval))
+	t.followStreams(now)
 	own := s.ownDigest(t, now)
 	switch {
 	case !t.usesRelays():
@@ -145,6 +147,7 @@
 		if row.OwnLoad.Streams > 0 || slowdown > 0 {
 			digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
 				Upstream: row.Hash, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
+				WorkLeft: row.OwnLoad.WorkLeft, WorkKnown: row.OwnLoad.TimedStreams >= row.OwnLoad.Streams,
 			})
 		}
 		if row.Dead && !row.ReportedByPeer && t.trustsLinks() && !t.isIsolated(now) {
@@ -198,6 +201,8 @@
 		sum.Streams += load.Streams
 		sum.PendingPromptTokens += load.PendingPromptTokens
 		sum.Reserved += load.Reserved
+		sum.WorkLeft += load.WorkLeft
+		sum.WorkKnown = sum.WorkKnown && load.WorkKnown
 		sum.Slowdown = max(sum.Slowdown, load.Slowdown)
 	}
 }
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -166,7 +166,11 @@
 }
 
 func toLoad(load lentilmux.UpstreamLoad) Load {
-	return Load{Streams: load.Streams, PendingPromptTokens: load.PendingPromptTokens, Reserved: load.Reserved}
+	result := Load{Streams: load.Streams, PendingPromptTokens: load.PendingPromptTokens, Reserved: load.Reserved}
+	if load.WorkKnown {
+		result.WorkLeft, result.TimedStreams = load.WorkLeft, load.Streams
+	}
+	return result
 }
 
 // applyReport applies an upstream's report of its state. An upstream that
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -37,9 +37,11 @@
 	Reservations  []Reservation
 	Hops          []lentilmux.Hop // its path
 	Move          MoveState
-	HopsBefore    []lentilmux.Hop // hops before the move in flight, which continues if the move is refused
-	HeldBefore    []Reservation   // reservations of HopsBefore
-	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
+	HopsBefore    []lentilmux.Hop       // hops before the move in flight, which continues if the move is refused
+	HeldBefore    []Reservation         // reservations of HopsBefore
+	LostHops      []string              // upstreams of the path that cannot continue the request, although they may not be dead
+	Events        *lentilmux.EventCount // delivered to the caller, of all attempts together; nil without a path
+	EventGap      time.Duration         // expected time between two events; zero without a path
 	SentAt        time.Time
 	Promised      time.Duration  // expected time to its first event; zero without a path
 	Elsewhere     bool           // whether its first hop must be another one than LastUpstream, which has not begun the request
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -61,8 +61,10 @@
 // Load is the work in flight at one upstream.
 type Load struct {
 	Streams             int
-	PendingPromptTokens int   // prompt tokens whose prefill has not finished
-	Reserved            int64 // KV cache, in tokens times layers
+	PendingPromptTokens int           // prompt tokens whose prefill has not finished
+	Reserved            int64         // KV cache, in tokens times layers
+	WorkLeft            time.Duration // sum of the times that TimedStreams still run
+	TimedStreams        int           // streams whose time left is known
 }
 
 // add adds other, or subtracts it if sign is -1. No value goes below 0.
@@ -70,6 +72,8 @@
 	l.Streams = max(0, l.Streams+sign*other.Streams)
 	l.PendingPromptTokens = max(0, l.PendingPromptTokens+sign*other.PendingPromptTokens)
 	l.Reserved = max(0, l.Reserved+int64(sign)*other.Reserved)
+	l.WorkLeft = max(0, l.WorkLeft+time.Duration(sign)*other.WorkLeft)
+	l.TimedStreams = max(0, l.TimedStreams+sign*other.TimedStreams)
 }
 
 // Usable reports whether new requests may be sent to the upstream: it is not
--- a/forward.go
+++ b/forward.go
@@ -64,6 +64,7 @@
 	FirstEventTimeout time.Duration // time without a first event after which the attempt is stalled; 0 for no limit
 	EventGapTimeout   time.Duration // time between events after which the attempt is stalled
 	Progress          []*Progress   // of the path's upstreams
+	Delivered         *EventCount   // of the request, of all attempts together; nil if it is not followed
 	Limited           bool          // whether the upstream named a limit, so that an answer without one has to be reported
 	StartedAt         time.Time     // start of the upstream's process, as known when the attempt was sent
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -180,6 +180,7 @@
 			return errCallerDisconnected
 		}
 		r.recordEvent()
+		a.Delivered.Record(r.result.Events)
 		err = r.nextEvent(a, a.number)
 	}
 	if !errors.Is(err, io.EOF) {
--- a/path.go
+++ b/path.go
@@ -82,13 +82,15 @@
 type PathNode struct {
 	Zone                int // index of its availability zone
 	Layers              LayerRange
-	StepFactor          float64 // of its accelerator, times its slowdown
-	PrefillFactor       float64 // of its accelerator, times its slowdown
-	Streams             int     // requests of all entry VMs in flight on it
-	PendingPromptTokens int     // prompt tokens of all entry VMs that wait for prefill
-	Reserved            int64   // KV cache reserved for requests of all entry VMs, in tokens times layers
-	Capacity            int64   // KV cache, in tokens times layers
-	Full                bool    // whether it accepts no more requests as the first hop of a path
+	StepFactor          float64       // of its accelerator, times its slowdown
+	PrefillFactor       float64       // of its accelerator, times its slowdown
+	Streams             int           // requests of all entry VMs in flight on it
+	PendingPromptTokens int           // prompt tokens of all entry VMs that wait for prefill
+	Reserved            int64         // KV cache reserved for requests of all entry VMs, in tokens times layers
+	Capacity            int64         // KV cache, in tokens times layers
+	WorkLeft            time.Duration // sum of the times that its streams still run, if WorkKnown
+	WorkKnown           bool          // whether WorkLeft covers all streams
+	Full                bool          // whether it accepts no more requests as the first hop of a path
 }
 
 // PathRequest holds the requirements of a request on its path.
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -41,7 +41,7 @@
 			digest := lentilmux.LoadDigest{VM: "entry-123", VMCount: 57, Zone: "region-1-zone-2", Addr: netip.MustParseAddrPort("192.0.2.1:7080"), Incarnation: 1 << 60, Sequence: 1 << 20}
 			for i := range count {
 				digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
-					Upstream: lentilmux.HashUpstream(fmt.Sprintf("worker-%04d", i)), Streams: 60, PendingPromptTokens: 3000, Reserved: 800_000, Slowdown: 1,
+					Upstream: lentilmux.HashUpstream(fmt.Sprintf("worker-%04d", i)), Streams: 60, PendingPromptTokens: 3000, Reserved: 800_000, Slowdown: 1, WorkLeft: 2 * time.Minute, WorkKnown: true,
 				})
 			}
 			var data []byte
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -120,6 +120,9 @@
 	// reservedUnit is the unit of reserved KV cache in a digest, in tokens times
 	// layers.
 	reservedUnit = 1000
+	// workUnit is the unit of work left in a digest. With it, the work of 192 streams of
+	// five seconds takes two bytes.
+	workUnit = 100 * time.Millisecond
 	// slowdownUnit is the unit of a slowdown in a digest.
 	slowdownUnit = 0.01
 )
@@ -135,9 +138,27 @@
 		columns.ReservedThousands[i] = uint32((load.Reserved + reservedUnit - 1) / reservedUnit)
 		columns.SlowPercent[i] = uint32(math.Round(load.Slowdown / slowdownUnit))
 	}
+	columns.WorkTenths = workToProto(loads)
 	return columns
 }
 
+// workToProto returns the column of work left, or nil if it is unknown at all
+// upstreams with streams.
+func workToProto(loads []lentilmux.UpstreamLoad) (column []uint32) {
+	column = make([]uint32, len(loads))
+	anyKnown := false
+	for i, load := range loads {
+		if load.WorkKnown {
+			column[i] = 1 + uint32(min((max(load.WorkLeft, 0)+workUnit/2)/workUnit, math.MaxUint32-1))
+			anyKnown = anyKnown || load.Streams > 0
+		}
+	}
+	if !anyKnown {
+		return nil
+	}
+	return column
+}
+
 // loadsFromProto converts columns to the loads of a digest. It returns an error
 // if the columns differ in length.
 func loadsFromProto(columns *peerpb.UpstreamLoads) (loads []lentilmux.UpstreamLoad, err error) {
@@ -146,11 +167,18 @@
 	if count := len(upstreams); len(streams) != count || len(waiting) != count || len(reserved) != count || len(slow) != count {
 		return nil, errors.Errorf("load digest has columns of different lengths; expected %d values in each", count)
 	}
+	work := columns.GetWorkTenths()
+	if len(work) != 0 && len(work) != len(upstreams) {
+		return nil, errors.Errorf("load digest has %d values of work left; expected %d", len(work), len(upstreams))
+	}
 	for i, upstream := range upstreams {
 		loads = append(loads, lentilmux.UpstreamLoad{
 			Upstream: lentilmux.UpstreamHash(upstream), Streams: int(streams[i]), PendingPromptTokens: int(waiting[i]),
 			Reserved: int64(reserved[i]) * reservedUnit, Slowdown: float64(slow[i]) * slowdownUnit,
 		})
+		if len(work) > 0 && work[i] > 0 {
+			loads[i].WorkLeft, loads[i].WorkKnown = time.Duration(work[i]-1)*workUnit, true
+		}
 	}
 	return loads, nil
 }
--- a/streams.go
+++ b/streams.go
@@ -293,10 +293,12 @@
 // load digest.
 type UpstreamLoad struct {
 	Upstream            UpstreamHash
-	Streams             int     // requests in flight
-	PendingPromptTokens int     // prompt tokens that wait for prefill
-	Reserved            int64   // reserved KV cache, in tokens times layers
-	Slowdown            float64 // as reported by the upstream; 0 without a recent report
+	Streams             int           // requests in flight
+	PendingPromptTokens int           // prompt tokens that wait for prefill
+	Reserved            int64         // reserved KV cache, in tokens times layers
+	Slowdown            float64       // as reported by the upstream; 0 without a recent report
+	WorkLeft            time.Duration // sum of the times that the streams still run, if WorkKnown
+	WorkKnown           bool          // whether WorkLeft covers all streams; false if a VM does not say
 }
 
 // DigestScope is the set of VMs whose work a load digest covers.
--- a/workload/buckets.go
+++ b/workload/buckets.go
@@ -34,6 +34,24 @@
 	return min(max(int(math.Round(math.Log2(ratio)*bucketsPerOctave))+unitBucket, 0), bucketCount-1)
 }
 
+// bucketWidth is the factor from the centre of a bucket to its upper end.
+var bucketWidth = math.Exp2(0.5 / bucketsPerOctave)
+
+// restOfBucket returns the part of the answers of a bucket that is longer than a
+// ratio, and by how much on average. Answers are taken as spread evenly over their
+// bucket.
+func restOfBucket(bucket int, ratio float64) (longer, rest float64) {
+	low, high := bucketRatios[bucket]/bucketWidth, bucketRatios[bucket]*bucketWidth
+	switch {
+	case ratio <= low:
+		return 1, (low+high)/2 - ratio
+	case ratio < high:
+		return (high - ratio) / (high - low), (high - ratio) / 2
+	default:
+		return 0, 0
+	}
+}
+
 // hint returns the caller's own estimate, or 0 if it gave none that can be used.
 func hint(query lentilmux.CostQuery) (tokens int) {
 	if query.HintTokens <= 0 || query.HintTokens > lentilmux.MaxHintTokens {
--- a/workload/distribution.go
+++ b/workload/distribution.go
@@ -87,10 +87,9 @@
 	}
 	var total, sum, squares float64
 	for i, share := range d.shares {
-		if rest := base*bucketRatios[i] - delivered; rest > 0 {
-			rest = min(rest, limit)
-			total, sum, squares = total+share, sum+share*rest, squares+share*rest*rest
-		}
+		longer, rest := restOfBucket(i, delivered/base)
+		share, rest = share*longer, min(rest*base, limit)
+		total, sum, squares = total+share, sum+share*rest, squares+share*rest*rest
 	}
 	estimate.Learned = true
 	if total < minShare {
@@ -118,12 +117,13 @@
 func (d *distribution) quantile(base, delivered, total float64) (tokens float64) {
 	below := 0.0
 	for i, share := range d.shares {
-		if rest := base*bucketRatios[i] - delivered; rest > 0 {
-			below += share
-			tokens = rest
-			if below >= highQuantile*total {
-				return tokens
-			}
+		longer, rest := restOfBucket(i, delivered/base)
+		if longer > 0 {
+			below += share * longer
+			tokens = rest * base
+		}
+		if below >= highQuantile*total {
+			return tokens
 		}
 	}
 	return tokens
