Learn the speed of upstreams from their answers

An upstream that was slower than it reported, or that lost room and paused streams, was chosen as before: no figure showed it.

The mean gap between events, the time to the first event and whether a stream was paused are compared with what was expected, and the difference is attributed to the hops of the path by normalized least mean squares. Ratios are bounded, return to 1 with a half-life of 30 s, and multiply the reported slowdown; a report explains what was learned in its direction before. Digests carry them in four columns next to the slowdown, with the number of answers.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -114,7 +114,7 @@
 		c.memoryUse = append(c.memoryUse, use)
 		step := node.StepFactor * (model.StepTime.Seconds() + streamWeight*float64(node.Streams+1)*perStream)
 		prefill := node.PrefillFactor * (float64(request.PromptTokens) + pendingPrefillFraction*float64(node.PendingPromptTokens)) / model.PrefillTokensPerSecond
-		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / (memoryUseLimit - use)
+		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / (memoryUseLimit - use) * learnedFactor(node)
 		if use > maxMemoryUse || !isFinite(cost) {
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
--- a/fleet/costplay_test.go
+++ b/fleet/costplay_test.go
@@ -21,8 +21,10 @@
 type playedStream struct {
 	request   *simulatedRequest
 	attempt   lentilmux.Attempt
-	tokens    int // of the whole answer
-	events    int // so far
+	tokens    int           // of the whole answer
+	events    int           // so far
+	at        time.Time     // of the last event
+	longest   time.Duration // between two events
 	next      time.Time
 	sentAt    time.Time
 	first     time.Duration // from the send to the first event
@@ -40,6 +42,7 @@
 	load        map[string]int            // sends by upstream
 	late        int                       // first events after 500 ms
 	preemptions int
+	pauses      int // of more than 250 ms
 	counted     int // index of the first request that counts
 	answered    int
 	gaps        time.Duration // sum over all events after the first
@@ -134,6 +137,13 @@
 	stream.events++
 	gap := p.gap(stream)
 	stream.next = stream.next.Add(gap)
+	if stream.events > 1 {
+		stream.longest = max(stream.longest, p.now.Sub(stream.at))
+		if p.now.Sub(stream.at) > 250*time.Millisecond {
+			p.pauses++
+		}
+	}
+	stream.at = p.now
 	p.recordEvent(stream)
 	id := stream.request.inbound.ID
 	if stream.events == 1 {
@@ -149,7 +159,7 @@
 		stream.request.done = true
 		p.answered++
 		p.deliver(stream.request.vm, lentilmux.ForwardDoneMsg{
-			Request: id, Outcome: lentilmux.OutcomeAnswered, Status: 200, Events: stream.events, TimeToFirstByte: stream.first,
+			Request: id, Outcome: lentilmux.OutcomeAnswered, Status: 200, Events: stream.events, MaxEventGap: stream.longest, TimeToFirstByte: stream.first,
 			Promised: stream.attempt.Promised, WaitedForFirst: stream.first, Duration: p.now.Sub(stream.request.inbound.ReceivedAt),
 		})
 	}
@@ -220,7 +230,7 @@
 
 // forget starts the counts anew, after the time in which the VMs learn.
 func (p *costPlay) forget() {
-	p.counted, p.late, p.preemptions, p.answered, p.gaps, p.gapCount = len(p.requests), 0, 0, 0, 0, 0
+	p.counted, p.late, p.pauses, p.preemptions, p.answered, p.gaps, p.gapCount = len(p.requests), 0, 0, 0, 0, 0, 0
 	clear(p.load)
 }
 
@@ -240,5 +250,5 @@
 	if p.gapCount > 0 {
 		gap = p.gaps / time.Duration(p.gapCount)
 	}
-	return fmt.Sprintf("requests=%d answered=%d refused=%d preemptions=%d late=%d gap=%s\n", len(p.requests)-p.counted, p.answered, p.refused(), p.preemptions, p.late, gap.Round(100*time.Microsecond))
+	return fmt.Sprintf("requests=%d answered=%d refused=%d preemptions=%d pauses=%d late=%d gap=%s\n", len(p.requests)-p.counted, p.answered, p.refused(), p.preemptions, p.pauses, p.late, gap.Round(100*time.Microsecond))
 }
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -144,10 +144,10 @@
 		if now.Sub(row.ReportedAt) < t.Limits.MaxReportAge {
 			slowdown = row.Slowdown
 		}
-		if row.OwnLoad.Streams > 0 || slowdown > 0 {
+		if speed := row.digestSpeed(now); row.OwnLoad.Streams > 0 || slowdown > 0 || speed.Weight > 0 {
 			digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
 				Upstream: row.Hash, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
-				WorkLeft: row.OwnLoad.WorkLeft, WorkKnown: row.OwnLoad.TimedStreams >= row.OwnLoad.Streams,
+				WorkLeft: row.OwnLoad.WorkLeft, WorkKnown: row.OwnLoad.TimedStreams >= row.OwnLoad.Streams, Speed: speed,
 			})
 		}
 		if row.Dead && !row.ReportedByPeer && t.trustsLinks() && !t.isIsolated(now) {
@@ -201,6 +201,7 @@
 		sum.Streams += load.Streams
 		sum.PendingPromptTokens += load.PendingPromptTokens
 		sum.Reserved += load.Reserved
+		sum.Speed = mergeSpeeds(sum.Speed, load.Speed)
 		sum.WorkLeft += load.WorkLeft
 		sum.WorkKnown = sum.WorkKnown && load.WorkKnown
 		sum.Slowdown = max(sum.Slowdown, load.Slowdown)
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -47,6 +47,7 @@
 			}
 		}
 		t.observeAnswer(request, msg, now)
+		t.observeSpeeds(request, msg, now)
 		t.endAttempt(request)
 		t.Requests.Remove(request.ID)
 		t.RecordDecision(lentilmux.Decision{
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -119,13 +119,14 @@
 	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts, IsolatedVMs: digest.IsolatedVMs, Rules: digest.Rules}
 	for _, row := range t.Upstreams.Rows {
 		if covers(&digest, row) {
-			row.FleetLoad = Load{}
+			row.FleetLoad, row.FleetSpeed = Load{}, SpeedState{}
 		}
 	}
 	for _, load := range digest.Loads {
 		if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
 			row.FleetLoad.add(toLoad(load), 1)
 			row.takeSlowdown(load)
+			row.FleetSpeed.addPeer(load.Speed, row.Slowdown, now)
 		}
 	}
 }
@@ -141,17 +142,19 @@
 		for _, row := range t.Upstreams.Rows {
 			row.PeerLoad = row.FleetLoad
 			row.PeerLoad.add(row.OwnLoad, -1) // the sum includes this VM's own load
+			row.PeerSpeed = row.FleetSpeed
 		}
 		return
 	}
 	for _, row := range t.Upstreams.Rows {
-		row.PeerLoad, row.ReachedByPeer = Load{}, false
+		row.PeerLoad, row.PeerSpeed, row.ReachedByPeer = Load{}, SpeedState{}, false
 	}
 	for _, vm := range t.digestSources(now) {
 		for _, load := range vm.Loads {
 			if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
 				row.PeerLoad.add(toLoad(load), 1)
 				row.takeSlowdown(load)
+				row.PeerSpeed.addPeer(load.Speed, row.Slowdown, now)
 				row.ReachedByPeer = row.ReachedByPeer || !vm.Isolated && !slices.Contains(vm.Suspects, row.ID)
 			}
 		}
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -68,6 +68,7 @@
 type Reservation struct {
 	Upstream string
 	Load     Load
+	Cost     HopCost // as expected when the path was selected; zero after a move
 }
 
 // Requests is the table of requests in flight.
--- a/path.go
+++ b/path.go
@@ -89,6 +89,7 @@
 	Reserved            int64         // KV cache reserved for requests of all entry VMs, in tokens times layers
 	Capacity            int64         // KV cache, in tokens times layers
 	WorkLeft            time.Duration // sum of the times that its streams still run, if WorkKnown
+	PauseShare          float64       // part of its streams that it is expected to pause
 	WorkKnown           bool          // whether WorkLeft covers all streams
 	Full                bool          // whether it accepts no more requests as the first hop of a path
 }
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -41,7 +41,7 @@
 			digest := lentilmux.LoadDigest{VM: "entry-123", VMCount: 57, Zone: "region-1-zone-2", Addr: netip.MustParseAddrPort("192.0.2.1:7080"), Incarnation: 1 << 60, Sequence: 1 << 20}
 			for i := range count {
 				digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
-					Upstream: lentilmux.HashUpstream(fmt.Sprintf("worker-%04d", i)), Streams: 60, PendingPromptTokens: 3000, Reserved: 800_000, Slowdown: 1, WorkLeft: 2 * time.Minute, WorkKnown: true,
+					Upstream: lentilmux.HashUpstream(fmt.Sprintf("worker-%04d", i)), Streams: 60, PendingPromptTokens: 3000, Reserved: 800_000, Slowdown: 1, WorkLeft: 2 * time.Minute, WorkKnown: true, Speed: lentilmux.UpstreamSpeed{Step: 1.5, Prefill: 1.25, Pauses: 0.01, Weight: 300},
 				})
 			}
 			var data []byte
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -139,6 +139,7 @@
 		columns.SlowPercent[i] = uint32(math.Round(load.Slowdown / slowdownUnit))
 	}
 	columns.WorkTenths = workToProto(loads)
+	speedsToProto(columns, loads)
 	return columns
 }
 
@@ -171,6 +172,10 @@
 	if len(work) != 0 && len(work) != len(upstreams) {
 		return nil, errors.Errorf("load digest has %d values of work left; expected %d", len(work), len(upstreams))
 	}
+	speeds, err := speedsFromProto(columns)
+	if err != nil {
+		return nil, err
+	}
 	for i, upstream := range upstreams {
 		loads = append(loads, lentilmux.UpstreamLoad{
 			Upstream: lentilmux.UpstreamHash(upstream), Streams: int(streams[i]), PendingPromptTokens: int(waiting[i]),
@@ -180,6 +185,9 @@
 			loads[i].WorkLeft, loads[i].WorkKnown = time.Duration(work[i]-1)*workUnit, true
 		}
 	}
+	for i := range speeds {
+		loads[i].Speed = speeds[i]
+	}
 	return loads, nil
 }
 
--- a/peer/workleft_test.go
+++ b/peer/workleft_test.go
@@ -26,3 +26,21 @@
 		t.Error("a column of another length gave no error")
 	}
 }
+
+// TestSpeedsOfOtherBuilds guards against speeds that a build does not send being read
+// as an upstream that takes no time, and columns of another length by index.
+func TestSpeedsOfOtherBuilds(t *testing.T) {
+	columns := &peerpb.UpstreamLoads{Upstream: []uint32{1, 2}, Streams: []uint32{3, 4}, Waiting: []uint32{0, 0}, ReservedThousands: []uint32{5, 6}, SlowPercent: []uint32{100, 100}}
+	loads, err := loadsFromProto(columns)
+	if err != nil || loads[0].Speed.Weight != 0 || loads[1].Speed.Weight != 0 {
+		t.Errorf("without the columns: %+v, %v", loads, err)
+	}
+	columns.StepPercent, columns.PrefillPercent, columns.PausePercent, columns.SpeedAnswers = []uint32{0, 1 << 31}, []uint32{90, 50}, []uint32{1 << 31, 1 << 31}, []uint32{9, 1 << 31}
+	if loads, err = loadsFromProto(columns); err != nil || loads[0].Speed.Weight != 0 || loads[1].Speed.Step != maxRatio || loads[1].Speed.Pauses != 1 || loads[1].Speed.Weight != maxSpeedAnswers {
+		t.Errorf("one without a ratio and one out of bounds: %+v, %v", loads, err)
+	}
+	columns.StepPercent = nil
+	if _, err = loadsFromProto(columns); err == nil {
+		t.Error("a missing column beside others gave no error")
+	}
+}
--- a/streams.go
+++ b/streams.go
@@ -299,6 +299,16 @@
 	Slowdown            float64       // as reported by the upstream; 0 without a recent report
 	WorkLeft            time.Duration // sum of the times that the streams still run, if WorkKnown
 	WorkKnown           bool          // whether WorkLeft covers all streams; false if a VM does not say
+	Speed               UpstreamSpeed // as measured by the VMs
+}
+
+// UpstreamSpeed holds the ratios of the measured to the expected times of an upstream,
+// where the expected ones follow from its accelerator and its reported slowdown.
+type UpstreamSpeed struct {
+	Step    float64 // of the gaps between events
+	Prefill float64
+	Pauses  float64 // part of its streams that it paused, as when it preempts them
+	Weight  float64 // number of answers that were measured, decayed; 0 if the ratios are not known
 }
 
 // DigestScope is the set of VMs whose work a load digest covers.
