Refresh learned speeds once before each digest

The ratios of all upstreams were computed for each choice of a path, which with 2,400 upstreams costs more than the choice. They are now kept in the row and brought up to date before each digest and with each report.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -46,7 +46,7 @@
 		})
 	}
 	request.setStreamWork(model, estimate)
-	a.setHopCosts(request, hops, estimate, now)
+	a.setHopCosts(request, hops, estimate)
 	attempt.Delivered = &lentilmux.EventCount{}
 	request.Hops, request.Events = attempt.Path, attempt.Delivered
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
@@ -77,7 +77,7 @@
 // selects one that crosses zones, as far as the bandwidth between zones allows.
 func (a *AdmitRequests) selectPath(t *Tables, pathRequest lentilmux.PathRequest, now time.Time) (hops []lentilmux.PathHop, estimate lentilmux.PathEstimate, ok bool) {
 	a.addWork()
-	a.addSpeeds(now)
+	a.addSpeeds()
 	t.Costs.reserveSpread(a.nodes)
 	pathRequest.SingleZone = true
 	hops, estimate, ok = a.PathSelector.Choose(pathRequest, a.nodes, a.hops[:0])
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -47,6 +47,7 @@
 	s.rounds++
 	t.WakeAt(now.Add(interval))
 	t.followStreams(now)
+	t.refreshSpeeds(now)
 	own := s.ownDigest(t, now)
 	switch {
 	case !t.usesRelays():
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -204,6 +204,7 @@
 		row.OrderRefusedAt = time.Time{} // the order count that it expects is known now, so the next order need not wait
 	}
 	row.Slowdown, row.ReportedAt, row.AcceptedOrders, row.StateUnknown = max(report.Slowdown, 1), now, report.AcceptedOrders, false
+	row.Speed = row.speed(now)
 	a.applyReportedLayers(t, row, report, now)
 	// An order without effect after OrderTimeout: drop the target, so that an
 	// upstream without layers is placed again.
--- a/fleet/speeds.go
+++ b/fleet/speeds.go
@@ -108,14 +108,24 @@
 	return min(share, 1)
 }
 
+// refreshSpeeds brings the ratios in use up to date. A path is chosen more often than
+// they change.
+func (t *Tables) refreshSpeeds(now time.Time) {
+	for _, row := range t.Upstreams.Rows {
+		if row.OwnSpeed.Weight > 0 || row.PeerSpeed.Weight > 0 {
+			row.Speed = row.speed(now)
+		}
+	}
+}
+
 // speed returns the ratios that are expected of an upstream, by what this VM and its
-// peers measured. Ratios are 1 until enough answers were measured, and return to 1 as
-// these age.
+// peers measured, without weight until enough answers were measured. They return to 1
+// as these age.
 func (u *UpstreamRow) speed(now time.Time) (speed lentilmux.UpstreamSpeed) {
 	own, peers := u.OwnSpeed.weightAt(now), u.PeerSpeed.weightAt(now)
 	weight := own + peers
 	if weight < minSpeedWeight {
-		return lentilmux.UpstreamSpeed{Step: 1, Prefill: 1}
+		return lentilmux.UpstreamSpeed{}
 	}
 	mean := func(ownRatio, peerRatio float64) float64 {
 		sum := own*u.OwnSpeed.rebase(ownRatio, u.Slowdown) + peers*u.PeerSpeed.rebase(peerRatio, u.Slowdown) + unitSpeedWeight
@@ -127,18 +137,19 @@
 
 // addSpeeds multiplies the factors of each node by the learned ratios of its upstream,
 // and sets the share of its streams that it pauses.
-func (a *AdmitRequests) addSpeeds(now time.Time) {
+func (a *AdmitRequests) addSpeeds() {
 	for i, row := range a.rows {
-		speed, node := row.speed(now), &a.nodes[i]
-		node.StepFactor *= speed.Step
-		node.PrefillFactor *= speed.Prefill
-		node.PauseShare = speed.Pauses
+		if node := &a.nodes[i]; row.Speed.Weight > 0 {
+			node.StepFactor *= row.Speed.Step
+			node.PrefillFactor *= row.Speed.Prefill
+			node.PauseShare = row.Speed.Pauses
+		}
 	}
 }
 
 // setHopCosts records in its reservations what a request was expected to take at each
 // hop of its path, without the learned ratios.
-func (a *AdmitRequests) setHopCosts(request *RequestRow, hops []lentilmux.PathHop, estimate lentilmux.PathEstimate, now time.Time) {
+func (a *AdmitRequests) setHopCosts(request *RequestRow, hops []lentilmux.PathHop, estimate lentilmux.PathEstimate) {
 	var gaps, prefills float64
 	for _, hop := range hops {
 		node := &a.nodes[hop.Node]
@@ -150,7 +161,10 @@
 	}
 	prefill := (estimate.TimeToFirstEvent - estimate.EventGap).Seconds()
 	for i, hop := range hops {
-		node, speed := &a.nodes[hop.Node], a.rows[hop.Node].speed(now)
+		node, speed := &a.nodes[hop.Node], a.rows[hop.Node].Speed
+		if !(speed.Weight > 0) {
+			speed.Step, speed.Prefill = 1, 1
+		}
 		layers := float64(hop.Layers.Len())
 		request.Reservations[i].Cost = HopCost{
 			Gap:     estimate.EventGap.Seconds() * node.StepFactor * layers / gaps / speed.Step,
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -44,12 +44,13 @@
 	PausedProcess   time.Time // start of the process that PausedUntil concerns
 	DrainingProcess time.Time // start of the process that announced its drain in an answer; zero for none
 
-	Slowdown   float64    // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
-	OwnSpeed   SpeedState // as measured by this VM
-	PeerSpeed  SpeedState // as measured by peers, by their last digests
-	FleetSpeed SpeedState // as measured by all VMs, by the relay's last sum that covers the upstream
-	ReportedAt time.Time  // when its last report arrived
-	ProbedAt   time.Time  // when it was last probed
+	Slowdown   float64                 // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
+	Speed      lentilmux.UpstreamSpeed // learned ratios in use, brought up to date before each digest; without weight if none are used
+	OwnSpeed   SpeedState              // as measured by this VM
+	PeerSpeed  SpeedState              // as measured by peers, by their last digests
+	FleetSpeed SpeedState              // as measured by all VMs, by the relay's last sum that covers the upstream
+	ReportedAt time.Time               // when its last report arrived
+	ProbedAt   time.Time               // when it was last probed
 
 	ConnectTestedAt time.Time // when a connection was last opened to find out whether it crashed
 
