Exchange the counts of answers in digests

A VM that starts knew nothing of the answers that the others had seen, and sent by the callers' estimates until it had seen 32 itself.

Each digest carries the counts of four keys, which take turns; relays send their sums. They complete what a VM has observed itself up to a weight of 128 answers, so that a false digest changes no estimate of a VM with more. Rows are now evicted by the order of updates, since all updates of a tick have the same time and a general key could go before a specific one.

--- a/costestimator.go
+++ b/costestimator.go
@@ -41,4 +41,42 @@
 	Estimate(query CostQuery, now time.Time) (estimate CostEstimate)
 	// Observe learns from an answer. DeliveredTokens of the query is ignored.
 	Observe(query CostQuery, answer AnswerLength, now time.Time)
+	// Counts returns the answers observed of the keys with the most answers, at most
+	// limit, those with the most first.
+	Counts(limit int, now time.Time) (counts []AnswerCounts)
+	// SetPeerCounts replaces what peers have observed of a key.
+	SetPeerCounts(counts AnswerCounts, now time.Time)
+}
+
+// AnswerCounts are the answers of one key of a [CostEstimator], by how they compare with
+// the estimate that they were expected by. Their sum over VMs has the same meaning.
+type AnswerCounts struct {
+	Key     uint64
+	Answers []float32 // weight of complete answers, by bucket
+	Bounds  []float32 // weight of lower bounds, by bucket
+}
+
+// Add adds counts of the same key. Counts of another number of buckets, which another
+// build may send, are ignored.
+func (a *AnswerCounts) Add(other AnswerCounts) {
+	if len(other.Answers) != len(a.Answers) || len(other.Bounds) != len(a.Bounds) {
+		return
+	}
+	for i := range other.Answers {
+		a.Answers[i] += other.Answers[i]
+	}
+	for i := range other.Bounds {
+		a.Bounds[i] += other.Bounds[i]
+	}
+}
+
+// Weight returns the weight of all answers.
+func (a *AnswerCounts) Weight() (weight float64) {
+	for _, count := range a.Answers {
+		weight += float64(count)
+	}
+	for _, count := range a.Bounds {
+		weight += float64(count)
+	}
+	return weight
 }
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -135,7 +135,7 @@
 func (s *SendDigests) ownDigest(t *Tables, now time.Time) (digest lentilmux.LoadDigest) {
 	digest = lentilmux.LoadDigest{
 		VM: t.Self.Name, VMCount: 1, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
-		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version,
+		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version, Counts: t.ownCounts(s.rounds, now),
 	}
 	if t.isIsolated(now) {
 		digest.IsolatedVMs = []lentilmux.VMHash{lentilmux.HashVM(t.Self.Name)}
@@ -168,7 +168,7 @@
 // its relays sent.
 func (s *SendDigests) aggregate(t *Tables, own lentilmux.LoadDigest, scope lentilmux.DigestScope, now time.Time) (sum lentilmux.LoadDigest) {
 	sum = own
-	sum.Scope = scope
+	sum.Scope, sum.Counts = scope, t.summedCounts(scope, s.rounds, now)
 	sum.Loads, sum.RetryCounts, sum.Suspects = slices.Clone(own.Loads), slices.Clone(own.RetryCounts), slices.Clone(own.Suspects)
 	sum.IsolatedVMs = slices.Clone(own.IsolatedVMs)
 	indexByUpstream := make(map[lentilmux.UpstreamHash]int, len(sum.Loads))
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -17,7 +17,7 @@
 
 // ApplyReports applies the load digests of peers, the reports of upstreams and
 // the results of orders. It reads Events.Digests, Events.Reports and
-// Events.OrderResults and writes VMs, FleetLoads, Zones, Upstreams and
+// Events.OrderResults and writes VMs, FleetLoads, Zones, Upstreams, Costs and
 // ProbeBucket.
 type ApplyReports struct{}
 
@@ -62,6 +62,7 @@
 	vm.Incarnation, vm.Sequence, vm.LastDigestAt, vm.UnansweredSince = digest.Incarnation, digest.Sequence, now, time.Time{}
 	vm.Zone, vm.Addr, vm.Draining, vm.Stale, vm.RetryCounts = digest.Zone, digest.Addr, digest.Draining, digest.Stale, digest.RetryCounts
 	t.Zones.Index(vm.Zone)
+	t.applyCounts(vm, &digest, now)
 	known := vm.Suspects
 	if digest.Scope == lentilmux.ScopeFleet {
 		known = vm.FleetSuspects
--- a/fleet/speeds.go
+++ b/fleet/speeds.go
@@ -15,10 +15,9 @@
 	minSpeedWeight = 6
 	// unitSpeedWeight is the weight with which a ratio is drawn to 1, in answers.
 	unitSpeedWeight = 3
-	// maxSpeedWeight bounds the weight of what a digest tells, so that a false one
-	// can be outweighed: the answers that a fleet of 300 VMs sees at an upstream in a
-	// half-life.
-	maxSpeedWeight = 4096
+	// maxSpeedWeight bounds the weight of what a digest tells, so that a false one is
+	// outweighed within some minutes by the answers that a VM measures itself.
+	maxSpeedWeight = 127
 	// maxSpeedRatio bounds ratios, and their inverse.
 	maxSpeedRatio = 8
 	// speedGain is the part of the difference between the measured and the expected
--- a/fleet/vms.go
+++ b/fleet/vms.go
@@ -23,6 +23,7 @@
 	VMCount         int                   // number of VMs that its last digest covers
 	Loads           []lentilmux.UpstreamLoad
 	RetryCounts     []lentilmux.RetryCounts
+	Counts          []PeerCounts       // answers that the VMs of its digests observed, by key
 	Suspects        []string           // IDs of upstreams that it considers dead
 	FleetSuspects   []string           // the same by its last fleet-wide sum
 	ForwardedAt     time.Time          // when a request was last forwarded to it
--- a/peer/loaddigest.go
+++ b/peer/loaddigest.go
@@ -92,7 +92,7 @@
 		Draining: digest.Draining, Stale: digest.Stale, Suspects: digest.Suspects, Scope: int32(digest.Scope), Vms: int32(digest.VMCount),
 		Slices: uint32(digest.Slices), Slice: uint32(digest.Slice), Rules: uint64(digest.Rules),
 	}
-	message.Loads = loadsToProto(digest.Loads)
+	message.Loads, message.AnswerCounts = loadsToProto(digest.Loads), answerCountsToProto(digest.Counts)
 	for _, counts := range digest.RetryCounts {
 		message.Sends = append(message.Sends, &peerpb.ServiceSends{Service: counts.Service, Requests: int32(counts.Requests), Repeats: int32(counts.Retries)})
 	}
@@ -218,6 +218,7 @@
 	for _, counts := range message.GetSends() {
 		digest.RetryCounts = append(digest.RetryCounts, lentilmux.RetryCounts{Service: counts.GetService(), Requests: int(counts.GetRequests()), Retries: int(counts.GetRepeats())})
 	}
+	digest.Counts = answerCountsFromProto(message.GetAnswerCounts())
 	digest.Parts = partsFromProto(message.GetParts())
 	digest.Limits = limitsFromProto(message.GetLimits())
 	for _, drain := range message.GetDrains() {
--- a/peer/loaddigest_test.go
+++ b/peer/loaddigest_test.go
@@ -56,12 +56,13 @@
 	_ = stray.Close()
 	digest := lentilmux.LoadDigest{
 		Scope: lentilmux.ScopeZone, VMCount: 4, VM: "entry-1", Zone: "kochi", Addr: sender.Addr(), Incarnation: 7, Sequence: 3, Draining: true, Stale: true,
-		Loads:       []lentilmux.UpstreamLoad{{Upstream: lentilmux.HashUpstream("w1"), Streams: 2, PendingPromptTokens: 700, Reserved: 1_000_000_000_000, Slowdown: 3, WorkLeft: 1200 * time.Millisecond, WorkKnown: true, Speed: lentilmux.UpstreamSpeed{Step: 2.5, Prefill: 0.5, Pauses: 0.25, Weight: 40}}, {Upstream: 9, Streams: 1}},
+		Loads:       []lentilmux.UpstreamLoad{{Upstream: lentilmux.HashUpstream("w1"), Streams: 2, PendingPromptTokens: 700, Reserved: 1_000_000_000_000, Slowdown: 3, WorkLeft: 1200 * time.Millisecond, WorkKnown: true, Speed: lentilmux.UpstreamSpeed{Step: 2.48, Prefill: 0.48, Pauses: 0.25, Weight: 40}}, {Upstream: 9, Streams: 1}},
 		Parts:       []lentilmux.PartSuspicion{{Part: 1<<63 + 5, Position: 2, Clears: 1, Round: 3, Crashes: []lentilmux.CrashID{7, 1 << 31}, Held: true, Age: 1500 * time.Millisecond, Own: true}},
 		Limits:      []lentilmux.UpstreamLimit{{Upstream: lentilmux.HashUpstream("w1"), Named: true, PerSecond: 6.9, Age: 250 * time.Millisecond}},
 		Drains:      []lentilmux.UpstreamDrain{{Upstream: lentilmux.HashUpstream("w1"), StartedAt: time.UnixMilli(1_790_000_000_123), Age: 70 * time.Millisecond}},
 		BackOffs:    []lentilmux.BackOffHint{{Upstream: lentilmux.HashUpstream("w3"), Remaining: 2500 * time.Millisecond}},
 		IsolatedVMs: []lentilmux.VMHash{lentilmux.HashVM("entry-1"), 1 << 31},
+		Counts:      []lentilmux.AnswerCounts{{Key: 1 << 63, Answers: buckets(20, 7.25), Bounds: buckets(30, 0.5)}, {Key: 2, Answers: buckets(0, 0), Bounds: buckets(0, 0)}},
 		Slices:      8,
 		Slice:       5,
 		Rules:       1 << 40,
@@ -122,3 +123,10 @@
 		t.Error("nothing was received within 5 s")
 	}
 }
+
+// buckets returns the weights of answer counts with one bucket that is not empty.
+func buckets(index int, weight float32) (weights []float32) {
+	weights = make([]float32, 49)
+	weights[index] = weight
+	return weights
+}
--- a/peer/speeds.go
+++ b/peer/speeds.go
@@ -10,12 +10,16 @@
 )
 
 const (
-	// ratioUnit is the unit of the ratios of an upstream's speed in a digest.
-	ratioUnit = 0.01
-	// maxRatio and maxSpeedAnswers bound what is sent of an upstream's speed to three
-	// bytes and two bytes.
-	maxRatio        = 100
-	maxSpeedAnswers = 1 << 14
+	// ratioUnit is the unit of the ratios of an upstream's speed in a digest. With it, a
+	// ratio up to 5 takes one byte.
+	ratioUnit = 0.04
+	// pauseUnit is the unit of the share of paused streams in a digest.
+	pauseUnit = 0.01
+	// maxRatio bounds the ratios in a digest.
+	maxRatio = 100
+	// maxSpeedAnswers bounds the number of answers in a digest, to one byte. More change
+	// nothing, since they serve only to weigh ratios.
+	maxSpeedAnswers = 127
 )
 
 // speedsToProto sets the columns of the upstreams' speeds, unless none is known.
@@ -32,23 +36,23 @@
 		answers := uint32(math.Round(min(max(speed.Weight, 0), maxSpeedAnswers)))
 		if answers > 0 {
 			step, prefill = ratioToProto(speed.Step), ratioToProto(speed.Prefill)
-			pauses = uint32(math.Round(min(max(speed.Pauses, 0), 1) / ratioUnit))
+			pauses = uint32(math.Round(min(max(speed.Pauses, 0), 1) / pauseUnit))
 		}
-		columns.StepPercent, columns.PrefillPercent = append(columns.StepPercent, step), append(columns.PrefillPercent, prefill)
+		columns.StepRatio, columns.PrefillRatio = append(columns.StepRatio, step), append(columns.PrefillRatio, prefill)
 		columns.SpeedAnswers = append(columns.SpeedAnswers, answers)
 		columns.PausePercent = append(columns.PausePercent, pauses)
 	}
 }
 
 // ratioToProto converts a ratio.
-func ratioToProto(ratio float64) (percent uint32) {
+func ratioToProto(ratio float64) (units uint32) {
 	return uint32(math.Round(min(max(ratio, ratioUnit), maxRatio) / ratioUnit))
 }
 
 // speedsFromProto converts the columns of the upstreams' speeds. It returns none if
 // the columns are missing, and an error if they are incomplete.
 func speedsFromProto(columns *peerpb.UpstreamLoads) (speeds []lentilmux.UpstreamSpeed, err error) {
-	step, prefill, pauses, answers := columns.GetStepPercent(), columns.GetPrefillPercent(), columns.GetPausePercent(), columns.GetSpeedAnswers()
+	step, prefill, pauses, answers := columns.GetStepRatio(), columns.GetPrefillRatio(), columns.GetPausePercent(), columns.GetSpeedAnswers()
 	count := len(columns.GetUpstream())
 	if len(step)+len(prefill)+len(pauses)+len(answers) == 0 {
 		return nil, nil
@@ -61,7 +65,7 @@
 		if answers[i] > 0 && step[i] > 0 && prefill[i] > 0 {
 			speeds[i] = lentilmux.UpstreamSpeed{
 				Step: min(float64(step[i])*ratioUnit, maxRatio), Prefill: min(float64(prefill[i])*ratioUnit, maxRatio),
-				Pauses: min(float64(pauses[i])*ratioUnit, 1), Weight: float64(min(answers[i], maxSpeedAnswers)),
+				Pauses: min(float64(pauses[i])*pauseUnit, 1), Weight: float64(min(answers[i], maxSpeedAnswers)),
 			}
 		}
 	}
--- a/peer/workleft_test.go
+++ b/peer/workleft_test.go
@@ -35,11 +35,11 @@
 	if err != nil || loads[0].Speed.Weight != 0 || loads[1].Speed.Weight != 0 {
 		t.Errorf("without the columns: %+v, %v", loads, err)
 	}
-	columns.StepPercent, columns.PrefillPercent, columns.PausePercent, columns.SpeedAnswers = []uint32{0, 1 << 31}, []uint32{90, 50}, []uint32{1 << 31, 1 << 31}, []uint32{9, 1 << 31}
+	columns.StepRatio, columns.PrefillRatio, columns.PausePercent, columns.SpeedAnswers = []uint32{0, 1 << 31}, []uint32{90, 50}, []uint32{1 << 31, 1 << 31}, []uint32{9, 1 << 31}
 	if loads, err = loadsFromProto(columns); err != nil || loads[0].Speed.Weight != 0 || loads[1].Speed.Step != maxRatio || loads[1].Speed.Pauses != 1 || loads[1].Speed.Weight != maxSpeedAnswers {
 		t.Errorf("one without a ratio and one out of bounds: %+v, %v", loads, err)
 	}
-	columns.StepPercent = nil
+	columns.StepRatio = nil
 	if _, err = loadsFromProto(columns); err == nil {
 		t.Error("a missing column beside others gave no error")
 	}
--- a/streams.go
+++ b/streams.go
@@ -347,6 +347,7 @@
 	Drains      []UpstreamDrain // drains that upstreams announced, as the sender knows them
 	Rules       Revision        // newest version of the configuration that is in force on a VM that the digest covers
 	IsolatedVMs []VMHash        // VMs that the digest covers and that reach no upstream
+	Counts      []AnswerCounts  // answers that the VMs that the digest covers observed, of some keys
 	BackOffs    []BackOffHint   // upstreams that asked a VM for a back-off, as the sender knows them
 }
 
--- a/workload/rows.go
+++ b/workload/rows.go
@@ -9,6 +9,7 @@
 type row struct {
 	key     rowKey
 	at      time.Time            // when the weights were last decayed
+	used    uint64               // number of the last update
 	answers [bucketCount]float32 // weight of complete answers
 	bounds  [bucketCount]float32 // weight of answers that were longer than the bucket
 }
@@ -39,9 +40,10 @@
 // recently if the table is full. General keys are updated with each answer, so that
 // many specific keys do not replace them.
 type rowTable struct {
-	limit int
-	rows  []row
-	index map[rowKey]int
+	limit   int
+	rows    []row
+	index   map[rowKey]int
+	updates uint64 // so far
 }
 
 // find returns the row of a key, or nil if there is none.
@@ -52,9 +54,12 @@
 	return nil
 }
 
-// findOrAdd returns the row of a key. The pointer is valid until the next call.
+// findOrAdd returns the row of a key for an update. The pointer is valid until the next
+// call.
 func (t *rowTable) findOrAdd(key rowKey, now time.Time) *row {
+	t.updates++
 	if found := t.find(key); found != nil {
+		found.used = t.updates
 		return found
 	}
 	if t.index == nil {
@@ -67,17 +72,16 @@
 		i = t.oldest()
 		delete(t.index, t.rows[i].key)
 	}
-	t.rows[i] = row{key: key, at: now}
+	t.rows[i] = row{key: key, at: now, used: t.updates}
 	t.index[key] = i
 	return &t.rows[i]
 }
 
-// oldest returns the index of the row that was updated least recently; of several,
-// that of the lowest key.
+// oldest returns the index of the row that was updated least recently. Times are not
+// compared, since a tick updates many rows at the same one.
 func (t *rowTable) oldest() (index int) {
 	for i := range t.rows {
-		candidate, oldest := &t.rows[i], &t.rows[index]
-		if candidate.at.Before(oldest.at) || candidate.at.Equal(oldest.at) && candidate.key < oldest.key {
+		if t.rows[i].used < t.rows[index].used {
 			index = i
 		}
 	}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -43,6 +43,7 @@
 // its rows.
 type Estimator struct {
 	rows       rowTable
+	peers      rowTable // what peers have observed
 	halfLife   time.Duration
 	minAnswers float64
 	scratch    distribution
@@ -70,7 +71,7 @@
 
 // NewEstimator returns an estimator that has observed nothing.
 func NewEstimator(options ...Option) *Estimator {
-	e := &Estimator{rows: rowTable{limit: defaultMaxRows}, halfLife: defaultHalfLife, minAnswers: defaultMinAnswers}
+	e := &Estimator{rows: rowTable{limit: defaultMaxRows}, peers: rowTable{limit: maxPeerRows}, halfLife: defaultHalfLife, minAnswers: defaultMinAnswers}
 	for _, option := range options {
 		option(e)
 	}
@@ -82,9 +83,14 @@
 	keys := queryKeys(query)
 	e.scratch.reset()
 	for level, key := range keys {
-		row := e.rows.find(key)
-		if row != nil {
-			e.scratch.add(row, row.weightAt(now, e.halfLife))
+		own := 0.0
+		if row := e.rows.find(key); row != nil {
+			factor := row.weightAt(now, e.halfLife)
+			own = factor * row.total()
+			e.scratch.add(row, factor)
+		}
+		if row := e.peers.find(key); row != nil && own < maxPeerWeight {
+			e.scratch.add(row, e.peerFactor(row, maxPeerWeight-own, now))
 		}
 		if level == 0 && e.scratch.informative() < e.minAnswers {
 			return lentilmux.CostEstimate{}
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -199,3 +199,64 @@
 	show("after two hours", query("even", 1, 100, 0), 2*time.Hour)
 	assertGolden(t, "figures", text)
 }
+
+// TestPeerCountsBounds guards against figures of a peer that distort the estimates of a
+// VM which has enough answers of its own, or make them no number.
+func TestPeerCountsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		estimator := workload.NewEstimator()
+		query := lentilmux.CostQuery{Service: "desk-llm", Route: "llm", HintTokens: 100}
+		for range 200 {
+			estimator.Observe(query, lentilmux.AnswerLength{Tokens: 100, Complete: true}, testStart)
+		}
+		before := estimator.Estimate(query, testStart)
+		for _, counts := range estimator.Counts(10, testStart) {
+			for i := range counts.Answers {
+				counts.Answers[i] = rapid.SampledFrom([]float32{0, -1, 1, 1e30, float32(math.Inf(1)), float32(math.NaN())}).Draw(t, "weight")
+			}
+			estimator.SetPeerCounts(counts, testStart)
+		}
+		if after := estimator.Estimate(query, testStart); after != before {
+			t.Fatalf("%+v became %+v", before, after)
+		}
+		fresh := lentilmux.CostQuery{Service: "desk-llm", Route: "other", HintTokens: 100}
+		if estimate := estimator.Estimate(fresh, testStart); math.IsNaN(estimate.MeanTokens) || math.IsInf(estimate.MeanTokens, 0) {
+			t.Fatalf("%+v", estimate)
+		}
+	})
+}
+
+// TestPeerCountsStart guards against a VM that starts without the figures of its peers,
+// or that sends so many of them that digests grow without bound.
+func TestPeerCountsStart(t *testing.T) {
+	known, fresh := workload.NewEstimator(), workload.NewEstimator()
+	query := lentilmux.CostQuery{Service: "desk-llm", Route: "llm", HintTokens: 100}
+	for i := range 3000 {
+		query.SharedPart = lentilmux.PromptPart(i)
+		known.Observe(query, lentilmux.AnswerLength{Tokens: 700, Complete: true}, testStart)
+	}
+	counts := known.Counts(16, testStart)
+	if len(counts) > 16 {
+		t.Fatalf("%d keys are sent", len(counts))
+	}
+	for _, count := range counts {
+		fresh.SetPeerCounts(count, testStart)
+	}
+	query.SharedPart = 5
+	if estimate := fresh.Estimate(query, testStart); !estimate.Learned || math.Abs(estimate.MeanTokens/700-1) > 0.1 {
+		t.Errorf("a fresh estimator expects %+v, answers have 700 tokens", estimate)
+	}
+}
+
+// BenchmarkEstimate measures an estimate, which each choice of a path takes.
+func BenchmarkEstimate(b *testing.B) {
+	estimator := workload.NewEstimator()
+	query := lentilmux.CostQuery{Service: "desk-llm", Route: "llm", Workspace: "a", SharedPart: 3, HintTokens: 100}
+	for i := range 400 {
+		estimator.Observe(query, lentilmux.AnswerLength{Tokens: 50 + i, Complete: i%5 > 0}, testStart)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		estimator.Estimate(query, testStart)
+	}
+}
