Measure estimates, and describe the cost of requests

The log showed neither the caller's estimate nor the one that a path was selected for, and no metric compared it with the answer.

lentilmux_answer_ratio has the ratio of measured to expected tokens, and request_done the hint and the estimate; the time to the first event had lentilmux_promise_ratio already. estimate_ignored names an estimate that counts as none, upstream_speed_learned an upstream whose measured speed departs from its report.

--- a/costestimator.go
+++ b/costestimator.go
@@ -18,6 +18,14 @@
 // context of any model, so that a larger one is a mistake of the caller.
 const MaxHintTokens = 1 << 20
 
+// Hint returns the caller's own estimate, or 0 if it gave none that can be used.
+func (q *CostQuery) Hint() (tokens int) {
+	if q.HintTokens <= 0 || q.HintTokens > MaxHintTokens {
+		return 0
+	}
+	return q.HintTokens
+}
+
 // CostEstimate is the distribution of the completion tokens that a request still
 // generates.
 type CostEstimate struct {
@@ -80,3 +88,11 @@
 	}
 	return weight
 }
+
+// AnswerMeasuredEffect publishes the length of an answer and the one that was expected
+// when its first attempt was sent.
+type AnswerMeasuredEffect struct {
+	Answer         AnswerLength
+	ExpectedTokens float64
+	Learned        bool // whether the expected length was learned from answers
+}
--- a/entryvm/gatewayeffects.go
+++ b/entryvm/gatewayeffects.go
@@ -29,6 +29,8 @@
 	case lentilmux.DecisionEffect:
 		g.metrics.countDecision(x.Decision)
 		g.decisionLog.enqueue(x.Decision)
+	case lentilmux.AnswerMeasuredEffect:
+		g.metrics.countAnswer(x)
 	case lentilmux.ReadinessEffect:
 		g.state.ready.Store(x.Ready)
 	case lentilmux.BodyLimitEffect:
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -32,11 +32,16 @@
 	firstToken      metric.Float64Histogram
 	longestPause    metric.Float64Histogram
 	promiseRatio    metric.Float64Histogram
+	answerRatio     metric.Float64Histogram
 }
 
 // promiseRatioBounds are the bounds of the buckets of the promise ratio.
 var promiseRatioBounds = []float64{0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 20}
 
+// answerRatioBounds are the bounds of the buckets of the answer ratio, half an octave
+// each around 1.
+var answerRatioBounds = []float64{0.1, 0.25, 0.5, 0.71, 0.84, 1.19, 1.41, 2, 4, 10, 30}
+
 // newMetrics creates the instruments with a Prometheus registry of their own.
 func newMetrics() (m *metrics, err error) {
 	defer errors.DeferredAnnotatef(&err, "creating metrics")
@@ -73,9 +78,22 @@
 	}
 	m.promiseRatio, err = meter.Float64Histogram("lentilmux_promise_ratio", metric.WithExplicitBucketBoundaries(promiseRatioBounds...),
 		metric.WithDescription("Time until the first event of a stream, or until it ended without one, divided by the time expected when its first attempt was sent."))
+	if err != nil {
+		return nil, err
+	}
+	m.answerRatio, err = meter.Float64Histogram("lentilmux_answer_ratio", metric.WithExplicitBucketBoundaries(answerRatioBounds...),
+		metric.WithDescription("Tokens of an answer divided by those expected when its first attempt was sent."))
 	return m, err
 }
 
+// countAnswer records the length of an answer.
+func (m *metrics) countAnswer(effect lentilmux.AnswerMeasuredEffect) {
+	if effect.ExpectedTokens > 0 {
+		m.answerRatio.Record(context.Background(), float64(effect.Answer.Tokens)/effect.ExpectedTokens,
+			metric.WithAttributes(attribute.Bool("complete", effect.Answer.Complete), attribute.Bool("learned", effect.Learned)))
+	}
+}
+
 // observeHeldParts adds the number of held prompt parts, which count returns.
 func (m *metrics) observeHeldParts(count func() int) (err error) {
 	_, err = m.meter.Int64ObservableGauge("lentilmux_held_parts", metric.WithDescription("Prompt parts that are held since they crash upstreams."),
--- a/entryvm/metrics_test.go
+++ b/entryvm/metrics_test.go
@@ -114,6 +114,31 @@
 	}
 }
 
+// TestAnswerRatio guards against answers that are not counted, and answers that were cut
+// off being counted as complete ones that were shorter than expected.
+func TestAnswerRatio(t *testing.T) {
+	m, err := newMetrics()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.countAnswer(lentilmux.AnswerMeasuredEffect{Answer: lentilmux.AnswerLength{Tokens: 300, Complete: true}, ExpectedTokens: 100, Learned: true})
+	m.countAnswer(lentilmux.AnswerMeasuredEffect{Answer: lentilmux.AnswerLength{Tokens: 20}, ExpectedTokens: 100, Learned: true})
+	m.countAnswer(lentilmux.AnswerMeasuredEffect{Answer: lentilmux.AnswerLength{Tokens: 20}})
+	recorder := httptest.NewRecorder()
+	m.handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, pattern := range []string{
+		`lentilmux_answer_ratio_bucket\{complete="true",learned="true",.*le="2"\} 0`, `lentilmux_answer_ratio_bucket\{complete="true",learned="true",.*le="4"\} 1`,
+		`lentilmux_answer_ratio_count\{complete="false",learned="true",.*\} 1`,
+	} {
+		if !regexp.MustCompile(pattern).MatchString(recorder.Body.String()) {
+			t.Errorf("no sample like %s in:\n%s", pattern, recorder.Body.String())
+		}
+	}
+	if regexp.MustCompile(`learned="false"`).MatchString(recorder.Body.String()) {
+		t.Error("an answer that nothing was expected of is counted")
+	}
+}
+
 // TestPromiseRatio guards against a promise that is not counted, or counted as kept
 // although the request never began.
 func TestPromiseRatio(t *testing.T) {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -164,7 +164,7 @@
 		return max(int(estimate.MeanTokens), 1)
 	}
 	tokens := model.TypicalAnswerTokens
-	if request.ExpectedTokens > 0 {
+	if request.ExpectedTokens > 0 && request.ExpectedTokens <= lentilmux.MaxHintTokens {
 		tokens = request.ExpectedTokens
 	}
 	if request.MaxTokens > 0 {
--- a/fleet/costs.go
+++ b/fleet/costs.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -18,7 +19,8 @@
 type RequestCost struct {
 	Query    lentilmux.CostQuery    // the request as its caller sent it; without a service if nothing is learned of it
 	Estimate lentilmux.CostEstimate // of the tokens that were missing when a path was last selected
-	First    float64                // mean of the first estimate, in tokens; 0 if none was learned
+	First    float64                // tokens expected when the first path was selected; 0 before
+	Learned  bool                   // whether First was learned from answers
 }
 
 const (
@@ -48,7 +50,18 @@
 	cost.Query.DeliveredTokens = request.Delivered * max(model.TokensPerEvent, 1)
 	cost.Estimate = t.Costs.Estimator.Estimate(cost.Query, now)
 	if cost.First == 0 {
-		cost.First = cost.Estimate.MeanTokens
+		cost.First, cost.Learned = float64(expectedAnswerTokens(request, model)), cost.Estimate.Learned
+		t.recordIgnoredHint(request)
+	}
+}
+
+// recordIgnoredHint logs a caller's estimate that cannot be used.
+func (t *Tables) recordIgnoredHint(request *RequestRow) {
+	if query := &request.Cost.Query; query.HintTokens != query.Hint() {
+		t.RecordDecision(lentilmux.Decision{
+			What: "estimate_ignored", Subject: string(request.ID), Chosen: fmt.Sprintf("%.0f", request.Cost.First),
+			Reason: fmt.Sprintf("the caller expects %d tokens, the bounds are 1 and %d", query.HintTokens, lentilmux.MaxHintTokens),
+		})
 	}
 }
 
@@ -99,7 +112,18 @@
 	if request.Cost.Query.Service == "" || request.Peer != "" || msg.Events <= 0 || service == nil || service.Engine == nil {
 		return
 	}
-	t.Costs.Estimator.Observe(request.Cost.Query, lentilmux.AnswerLength{
+	answer := lentilmux.AnswerLength{
 		Tokens: msg.Events * max(service.Engine.TokensPerEvent, 1), Complete: msg.Outcome == lentilmux.OutcomeAnswered && !msg.End.Unanswered,
-	}, now)
+	}
+	t.Costs.Estimator.Observe(request.Cost.Query, answer, now)
+	t.AddEffect(lentilmux.AnswerMeasuredEffect{Answer: answer, ExpectedTokens: request.Cost.First, Learned: request.Cost.Learned})
+}
+
+// describeCost returns the expected length of an answer, for the log. It is empty for a
+// request without a path or without an event.
+func (r *RequestRow) describeCost(msg lentilmux.ForwardDoneMsg) (text string) {
+	if r.Cost.First <= 0 || msg.Events <= 0 {
+		return ""
+	}
+	return fmt.Sprintf(" hint=%d estimated=%.0f learned=%t", r.Cost.Query.HintTokens, r.Cost.First, r.Cost.Learned)
 }
--- a/fleet/finish.go
+++ b/fleet/finish.go
@@ -55,8 +55,10 @@
 			// legs is the number of attempts, first the time to the first byte, pause the
 			// longest gap between events and took the total duration. promised is the
 			// expected time from the first attempt to the first event, waited the measured
-			// one.
-			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + describePromise(msg) + request.describeForwarding(),
+			// one. hint is the caller's estimate of the answer and estimated the one that
+			// the first path was selected for, in tokens; learned tells whether it follows
+			// from answers.
+			Reason: fmt.Sprintf("%s %s route=%s legs=%d events=%d first=%dms pause=%dms took=%dms", msg.Outcome, msg.Reason, request.Route.Name, request.Attempts, msg.Events, msg.TimeToFirstByte.Milliseconds(), msg.MaxEventGap.Milliseconds(), msg.Duration.Milliseconds()) + describePromise(msg) + request.describeCost(msg) + request.describeForwarding(),
 		})
 	}
 }
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -127,7 +127,7 @@
 	return lentilmux.InboundRequest{
 		Forwarded: lentilmux.ForwardedRequest{VM: fields["from"], Workspace: fields["workspace"], PossibleRuns: parseInt(fields["runs"]), MinRules: lentilmux.Revision(parseInt(fields["min_rules"]))},
 		ID:        lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
-		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
+		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), ExpectedTokens: parseInt(fields["hint"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], name), ResumeAfter: -1,
 	}
 }
 
--- a/fleet/speeds.go
+++ b/fleet/speeds.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -31,6 +32,8 @@
 	minPause = 150 * time.Millisecond
 	// minPauseGaps is the same in expected gaps between events.
 	minPauseGaps = 4
+	// loggedSpeedChange is the factor by which a ratio changes before it is logged again.
+	loggedSpeedChange = 1.5
 	// minGaps is the number of gaps between events from which on their mean is used.
 	minGaps = 4
 )
@@ -110,11 +113,34 @@
 // refreshSpeeds brings the ratios in use up to date. A path is chosen more often than
 // they change.
 func (t *Tables) refreshSpeeds(now time.Time) {
+	logs := !t.usesRelays() || t.isRelay(now)
 	for _, row := range t.Upstreams.Rows {
 		if row.OwnSpeed.Weight > 0 || row.PeerSpeed.Weight > 0 {
 			row.Speed = row.speed(now)
 		}
+		if logs && row.Speed.Weight > 0 {
+			t.recordSpeed(row)
+		}
+	}
+}
+
+// recordSpeed logs an upstream whose measured speed departs from the one that it
+// reports, or no longer does.
+func (t *Tables) recordSpeed(row *UpstreamRow) {
+	logged := row.LoggedStep
+	if logged == 0 {
+		logged = 1
+	}
+	if change := row.Speed.Step / logged; change < loggedSpeedChange && change > 1/loggedSpeedChange {
+		return
 	}
+	row.LoggedStep = row.Speed.Step
+	t.RecordDecision(lentilmux.Decision{
+		What: "upstream_speed_learned", Subject: row.ID, Chosen: fmt.Sprintf("%.2f", row.Speed.Step),
+		// prefill is the same ratio of prefill, paused the part of the streams that it
+		// paused, and answers the weight of the answers that were measured.
+		Reason: fmt.Sprintf("previously %.2f, reported=%.2f prefill=%.2f paused=%.2f answers=%.0f", logged, row.Slowdown, row.Speed.Prefill, row.Speed.Pauses, row.Speed.Weight),
+	})
 }
 
 // speed returns the ratios that are expected of an upstream, by what this VM and its
--- a/fleet/upstreamentries.go
+++ b/fleet/upstreamentries.go
@@ -54,6 +54,7 @@
 	if restarted {
 		row.HasTarget, row.StateUnknown, row.AcceptedOrders, row.OrderedAt = false, false, 0, time.Time{}
 		row.SuspectUntil, row.SuspectDuration, row.MissedProbes, row.Dead, row.Ended, row.Slowdown = time.Time{}, 0, 0, false, false, 1
+		row.OwnSpeed, row.Speed, row.LoggedStep = SpeedState{}, lentilmux.UpstreamSpeed{}, 0
 		row.endEjection()
 		row.RequestLimit = RequestLimitState{SeenAt: now}
 	}
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -46,6 +46,7 @@
 
 	Slowdown   float64                 // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
 	Speed      lentilmux.UpstreamSpeed // learned ratios in use, brought up to date before each digest; without weight if none are used
+	LoggedStep float64                 // ratio of the steps that was last logged; 0 for none
 	OwnSpeed   SpeedState              // as measured by this VM
 	PeerSpeed  SpeedState              // as measured by peers, by their last digests
 	FleetSpeed SpeedState              // as measured by all VMs, by the relay's last sum that covers the upstream
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -42,9 +42,10 @@
 	asks           int                  // for attempts, so far
 	badAsk         int                  // number of the ask for an attempt that gets no attempt but the next two; 0 for none
 	badAnswer      lentilmux.Answer
-	badErr         error           // errSilent for none at all
-	connects       bool            // whether the first attempt still connects when it is canceled
-	panics         map[string]bool // by call: send N, answer, ask
+	badErr         error                 // errSilent for none at all
+	connects       bool                  // whether the first attempt still connects when it is canceled
+	delivered      *lentilmux.EventCount // of the last attempt
+	panics         map[string]bool       // by call: send N, answer, ask
 }
 
 // mayPanic panics if the script says so of a call.
@@ -155,9 +156,10 @@
 	}
 	s.last++
 	s.inFlight++
+	s.delivered = &lentilmux.EventCount{}
 	return lentilmux.AttemptAnswer{Attempt: lentilmux.Attempt{
 		Request: "r", Upstream: fmt.Sprintf("upstream-%d", s.last), Epoch: s.last, Promised: s.promised, Kind: s.kind, Deadline: s.started.Add(1950 * time.Millisecond), FirstEventTimeout: 300 * time.Millisecond, EventGapTimeout: 200 * time.Millisecond,
-		Progress: []*lentilmux.Progress{{}},
+		Progress: []*lentilmux.Progress{{}}, Delivered: s.delivered,
 	}}
 }
 
--- a/workload/buckets.go
+++ b/workload/buckets.go
@@ -52,18 +52,10 @@
 	}
 }
 
-// hint returns the caller's own estimate, or 0 if it gave none that can be used.
-func hint(query lentilmux.CostQuery) (tokens int) {
-	if query.HintTokens <= 0 || query.HintTokens > lentilmux.MaxHintTokens {
-		return 0
-	}
-	return query.HintTokens
-}
-
 // baseTokens returns the tokens that the ratios of a query refer to: the caller's
 // estimate or the typical answer, but not more than its maximum.
 func baseTokens(query lentilmux.CostQuery) (tokens float64) {
-	base := hint(query)
+	base := query.Hint()
 	if base == 0 {
 		base = query.TypicalTokens
 	}
--- a/workload/keys.go
+++ b/workload/keys.go
@@ -18,7 +18,7 @@
 // the hint. Ratios to a hint and to the typical answer have nothing in common, so
 // that they are separated at all levels.
 func queryKeys(query lentilmux.CostQuery) (keys [keyLevels]rowKey) {
-	octave := bits.Len(uint(hint(query)))
+	octave := bits.Len(uint(query.Hint()))
 	key := mixKey(rowKey(lentilmux.ComputeFingerprint(query.Service)), uint64(min(octave, 1)))
 	keys[0] = key
 	for i, value := range [keyLevels - 1]uint64{
