--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -115,7 +115,7 @@
 		step := node.StepFactor * (model.StepTime.Seconds() + streamWeight*float64(node.Streams+1)*perStream)
 		prefill := node.PrefillFactor * (float64(request.PromptTokens) + pendingPrefillFraction*float64(node.PendingPromptTokens)) / model.PrefillTokensPerSecond
 		unseen := request.UnseenRequests * cacheOf(node, request, cacheTokens) / float64(max(node.Capacity, 1))
-		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / memoryHeadroom(use+unseen)
+		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / memoryHeadroom(use+unseen) * learnedFactor(node)
 		if use > maxMemoryUse || !isFinite(cost) {
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
--- a/entryvm/gatewayeffects.go
+++ b/entryvm/gatewayeffects.go
@@ -31,6 +31,8 @@
 		g.decisionLog.enqueue(x.Decision)
 	case lentilmux.RoomDecisionEffect:
 		g.metrics.countRoomDecision(x)
+	case lentilmux.AnswerMeasuredEffect:
+		g.metrics.countAnswer(x)
 	case lentilmux.ReadinessEffect:
 		g.state.ready.Store(x.Ready)
 	case lentilmux.BodyLimitEffect:
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -10,7 +10,8 @@
 
 // SendDigests sends this VM's load to its peers at each DigestInterval, or
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
-// dead or announced its drain. It writes its address to the store at each
+// dead or announced its drain. Before, it brings the reservations of streams up to
+// date. It writes its address to the store at each
 // AnnounceInterval, and again if a restored store lacks it. A relay also sends
 // sums of the loads of other VMs. It reads Upstreams, Streams, RetryBudgets,
 // Shortages and RefusedRequests and reads and writes VMs.
@@ -45,6 +46,8 @@
 	s.lastSentAt, t.NewSuspects, t.NewDrains, t.NewRules = now, false, false, false
 	s.rounds++
 	t.WakeAt(now.Add(interval))
+	t.followStreams(now)
+	t.refreshSpeeds(now)
 	own := s.ownDigest(t, now)
 	switch {
 	case !t.usesRelays():
@@ -133,7 +136,7 @@
 func (s *SendDigests) ownDigest(t *Tables, now time.Time) (digest lentilmux.LoadDigest) {
 	digest = lentilmux.LoadDigest{
 		VM: t.Self.Name, VMCount: 1, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
-		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version,
+		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version, Counts: t.ownCounts(s.rounds, now),
 	}
 	if t.isIsolated(now) {
 		digest.IsolatedVMs = []lentilmux.VMHash{lentilmux.HashVM(t.Self.Name)}
@@ -143,9 +146,10 @@
 		if now.Sub(row.ReportedAt) < t.Limits.MaxReportAge {
 			slowdown = row.Slowdown
 		}
-		if row.OwnLoad.Streams > 0 || slowdown > 0 {
+		if speed := row.digestSpeed(now); row.OwnLoad.Streams > 0 || slowdown > 0 || speed.Weight > 0 {
 			digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
 				Upstream: row.Hash, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
+				WorkLeft: row.OwnLoad.WorkLeft, WorkKnown: row.OwnLoad.TimedStreams >= row.OwnLoad.Streams, Speed: speed,
 			})
 		}
 		if row.Dead && !row.ReportedByPeer && t.trustsLinks() && !t.isIsolated(now) {
@@ -165,7 +169,7 @@
 // its relays sent.
 func (s *SendDigests) aggregate(t *Tables, own lentilmux.LoadDigest, scope lentilmux.DigestScope, now time.Time) (sum lentilmux.LoadDigest) {
 	sum = own
-	sum.Scope = scope
+	sum.Scope, sum.Counts = scope, t.summedCounts(scope, s.rounds, now)
 	sum.Loads, sum.RetryCounts, sum.Suspects = slices.Clone(own.Loads), slices.Clone(own.RetryCounts), slices.Clone(own.Suspects)
 	sum.IsolatedVMs = slices.Clone(own.IsolatedVMs)
 	indexByUpstream := make(map[lentilmux.UpstreamHash]int, len(sum.Loads))
@@ -199,6 +203,9 @@
 		sum.Streams += load.Streams
 		sum.PendingPromptTokens += load.PendingPromptTokens
 		sum.Reserved += load.Reserved
+		sum.Speed = mergeSpeeds(sum.Speed, load.Speed)
+		sum.WorkLeft += load.WorkLeft
+		sum.WorkKnown = sum.WorkKnown && load.WorkKnown
 		sum.Slowdown = max(sum.Slowdown, load.Slowdown)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,7 @@
 	"lentilmux.example/lentilmux"
 	"lentilmux.example/lentilmux/admission"
 	"lentilmux.example/lentilmux/dispatch"
+	"lentilmux.example/lentilmux/workload"
 )
 
 // maxTickInterval is the longest time between two ticks.
@@ -45,6 +46,7 @@
 	pathSelector lentilmux.PathSelector
 	dispatch     lentilmux.Dispatch
 	shortage     lentilmux.ShortagePolicy
+	estimator    lentilmux.CostEstimator
 }
 
 // Option configures a [Schedule] in [New].
@@ -68,6 +70,12 @@
 	return func(s *Schedule) { s.shortage = policy }
 }
 
+// WithCostEstimator sets what learns the lengths of answers. The default is
+// [workload.NewEstimator].
+func WithCostEstimator(estimator lentilmux.CostEstimator) Option {
+	return func(s *Schedule) { s.estimator = estimator }
+}
+
 // New returns a schedule with empty tables.
 func New(self Self, limits Limits, options ...Option) *Schedule {
 	s := &Schedule{
@@ -75,11 +83,13 @@
 		pathSelector: dispatch.NewCheapestPath(self.Incarnation),
 		dispatch:     dispatch.NewTwoChoices(self.Incarnation),
 		shortage:     admission.UrgentFirst{},
+		estimator:    workload.NewEstimator(),
 	}
 	for _, option := range options {
 		option(s)
 	}
 	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch, Shortage: s.shortage}
+	s.tables.Costs.Estimator = s.estimator
 	s.systems = []System{
 		&ApplyStoreUpdates{},
 		&TrackReach{},
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -17,7 +17,7 @@
 
 // ApplyReports applies the load digests of peers, the reports of upstreams and
 // the results of orders. It reads Events.Digests, Events.Reports and
-// Events.OrderResults and writes VMs, FleetLoads, Zones, Upstreams and
+// Events.OrderResults and writes VMs, FleetLoads, Zones, Upstreams, Costs and
 // ProbeBucket.
 type ApplyReports struct{}
 
@@ -62,6 +62,7 @@
 	vm.Incarnation, vm.Sequence, vm.LastDigestAt, vm.UnansweredSince = digest.Incarnation, digest.Sequence, now, time.Time{}
 	vm.Zone, vm.Addr, vm.Draining, vm.Stale, vm.RetryCounts = digest.Zone, digest.Addr, digest.Draining, digest.Stale, digest.RetryCounts
 	t.Zones.Index(vm.Zone)
+	t.applyCounts(vm, &digest, now)
 	known := vm.Suspects
 	if digest.Scope == lentilmux.ScopeFleet {
 		known = vm.FleetSuspects
@@ -119,13 +120,14 @@
 	t.FleetLoads = FleetLoads{Relay: digest.VM, ReceivedAt: now, VMCount: digest.VMCount, RetryCounts: digest.RetryCounts, IsolatedVMs: digest.IsolatedVMs, Rules: digest.Rules}
 	for _, row := range t.Upstreams.Rows {
 		if covers(&digest, row) {
-			row.FleetLoad = Load{}
+			row.FleetLoad, row.FleetSpeed = Load{}, SpeedState{}
 		}
 	}
 	for _, load := range digest.Loads {
 		if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
 			row.FleetLoad.add(toLoad(load), 1)
 			row.takeSlowdown(load)
+			row.FleetSpeed.addPeer(load.Speed, row.Slowdown, now)
 		}
 	}
 }
@@ -141,17 +143,19 @@
 		for _, row := range t.Upstreams.Rows {
 			row.PeerLoad = row.FleetLoad
 			row.PeerLoad.add(row.OwnLoad, -1) // the sum includes this VM's own load
+			row.PeerSpeed = row.FleetSpeed
 		}
 		return
 	}
 	for _, row := range t.Upstreams.Rows {
-		row.PeerLoad, row.ReachedByPeer = Load{}, false
+		row.PeerLoad, row.PeerSpeed, row.ReachedByPeer = Load{}, SpeedState{}, false
 	}
 	for _, vm := range t.digestSources(now) {
 		for _, load := range vm.Loads {
 			if row := t.Upstreams.FindByHash(load.Upstream); row != nil {
 				row.PeerLoad.add(toLoad(load), 1)
 				row.takeSlowdown(load)
+				row.PeerSpeed.addPeer(load.Speed, row.Slowdown, now)
 				row.ReachedByPeer = row.ReachedByPeer || !vm.Isolated && !slices.Contains(vm.Suspects, row.ID)
 			}
 		}
@@ -166,7 +170,11 @@
 }
 
 func toLoad(load lentilmux.UpstreamLoad) Load {
-	return Load{Streams: load.Streams, PendingPromptTokens: load.PendingPromptTokens, Reserved: load.Reserved}
+	result := Load{Streams: load.Streams, PendingPromptTokens: load.PendingPromptTokens, Reserved: load.Reserved}
+	if load.WorkKnown {
+		result.WorkLeft, result.TimedStreams = load.WorkLeft, load.Streams
+	}
+	return result
 }
 
 // applyReport applies an upstream's report of its state. An upstream that
@@ -197,6 +205,7 @@
 		row.OrderRefusedAt = time.Time{} // the order count that it expects is known now, so the next order need not wait
 	}
 	row.Slowdown, row.ReportedAt, row.AcceptedOrders, row.StateUnknown = max(report.Slowdown, 1), now, report.AcceptedOrders, false
+	row.Speed = row.speed(now)
 	a.applyReportedLayers(t, row, report, now)
 	// An order without effect after OrderTimeout: drop the target, so that an
 	// upstream without layers is placed again.
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -10,6 +10,7 @@
 type RequestRow struct {
 	lentilmux.InboundRequest
 	AttemptState
+	Cost          RequestCost
 	Parts         []lentilmux.PromptPart // its shared parts and, last, the one that stands for it alone
 	Older         []AttemptState         // attempts in flight beside the newest, which races with them
 	Route         *lentilmux.RouteRule
@@ -38,9 +39,11 @@
 	Reservations  []Reservation
 	Hops          []lentilmux.Hop // its path
 	Move          MoveState
-	HopsBefore    []lentilmux.Hop // hops before the move in flight, which continues if the move is refused
-	HeldBefore    []Reservation   // reservations of HopsBefore
-	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
+	HopsBefore    []lentilmux.Hop       // hops before the move in flight, which continues if the move is refused
+	HeldBefore    []Reservation         // reservations of HopsBefore
+	LostHops      []string              // upstreams of the path that cannot continue the request, although they may not be dead
+	Events        *lentilmux.EventCount // delivered to the caller, of all attempts together; nil without a path
+	EventGap      time.Duration         // expected time between two events; zero without a path
 	SentAt        time.Time
 	Promised      time.Duration  // expected time to its first event; zero without a path
 	Elsewhere     bool           // whether its first hop must be another one than LastUpstream, which has not begun the request
@@ -67,6 +70,7 @@
 type Reservation struct {
 	Upstream string
 	Load     Load
+	Cost     HopCost // as expected when the path was selected; zero after a move
 }
 
 // Requests is the table of requests in flight.
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -44,9 +44,14 @@
 	PausedProcess   time.Time // start of the process that PausedUntil concerns
 	DrainingProcess time.Time // start of the process that announced its drain in an answer; zero for none
 
-	Slowdown   float64   // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
-	ReportedAt time.Time // when its last report arrived
-	ProbedAt   time.Time // when it was last probed
+	Slowdown   float64                 // factor against the nominal speed of its accelerator, as last reported by it or a peer; at least 1
+	Speed      lentilmux.UpstreamSpeed // learned ratios in use, brought up to date before each digest; without weight if none are used
+	LoggedStep float64                 // ratio of the steps that was last logged; 0 for none
+	OwnSpeed   SpeedState              // as measured by this VM
+	PeerSpeed  SpeedState              // as measured by peers, by their last digests
+	FleetSpeed SpeedState              // as measured by all VMs, by the relay's last sum that covers the upstream
+	ReportedAt time.Time               // when its last report arrived
+	ProbedAt   time.Time               // when it was last probed
 
 	ConnectTestedAt time.Time // when a connection was last opened to find out whether it crashed
 
@@ -61,8 +66,10 @@
 // Load is the work in flight at one upstream.
 type Load struct {
 	Streams             int
-	PendingPromptTokens int   // prompt tokens whose prefill has not finished
-	Reserved            int64 // KV cache, in tokens times layers
+	PendingPromptTokens int           // prompt tokens whose prefill has not finished
+	Reserved            int64         // KV cache, in tokens times layers
+	WorkLeft            time.Duration // sum of the times that TimedStreams still run
+	TimedStreams        int           // streams whose time left is known
 }
 
 // add adds other, or subtracts it if sign is -1. No value goes below 0.
@@ -70,6 +77,8 @@
 	l.Streams = max(0, l.Streams+sign*other.Streams)
 	l.PendingPromptTokens = max(0, l.PendingPromptTokens+sign*other.PendingPromptTokens)
 	l.Reserved = max(0, l.Reserved+int64(sign)*other.Reserved)
+	l.WorkLeft = max(0, l.WorkLeft+time.Duration(sign)*other.WorkLeft)
+	l.TimedStreams = max(0, l.TimedStreams+sign*other.TimedStreams)
 }
 
 // Usable reports whether new requests may be sent to the upstream: it is not
