--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -32,10 +32,7 @@
 			VM: &lentilmux.VMRecord{Name: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr},
 		})
 	}
-	interval := t.Limits.DigestInterval
-	if t.usesRelays() {
-		interval = t.Limits.RelayDigestInterval
-	}
+	interval := t.digestInterval()
 	if t.NewSuspects || t.NewDrains || t.NewRules {
 		interval = t.Limits.MinDigestInterval
 	}
@@ -63,6 +60,14 @@
 	}
 }
 
+// digestInterval returns the time between two digests of a VM without urgent news.
+func (t *Tables) digestInterval() (interval time.Duration) {
+	if t.usesRelays() {
+		return t.Limits.RelayDigestInterval
+	}
+	return t.Limits.DigestInterval
+}
+
 const (
 	// standbyRounds is the number of rounds in which a relay that is not the first
 	// of its zone sends the fleet-wide sum once, while the first one is live: the
--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -16,7 +16,7 @@
 	requests      [bucketCount]int
 	retries       [bucketCount]int
 	currentBucket int64 // number of the bucket that is filling, counted from the Unix epoch
-	dealt         TokenBucket
+	dealt         TokenBucket // retries beyond this VM's own share
 }
 
 // RetryBudgets is the table of retry budgets, by service.
@@ -65,26 +65,29 @@
 }
 
 // spendRetry charges a retry to a service's budget. It returns false if none is
-// left. A VM may always use its own share. Beyond that it borrows from what its
-// peers are known to have left, up to maxBorrowFactor times its share. Borrowing
-// is bounded because all VMs see a fault at the same time but learn of each
-// other's retries only with the next digests.
+// left. A VM may always use its own share. Beyond that it may use what is dealt to it
+// of the retries that the fleet is known to have left.
 func (t *Tables) spendRetry(service string, now time.Time) bool {
 	row := t.RetryBudgets.GetOrCreate(service)
 	requests, retries := row.totals(now, t.Limits.RetryWindow)
-	slack := t.Limits.RetrySlack / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
-	ownShare := t.Limits.RetryRatio*float64(requests) + slack
-	if float64(retries+1) > ownShare {
-		left := t.retriesLeft(service, requests, retries, now)
-		perSecond := left / 4 / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1)) / 0.3 // TODO
-		if left <= 0 || !row.dealt.take(now, perSecond, max(1, perSecond*0.3), 1) {
-			return false
-		}
+	if float64(retries+1) > t.ownRetryShare(requests, now) && !t.takeDealtRetry(row, requests, retries, now) {
+		return false
 	}
 	row.retries[row.advanceBuckets(now, t.Limits.RetryWindow)]++
 	return true
 }
 
+// ownRetryShare returns the retries that this VM may always use, given its requests
+// in the retry window.
+func (t *Tables) ownRetryShare(requests int, now time.Time) (retries float64) {
+	return t.Limits.RetryRatio*float64(requests) + t.Limits.RetrySlack/t.budgetVMs(now)
+}
+
+// budgetVMs returns the number of VMs among which retry budgets are divided.
+func (t *Tables) budgetVMs(now time.Time) (count float64) {
+	return float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
+}
+
 // refundRetry takes back a charge for a retry that was not sent.
 func (t *Tables) refundRetry(service string, now time.Time) {
 	row := t.RetryBudgets.GetOrCreate(service)
@@ -93,8 +96,35 @@
 	}
 }
 
-const dealtFraction = 0.6
+const (
+	// dealtFraction is the fraction of the fleet-wide budget up to which the VMs may
+	// use more than their own shares. The rest covers own shares that are used later,
+	// and counts that are lost when VMs restart.
+	dealtFraction = 0.6
+	// dealRounds is the number of digest intervals over which the retries that are left
+	// are dealt out. Counts are up to three intervals old where relays pass them on: all
+	// VMs together then still use less than what was left.
+	dealRounds = 4
+	// minDealtBurst is the number of dealt retries that a VM may save up, so that the
+	// small part of one VM in a large fleet adds up to a retry.
+	minDealtBurst = 1
+)
+
+// takeDealtRetry takes a retry of those that are dealt to this VM, or returns false.
+// The fleet's retries that are left are dealt out again with each digest. Without
+// recent digests of others nothing is dealt.
+func (t *Tables) takeDealtRetry(row *RetryBudgetRow, requests, retries int, now time.Time) (taken bool) {
+	left := t.retriesLeft(row.Service, requests, retries, now)
+	if left <= 0 {
+		return false
+	}
+	dealt := left / dealRounds / t.budgetVMs(now)
+	return row.dealt.take(now, dealt/t.digestInterval().Seconds(), max(dealt, minDealtBurst), 1)
+}
 
+// retriesLeft returns how many retries the fleet may use beyond those that it is known
+// to have used, apart from the own shares of its VMs. requests and retries are those of
+// this VM.
 func (t *Tables) retriesLeft(service string, requests, retries int, now time.Time) (left float64) {
 	requests, retries = t.fleetCounts(service, requests, retries, now)
 	return dealtFraction*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack) - float64(retries)
--- a/fleet/retryreserve.go
+++ b/fleet/retryreserve.go
@@ -14,8 +14,7 @@
 	}
 	row := t.RetryBudgets.GetOrCreate(request.Service)
 	requests, retries := row.totals(now, t.Limits.RetryWindow)
-	slack := t.Limits.RetrySlack / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
-	ownShare := t.Limits.RetryRatio*float64(requests) + slack
+	ownShare := t.ownRetryShare(requests, now)
 	rank, _ := slices.BinarySearch(inUse, request.Priority)
 	return float64(retries+1) <= a.Shortage.RetryFraction(rank, len(inUse))*ownShare || t.retriesLeft(request.Service, requests, retries, now) > 0
 }
--- a/fleet/unseen.go
+++ b/fleet/unseen.go
@@ -20,17 +20,12 @@
 	for i := range nodes {
 		layers += nodes[i].Layers.Len()
 	}
-	vms := t.LiveVMs(now)
-	if layers == 0 || vms < 2 {
+	if layers == 0 {
 		return 0
 	}
-	interval := t.Limits.DigestInterval
-	if t.usesRelays() {
-		interval = t.Limits.RelayDigestInterval
-	}
 	own, _ := t.RetryBudgets.GetOrCreate(service).totals(now, t.Limits.RetryWindow)
 	all, _ := t.fleetCounts(service, own, 0, now)
 	perSecond := float64(max(all-own, 0)) / t.Limits.RetryWindow.Seconds()
 	copies := float64(layers) / float64(model.Layers)
-	return perSecond * loadAgeIntervals * interval.Seconds() / copies
+	return perSecond * loadAgeIntervals * t.digestInterval().Seconds() / copies
 }
