--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -167,7 +167,7 @@
 	}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: lentilmux.Epoch(request.Attempts + 1), Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
-		Priority: request.Priority, HasPriority: t.Rules.ranksRequests(request.Service),
+		Priority: t.Rules.upstreamPriority(request.Service, request.Priority), HasPriority: t.Rules.ranksRequests(request.Service),
 	}
 	service := t.Rules.Service(request.Service)
 	ok := false
--- a/fleet/priorities.go
+++ b/fleet/priorities.go
@@ -30,46 +30,64 @@
 	return invalid
 }
 
-// indexPriorities records which priorities the requests to each service can have.
+// indexPriorities records which priorities the requests to each service can have, and
+// whether they are ranked: where all routes to a service have the same priority, its
+// requests are served in order of arrival.
 func (r *Rules) indexPriorities() {
-	r.prioritiesByService = make(map[string][]int)
+	r.prioritiesByService, r.rankedServices = make(map[string][]int), make(map[string]bool)
+	routePriority := make(map[string]int)
 	for i := range r.Routes {
 		route := &r.Routes[i]
 		for _, target := range route.Targets {
 			known := append(r.prioritiesByService[target.Service], r.routePriorities(route)...)
 			slices.Sort(known)
 			r.prioritiesByService[target.Service] = slices.Compact(known)
+			first, seen := routePriority[target.Service]
+			r.rankedServices[target.Service] = r.rankedServices[target.Service] || seen && first != route.Priority
+			routePriority[target.Service] = route.Priority
 		}
 	}
 }
 
-// routePriorities returns the priorities that the requests of a route can have. The
-// priority of a workspace replaces that of the route.
+// routePriorities returns the priorities that the requests of a route can have.
 func (r *Rules) routePriorities(route *lentilmux.RouteRule) (priorities []int) {
 	if route.Anonymous || len(r.Workspaces) == 0 {
-		priorities = append(priorities, route.Priority)
+		priorities = append(priorities, requestPriority(route, nil))
 	}
 	for i := range r.Workspaces {
-		if workspace := &r.Workspaces[i]; workspace.HasPriority {
-			priorities = append(priorities, workspace.Priority)
-		} else {
-			priorities = append(priorities, route.Priority)
-		}
+		priorities = append(priorities, requestPriority(route, &r.Workspaces[i]))
 	}
 	return priorities
 }
 
-// priority returns the priority of a request: that of its workspace if it has one, else
-// that of its route.
+// requestPriority returns the priority of the requests of a workspace on a route. That
+// of the workspace takes precedence; among requests of equal priority, and without a
+// workspace, that of the route decides.
+func requestPriority(route *lentilmux.RouteRule, workspace *lentilmux.WorkspaceRule) (priority int) {
+	first := route.Priority
+	if workspace != nil && workspace.HasPriority {
+		first = workspace.Priority
+	}
+	return first*lentilmux.PriorityLevels + route.Priority
+}
+
+// priority returns the priority of a request.
 func (r *Rules) priority(route *lentilmux.RouteRule, inbound *lentilmux.InboundRequest) (priority int) {
-	workspace := r.Workspace(inbound.Key)
 	if inbound.Forwarded.IsForwarded() {
-		workspace = r.workspaceNamed(inbound.Forwarded.Workspace)
+		return requestPriority(route, r.workspaceNamed(inbound.Forwarded.Workspace))
 	}
-	if workspace != nil && workspace.HasPriority {
-		return workspace.Priority
+	return requestPriority(route, r.Workspace(inbound.Key))
+}
+
+// upstreamPriority returns the priority that upstreams are told: the rank among those
+// that requests to the service can have, in the range that upstreams accept.
+func (r *Rules) upstreamPriority(service string, priority int) (told int) {
+	inUse := r.prioritiesByService[service]
+	rank, _ := slices.BinarySearch(inUse, priority)
+	if len(inUse) > lentilmux.PriorityLevels {
+		rank = rank * lentilmux.PriorityLevels / len(inUse)
 	}
-	return route.Priority
+	return lentilmux.ClampPriority(rank)
 }
 
 // workspaceNamed returns the workspace with a name, or nil if there is none.
@@ -80,9 +98,9 @@
 	return nil
 }
 
-// ranksRequests reports whether the requests to a service can have different
-// priorities. If not, priorities change no decision and upstreams are not told them.
-func (r *Rules) ranksRequests(service string) bool { return len(r.prioritiesByService[service]) > 1 }
+// ranksRequests reports whether routes to a service have different priorities. If not,
+// priorities change no decision and upstreams are not told them.
+func (r *Rules) ranksRequests(service string) bool { return r.rankedServices[service] }
 
 // maxLoggedPriorities bounds the priorities out of range that one log line shows.
 const maxLoggedPriorities = 8
--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -15,7 +15,7 @@
 	Service       string
 	requests      [bucketCount]int
 	retries       [bucketCount]int
-	currentBucket int64 // number of the bucket that is filling, counted from the Unix epoch
+	currentBucket int64       // number of the bucket that is filling, counted from the Unix epoch
 	dealt         TokenBucket // retries beyond this VM's own share
 }
 
--- a/fleet/retryreserve.go
+++ b/fleet/retryreserve.go
@@ -9,7 +9,7 @@
 // the retry budget to more urgent ones, or all VMs together have used little of it.
 func (a *AdmitRequests) leavesRetries(t *Tables, request *RequestRow, now time.Time) bool {
 	inUse := t.Rules.prioritiesByService[request.Service]
-	if len(inUse) < 2 {
+	if !t.Rules.ranksRequests(request.Service) {
 		return true
 	}
 	row := t.RetryBudgets.GetOrCreate(request.Service)
--- a/fleet/shortageorder.go
+++ b/fleet/shortageorder.go
@@ -108,7 +108,7 @@
 	if request.NeverFits || !t.hasLayers(request.Service) {
 		return
 	}
-	t.AddEffect(lentilmux.RoomDecisionEffect{Priority: request.Priority, Served: served, Returning: request.Returning})
+	t.AddEffect(lentilmux.RoomDecisionEffect{Priority: t.Rules.upstreamPriority(request.Service, request.Priority), Served: served, Returning: request.Returning})
 	if t.Rules.ranksRequests(request.Service) {
 		t.PriorityShares.record(request.Service, request.Priority, served, now)
 	}
--- a/fleet/shortages.go
+++ b/fleet/shortages.go
@@ -97,7 +97,7 @@
 // could leave room to it.
 func (t *Tables) noteShortage(service string, priority int, id lentilmux.RequestID, now time.Time) {
 	inUse := t.Rules.prioritiesByService[service]
-	if len(inUse) < 2 || priority >= inUse[len(inUse)-1] || !t.hasLayers(service) {
+	if !t.Rules.ranksRequests(service) || priority >= inUse[len(inUse)-1] || !t.hasLayers(service) {
 		return
 	}
 	t.recordShortage(service, priority, now, "request "+string(id), now)
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -57,6 +57,7 @@
 	workspaceByKey      map[string]*lentilmux.WorkspaceRule
 	serviceByName       map[string]*lentilmux.ServiceRule
 	prioritiesByService map[string][]int // that requests can have, the most urgent first
+	rankedServices      map[string]bool  // services of which requests are ranked by priority
 	InstalledAt         time.Time
 	Loaded              bool   // whether a configuration has been read
 	EngineService       string // name of the service whose upstreams hold layers; empty if there is none
--- a/peer/shortages.go
+++ b/peer/shortages.go
@@ -12,7 +12,7 @@
 func shortagesToProto(shortages []lentilmux.ServiceShortage) (messages []*peerpb.ServiceShortage) {
 	for _, shortage := range shortages {
 		messages = append(messages, &peerpb.ServiceShortage{
-			Service: uint32(shortage.Service), Priority: uint32(lentilmux.ClampPriority(shortage.Priority)),
+			Service: uint32(shortage.Service), Priority: uint32(min(max(shortage.Priority, 0), lentilmux.LeastUrgentRequest)),
 			AgeMs: uint64((max(shortage.Age, 0) + time.Millisecond - 1) / time.Millisecond),
 		})
 	}
@@ -23,7 +23,7 @@
 // those with a priority out of range.
 func shortagesFromProto(messages []*peerpb.ServiceShortage) (shortages []lentilmux.ServiceShortage) {
 	for _, message := range messages {
-		if message.GetPriority() <= lentilmux.LeastUrgentPriority {
+		if message.GetPriority() <= lentilmux.LeastUrgentRequest {
 			shortages = append(shortages, lentilmux.ServiceShortage{
 				Service: lentilmux.ServiceHash(message.GetService()), Priority: int(message.GetPriority()), Age: ageFromProto(message.GetAgeMs()),
 			})
