--- a/cmd/lentilmux/options.go
+++ b/cmd/lentilmux/options.go
@@ -52,6 +52,12 @@
 	standalone         *bool
 	platform           *bool
 	metricsPort        *int
+	maxCallerConns     *int
+	maxPeerConns       *int
+	maxProbeConns      *int
+	maxMetricsConns    *int
+	maxHeadMemory      *int
+	bodyTimeout        *time.Duration
 	printSettings      *bool
 	printSettingsTable *bool
 }
@@ -91,6 +97,12 @@
 		standalone:         s.Bool("standalone", "serve a complete small system with embedded stand-ins; not for production"),
 		platform:           s.Bool("platform", "run on the users' platform, with the settings file that LENTILMUX_SETTINGS names"),
 		metricsPort:        s.Int("metrics-port", 0, 0, 65535, "port of the metrics endpoint with --platform; 0 disables it"),
+		maxCallerConns:     s.Int("max-caller-conns", 0, 0, 1000000, "maximum number of connections of callers with --platform; 0 derives it from the VM's memory and descriptors"),
+		maxPeerConns:       s.Int("max-peer-conns", 0, 0, 1000000, "maximum number of connections to the peers' port with --platform; 0 derives it from the VM's memory and descriptors"),
+		maxProbeConns:      s.Int("max-probe-conns", 0, 0, 10000, "maximum number of connections to the readiness address with --platform; 0 is the default of 64"),
+		maxMetricsConns:    s.Int("max-metrics-conns", 0, 0, 10000, "maximum number of connections to the metrics address with --platform; 0 is the default of 32"),
+		maxHeadMemory:      s.Int("max-head-memory", 0, 0, 1<<31-1, "bytes that the heads of callers' requests may hold in memory with --platform; 0 derives it from the VM's memory"),
+		bodyTimeout:        s.Duration("body-timeout", time.Minute, time.Second, time.Hour, "time in which a caller's body has to arrive with --platform, whatever its deadline"),
 		printSettings:      s.Bool("print-settings", "print the effective settings and exit"),
 		printSettingsTable: s.Bool("print-settings-table", "print a table of all settings in Markdown and exit"),
 	}
@@ -193,3 +205,14 @@
 	}
 	return options
 }
+
+// connLimits returns the limits of connections that the settings give. Those left at 0 are
+// derived from the VM's memory and descriptors.
+func (o *options) connLimits() entryvm.VMLimits {
+	return entryvm.VMLimits{
+		Callers:   entryvm.ConnLimits{Conns: *o.maxCallerConns, HeadBytes: int64(*o.maxHeadMemory), BodyTime: *o.bodyTimeout},
+		Peers:     entryvm.ConnLimits{Conns: *o.maxPeerConns, BodyTime: *o.bodyTimeout},
+		Readiness: entryvm.ConnLimits{Conns: *o.maxProbeConns},
+		Metrics:   entryvm.ConnLimits{Conns: *o.maxMetricsConns},
+	}
+}
--- a/cmd/lentilmux/platform.go
+++ b/cmd/lentilmux/platform.go
@@ -12,8 +12,10 @@
 )
 
 // memoryFraction is the fraction of the VM's memory that is set as the soft
-// memory limit of the Go runtime.
-const memoryFraction = 0.7
+// memory limit of the Go runtime. The pages of the program, and what the heap grows by
+// between two collections, come on top: with 0.7 the process was measured at 101 MiB of 136
+// while 400 clients sent heads of 36,000 bytes.
+const memoryFraction = 0.6
 
 // servePlatform runs the entry VM on the users' platform. It reads the settings
 // file that LENTILMUX_SETTINGS names, reloads it while the VM runs, and logs to
@@ -26,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	settings.ConnLimits = flags.connLimits()
 	limitMemory(settings)
 	gateway, err := platform.NewGateway(settings, uint16(*flags.metricsPort), logger)
 	if err != nil {
--- a/entryvm/conneviction_test.go
+++ b/entryvm/conneviction_test.go
@@ -95,3 +95,17 @@
 	slices.Sort(names)
 	return names
 }
+
+// TestDefaultVMLimits guards against limits that are not within the memory and descriptors
+// of a VM, or so low that its own probe, peers or callers do not fit.
+func TestDefaultVMLimits(t *testing.T) {
+	var out strings.Builder
+	for _, vm := range []struct {
+		memoryMiB   int64
+		descriptors int
+	}{{136, 2870}, {184, 4100}, {536, 8192}, {0, 0}, {16, 100}} {
+		fmt.Fprintf(&out, "%d MiB, %d descriptors: %+v\n", vm.memoryMiB, vm.descriptors, VMLimits{Callers: ConnLimits{Conns: 7}}.orElse(DefaultVMLimits(vm.memoryMiB<<20, vm.descriptors)))
+		fmt.Fprintf(&out, "  callers by default: %+v\n", DefaultVMLimits(vm.memoryMiB<<20, vm.descriptors).Callers)
+	}
+	goldie.New(t).Assert(t, "vmlimits", []byte(out.String()))
+}
