--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -24,11 +24,13 @@
 	// cross zones there, not the activations.
 	crossZoneEntrySeconds = 0.02
 	// maxMemoryUse is the fraction of an upstream's KV cache that its requests
-	// may be expected to fill. Paths avoid upstreams above it.
-	maxMemoryUse = 1.0
+	// may be expected to fill. Paths avoid upstreams above it. It is above 1 since
+	// what is reserved exceeds what upstreams report by a tenth, and since an
+	// upstream that was full when its load was known has ended requests since.
+	maxMemoryUse = 1.08
 	// memoryUseLimit sets how steeply the cost of an upstream rises as its KV
 	// cache fills: costs are divided by this limit minus the fraction in use.
-	memoryUseLimit = 1.3
+	memoryUseLimit = 1.15
 	// answerCacheFraction is the fraction of the completion tokens that counts
 	// as KV cache in use. It is below 1 since a completion grows while the
 	// request runs.
--- a/placement/smallzone.go
+++ b/placement/smallzone.go
@@ -20,9 +20,20 @@
 	maxSmallTemperature = 0.02
 )
 
-// isSmall reports whether the zone has too few nodes to survive the loss of a
-// group.
-func (s *zoneSearch) isSmall() bool { return len(s.nodes) < minGroupZone }
+// isSmall reports whether the zone is one of which the loss of a single upstream
+// counts: it has too few nodes to survive the loss of a group, or its accelerators
+// are large enough for short paths.
+func (s *zoneSearch) isSmall() bool {
+	return len(s.nodes) < minGroupZone || s.meanMaxLayers()*usualHops >= float64(s.model.Layers)
+}
+
+// meanMaxLayers returns the mean of the layers that fit into the zone's nodes.
+func (s *zoneSearch) meanMaxLayers() (layers float64) {
+	for _, n := range s.nodes {
+		layers += float64(s.model.MaxLayers(n.Accelerator))
+	}
+	return layers / float64(max(len(s.nodes), 1))
+}
 
 // pickBestSmall starts with the ranges of the candidate of the highest rate, or of
 // the first one if the zone cannot run the model with any of them.
