--- a/fleet/deferral.go
+++ b/fleet/deferral.go
@@ -7,6 +7,11 @@
 	"lentilmux.example/lentilmux"
 )
 
+// deferredMemoryUse is the fraction of KV cache that is in use at most on the path of a
+// request that left room to others and is sent at the end of its wait. What is left
+// beyond is kept for the more urgent requests.
+const deferredMemoryUse = 0.85
+
 // sendOrDefer sends the first attempt of a request, unless it has to leave room to more
 // urgent requests. It returns why the request was not sent.
 func (a *AdmitRequests) sendOrDefer(t *Tables, request *RequestRow, row *PendingRow, now time.Time) (refusal *lentilmux.Refusal) {
@@ -17,6 +22,10 @@
 		row.DeferredUntil, row.DeferredFor = short.At.Add(t.shortageDuration()), short.Priority
 		return t.noRoomRefusal(request, fmt.Sprintf("room of %s is kept for priority %d", request.Service, short.Priority), now)
 	}
+	request.MaxMemoryUse = 0
+	if short != nil {
+		request.MaxMemoryUse = deferredMemoryUse
+	}
 	t.Requests.Put(request)
 	if refusal = a.sendAttempt(t, request, row.CorrelationID, now); refusal != nil {
 		t.Requests.Remove(request.ID)
--- a/peer/shortages_test.go
+++ b/peer/shortages_test.go
@@ -23,7 +23,7 @@
 	digest.Shortages = []lentilmux.ServiceShortage{{Service: lentilmux.HashService("desk-llm"), Priority: 0, Age: 300*time.Millisecond + 1}, {Service: lentilmux.HashService("other"), Priority: 12}}
 	with := sentBytes(t, digest)
 	fmt.Fprintf(&out, "with two: %d bytes more, read as %v\n", (len(with)-len(without))/2, receivedDigest(t, with).Shortages)
-	outOfRange := without + "b20102100a" // field 22 with the priority 10
+	outOfRange := without + "b201021064" // field 22 with the priority 100
 	fmt.Fprintf(&out, "priority out of range: read as %v\n", receivedDigest(t, outOfRange).Shortages)
 	goldie.New(t).Assert(t, "shortages", []byte(out.String()))
 }
--- a/placement/smallzone.go
+++ b/placement/smallzone.go
@@ -15,6 +15,10 @@
 	// zone. It is divided by the square of the zone's nodes, since each trial
 	// estimates the zone without each of them.
 	smallTrialWork = 700_000
+	// minSmallTrials is the least number of changes tried for each free node, as far
+	// as maxSmallTrialWork allows, which is divided as smallTrialWork is.
+	minSmallTrials    = 12
+	maxSmallTrialWork = 1_500_000
 	// maxSmallTemperature is the greatest fraction of the rate by which a change may
 	// lower it and still be kept.
 	maxSmallTemperature = 0.02
@@ -57,7 +61,7 @@
 		return
 	}
 	count := len(s.nodes)
-	trials := smallTrialWork * len(free) / (count * count * count)
+	trials := max(smallTrialWork*len(free)/(count*count*count), min(minSmallTrials*len(free), maxSmallTrialWork/(count*count)))
 	current, currentRate := slices.Clone(s.best), s.bestRate
 	changed := slices.Clone(current)
 	for trial := range trials {
