Follow answers by the message that they belong to in the racing test

The test took each answer of a tick for one to the message of that tick. Answers are now matched by their correlation ID, and one that names another request fails the test.

--- a/fleet/racing_test.go
+++ b/fleet/racing_test.go
@@ -31,6 +31,7 @@
 	sequence int
 	offset   uint64
 	requests []*racingRequest
+	asked    map[lentilmux.CorrelationID]*racingRequest // by message that an answer decides on
 }
 
 // racingUpstreams are the upstreams with their layers; those without serve calls.
@@ -38,7 +39,7 @@
 
 // newRacingFleet returns a VM that knows a configuration and all upstreams.
 func newRacingFleet(t *rapid.T) *racingFleet {
-	f := &racingFleet{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	f := &racingFleet{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), asked: make(map[lentilmux.CorrelationID]*racingRequest)}
 	f.model = fleet.New(fleet.Self{Name: "entry-1", Zone: "kochi", Incarnation: 1, Started: f.now}, fleet.DefaultLimits(), fleet.WithPathSelector(dispatch.NewCheapestPath(1)), fleet.WithDispatch(dispatch.NewTwoChoices(1)))
 	rules := testRuleset(map[string]string{"version": "1", "keys": "k1"})
 	for i := range rules.Services {
@@ -76,37 +77,41 @@
 	f.tick(nil, lentilmux.StreamUpdatesMsg{Stream: lentilmux.StreamUpstreams, AsOf: f.now, Updates: []lentilmux.StreamUpdate{{Key: name, Offset: f.offset, Upstream: upstreamRecord(name, fields)}}})
 }
 
-// tick runs the model with one message, whose answer decides on a request, and checks
-// the tables.
+// tick runs the model with one message and checks the tables. It carries out the answers,
+// also those to earlier messages: a stream that waits to resume gets one later.
 func (f *racingFleet) tick(request *racingRequest, msg lentilmux.Msg) {
 	f.sequence++
-	f.model.Tick(f.now, []lentilmux.Envelope{{Msg: msg, CorrelationID: lentilmux.CorrelationID(f.sequence)}})
-	f.check(msg)
-}
-
-// ask is like tick and carries out the answer.
-func (f *racingFleet) ask(request *racingRequest, msg lentilmux.Msg) {
-	f.sequence++
-	effects, _ := f.model.Tick(f.now, []lentilmux.Envelope{{Msg: msg, CorrelationID: lentilmux.CorrelationID(f.sequence)}})
+	id := lentilmux.CorrelationID(f.sequence)
+	if request != nil {
+		f.asked[id] = request
+	}
+	effects, _ := f.model.Tick(f.now, []lentilmux.Envelope{{Msg: msg, CorrelationID: id}})
 	f.check(msg)
 	for _, effect := range effects {
 		answer, ok := effect.(lentilmux.AnswerEffect)
-		if !ok {
-			continue
+		if asked := f.asked[answer.CorrelationID]; ok && asked != nil && slices.Contains(f.requests, asked) {
+			f.carryOut(asked, msg, answer.Answer)
 		}
-		switch x := answer.Answer.(type) {
-		case lentilmux.AttemptAnswer:
-			if request.once && (request.mayHaveRun || len(request.inFlight) > 0) {
-				f.t.Fatalf("attempt %d of %s, which may have run already", x.Attempt.Epoch, request.id)
-			}
-			request.inFlight = append(request.inFlight, x.Attempt.Epoch)
-			request.sends++
-		case lentilmux.RefusalAnswer:
-			f.done(request, x.Refusal.Outcome)
-		case lentilmux.WaitAnswer:
-			if _, failed := msg.(lentilmux.ForwardFailedMsg); failed && len(request.inFlight) == 0 {
-				f.t.Fatalf("%s waits with nothing in flight after %#v", request.id, msg)
-			}
+	}
+}
+
+// carryOut carries out an answer that decides on a request.
+func (f *racingFleet) carryOut(request *racingRequest, msg lentilmux.Msg, answer lentilmux.Answer) {
+	switch x := answer.(type) {
+	case lentilmux.AttemptAnswer:
+		if request.once && (request.mayHaveRun || len(request.inFlight) > 0) {
+			f.t.Fatalf("attempt %d of %s, which may have run already", x.Attempt.Epoch, request.id)
+		}
+		if x.Attempt.Request != request.id {
+			f.t.Fatalf("%s got the attempt of %s", request.id, x.Attempt.Request)
+		}
+		request.inFlight = append(request.inFlight, x.Attempt.Epoch)
+		request.sends++
+	case lentilmux.RefusalAnswer:
+		f.done(request, x.Refusal.Outcome)
+	case lentilmux.WaitAnswer:
+		if _, failed := msg.(lentilmux.ForwardFailedMsg); failed && len(request.inFlight) == 0 {
+			f.t.Fatalf("%s waits with nothing in flight after %#v", request.id, msg)
 		}
 	}
 }
@@ -186,7 +191,7 @@
 	case "fail":
 		f.fail(request, epoch)
 	case "stall":
-		f.ask(request, lentilmux.ForwardStalledMsg{Request: request.id, Epoch: epoch, Delivered: request.delivered})
+		f.tick(request, lentilmux.ForwardStalledMsg{Request: request.id, Epoch: epoch, Delivered: request.delivered})
 	case "start":
 		request.inFlight = []lentilmux.Epoch{epoch}
 		request.delivered++
@@ -204,7 +209,7 @@
 	request := &racingRequest{id: lentilmux.RequestID(fmt.Sprint("r", f.sequence)), once: path == "/book/x"}
 	fields := map[string]string{"path": path, "key": "k1", "prompt": "100", "answer": "20", "parts": rapid.SampledFrom([]string{"", "1,2", "1,3"}).Draw(f.t, "parts")}
 	f.requests = append(f.requests, request)
-	f.ask(request, lentilmux.ForwardMsg{Inbound: inboundRequest(string(request.id), fields, f.now)})
+	f.tick(request, lentilmux.ForwardMsg{Inbound: inboundRequest(string(request.id), fields, f.now)})
 }
 
 // fail ends one attempt of a request.
@@ -219,7 +224,7 @@
 	}
 	request.mayHaveRun = request.mayHaveRun || !msg.NotRun
 	request.inFlight = slices.DeleteFunc(request.inFlight, func(e lentilmux.Epoch) bool { return e == epoch })
-	f.ask(request, msg)
+	f.tick(request, msg)
 }
 
 // report answers or refuses a probe of an upstream.
