--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -24,11 +24,13 @@
 	// cross zones there, not the activations.
 	crossZoneEntrySeconds = 0.02
 	// maxMemoryUse is the fraction of an upstream's KV cache that its requests
-	// may be expected to fill. Paths avoid upstreams above it.
-	maxMemoryUse = 0.97
+	// may be expected to fill. Paths avoid upstreams above it. It is above 1 since
+	// what is reserved exceeds what upstreams report by a tenth, and since an
+	// upstream that was full when its load was known has ended requests since.
+	maxMemoryUse = 1.0
 	// memoryUseLimit sets how steeply the cost of an upstream rises as its KV
 	// cache fills: costs are divided by this limit minus the fraction in use.
-	memoryUseLimit = 1.1
+	memoryUseLimit = 1.15
 	// answerCacheFraction is the fraction of the completion tokens that counts
 	// as KV cache in use. It is below 1 since a completion grows while the
 	// request runs.
@@ -109,17 +111,18 @@
 		node := &nodes[i]
 		use := math.Inf(1)
 		if node.Capacity > 0 && node.StepFactor > 0 {
-			use = (float64(node.Reserved) + float64(cacheTokens)*float64(min(node.Layers.Len(), request.Layers.Len()))) / float64(node.Capacity)
+			use = (float64(node.Reserved) + cacheOf(node, request, cacheTokens)) / float64(node.Capacity)
 		}
 		c.memoryUse = append(c.memoryUse, use)
 		step := node.StepFactor * (model.StepTime.Seconds() + streamWeight*float64(node.Streams+1)*perStream)
 		prefill := node.PrefillFactor * (float64(request.PromptTokens) + pendingPrefillFraction*float64(node.PendingPromptTokens)) / model.PrefillTokensPerSecond
-		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / (memoryUseLimit - use)
+		unseen := request.UnseenRequests * cacheOf(node, request, cacheTokens) / float64(max(node.Capacity, 1))
+		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / memoryHeadroom(use+unseen) * learnedFactor(node)
 		if use > maxMemoryUse || !isFinite(cost) {
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
 		}
-		c.layerCosts = append(c.layerCosts, cost*c.zoneFactor(node.Zone)*(1+costJitter*c.random.Float64()))
+		c.layerCosts = append(c.layerCosts, cost*c.zoneFactor(node.Zone)*c.costFactor(request))
 		c.addCandidate(nodes, i)
 	}
 	for _, i := range c.candidates {
@@ -133,6 +136,23 @@
 	c.boundaries = slices.Compact(c.boundaries)
 }
 
+// cacheOf returns the KV cache that a request is expected to hold at a node, in tokens
+// times layers, if it uses all layers of the node that it can.
+func cacheOf(node *lentilmux.PathNode, request lentilmux.PathRequest, cacheTokens int64) float64 {
+	return float64(cacheTokens) * float64(min(node.Layers.Len(), request.Layers.Len()))
+}
+
+// memoryHeadroom returns the divisor of a node's cost, which falls as the KV cache
+// fills. It stays positive beyond a full cache: requests that the loads do not show
+// make a node expensive, but do not exclude it, since in a burst they would exclude
+// all.
+func memoryHeadroom(use float64) (headroom float64) {
+	if use <= 1 {
+		return memoryUseLimit - use
+	}
+	return (memoryUseLimit - 1) / (use * use)
+}
+
 // isFinite reports whether a cost can be added and compared. A node with another
 // one, which takes an impossible speed or load, runs nothing.
 func isFinite(cost float64) bool { return cost >= 0 && cost < math.MaxFloat64/math.MaxInt32 }
@@ -148,6 +168,17 @@
 	return c.zoneFactors[zone]
 }
 
+// costFactor returns the random factor of a node's cost. A part of a path is replaced
+// when an upstream has crashed, and all VMs do that within some milliseconds: the
+// factor then spreads their requests over the nodes in inverse proportion to their
+// costs, so that the lost layers are computed by all that hold them.
+func (c *CheapestPath) costFactor(request lentilmux.PathRequest) (factor float64) {
+	if request.HasPredecessor {
+		return c.random.ExpFloat64()
+	}
+	return 1 + costJitter*c.random.Float64()
+}
+
 // addCandidate makes a node a candidate unless its group has a cheaper one. A
 // group is formed by zone and layer range; nodes that cannot be the first hop
 // are grouped separately.
--- a/entryvm/metrics.go
+++ b/entryvm/metrics.go
@@ -27,16 +27,23 @@
 	tokens          metric.Int64Counter
 	unanswered      metric.Int64Counter
 	decisions       metric.Int64Counter
+	roomDecisions   metric.Int64Counter
 	closedConns     metric.Int64Counter
+	limited         metric.Int64Counter
 	requestDuration metric.Float64Histogram
 	firstToken      metric.Float64Histogram
 	longestPause    metric.Float64Histogram
 	promiseRatio    metric.Float64Histogram
+	answerRatio     metric.Float64Histogram
 }
 
 // promiseRatioBounds are the bounds of the buckets of the promise ratio.
 var promiseRatioBounds = []float64{0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 20}
 
+// answerRatioBounds are the bounds of the buckets of the answer ratio, half an octave
+// each around 1.
+var answerRatioBounds = []float64{0.1, 0.25, 0.5, 0.71, 0.84, 1.19, 1.41, 2, 4, 10, 30}
+
 // newMetrics creates the instruments with a Prometheus registry of their own.
 func newMetrics() (m *metrics, err error) {
 	defer errors.DeferredAnnotatef(&err, "creating metrics")
@@ -56,12 +63,18 @@
 	if m.closedConns, err = meter.Int64Counter("lentilmux_closed_connections", metric.WithDescription("Connections of callers that were closed, by cause.")); err != nil {
 		return nil, err
 	}
+	if m.limited, err = meter.Int64Counter("lentilmux_limited", metric.WithDescription("Connections and requests of clients that a limit has ended, by server and limit.")); err != nil {
+		return nil, err
+	}
 	if m.tokens, err = meter.Int64Counter("lentilmux_tokens", metric.WithDescription("Tokens given to callers.")); err != nil {
 		return nil, err
 	}
 	if m.decisions, err = meter.Int64Counter("lentilmux_decisions", metric.WithDescription("Decisions, by what was decided.")); err != nil {
 		return nil, err
 	}
+	if m.roomDecisions, err = meter.Int64Counter("lentilmux_room_decisions", metric.WithDescription("Requests that got room at upstreams that hold layers, or were refused for want of it, by priority.")); err != nil {
+		return nil, err
+	}
 	if m.requestDuration, err = meter.Float64Histogram("lentilmux_request_duration", metric.WithUnit("s"), metric.WithDescription("Time until a request ended.")); err != nil {
 		return nil, err
 	}
@@ -73,9 +86,22 @@
 	}
 	m.promiseRatio, err = meter.Float64Histogram("lentilmux_promise_ratio", metric.WithExplicitBucketBoundaries(promiseRatioBounds...),
 		metric.WithDescription("Time until the first event of a stream, or until it ended without one, divided by the time expected when its first attempt was sent."))
+	if err != nil {
+		return nil, err
+	}
+	m.answerRatio, err = meter.Float64Histogram("lentilmux_answer_ratio", metric.WithExplicitBucketBoundaries(answerRatioBounds...),
+		metric.WithDescription("Tokens of an answer divided by those expected when its first attempt was sent."))
 	return m, err
 }
 
+// countAnswer records the length of an answer.
+func (m *metrics) countAnswer(effect lentilmux.AnswerMeasuredEffect) {
+	if effect.ExpectedTokens > 0 {
+		m.answerRatio.Record(context.Background(), float64(effect.Answer.Tokens)/effect.ExpectedTokens,
+			metric.WithAttributes(attribute.Bool("complete", effect.Answer.Complete), attribute.Bool("learned", effect.Learned)))
+	}
+}
+
 // observeHeldParts adds the number of held prompt parts, which count returns.
 func (m *metrics) observeHeldParts(count func() int) (err error) {
 	_, err = m.meter.Int64ObservableGauge("lentilmux_held_parts", metric.WithDescription("Prompt parts that are held since they crash upstreams."),
@@ -181,3 +207,10 @@
 		m.longestPause.Record(ctx, result.MaxEventGap.Seconds())
 	}
 }
+
+// countRoomDecision counts a request that got room or was refused for want of it. Its
+// priority is one of ten.
+func (m *metrics) countRoomDecision(effect lentilmux.RoomDecisionEffect) {
+	m.roomDecisions.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.Int("priority", lentilmux.ClampPriority(effect.Priority)), attribute.Bool("served", effect.Served), attribute.Bool("returning", effect.Returning)))
+}
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -9,11 +9,13 @@
 )
 
 // AdmitRequests admits or refuses requests and selects the upstreams of each
-// attempt, including retries. It reads Rules, Streams and Upstreams and writes
-// Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, CrashSuspects and CrossZoneBucket.
+// attempt, including retries. It reads Rules, Streams, Upstreams and StreamDurations and
+// writes Requests, Pending, ResumeWaits, Upstreams, RetryBudgets, PriorityShares, Shortages,
+// RefusedRequests, CrashSuspects and CrossZoneBucket.
 type AdmitRequests struct {
 	PathSelector lentilmux.PathSelector
 	Dispatch     lentilmux.Dispatch
+	Shortage     lentilmux.ShortagePolicy
 
 	nodes      []lentilmux.PathNode // candidates for a hop of a path
 	rows       []*UpstreamRow       // rows of nodes or candidates
@@ -31,12 +33,15 @@
 		a.handleStalledAttempt(t, stalled, now)
 	}
 	a.resumeStreams(t, now)
-	a.resumePending(t, now)
+	rows := a.takeReadyPending(t, now)
 	for _, arrival := range t.Events.Arrivals {
 		if !t.endedThisTick(arrival.Inbound.ID) && !a.holdPending(t, arrival, now) {
-			a.admitOrRefuse(t, PendingRow{ArrivalRow: arrival}, now)
+			rows = append(rows, PendingRow{ArrivalRow: arrival})
 		}
 	}
+	for _, row := range a.orderPending(t, rows, now) {
+		a.admitOrRefuse(t, row, now)
+	}
 }
 
 // admitOrRefuse sends the first attempt of a request, lets it wait for room or
@@ -52,15 +57,19 @@
 		if !row.Admitted && !t.forwards(request) { // a peer counts what is forwarded to it
 			t.RetryBudgets.GetOrCreate(request.Service).countRequest(now, t.Limits.RetryWindow)
 		}
+		t.recognizeReturn(request, &row, now)
 		request.WaitedForPeer = row.ForPeer && !now.Before(row.Until)
-		t.Requests.Put(request)
-		if refusal = a.sendAttempt(t, request, row.CorrelationID, now); refusal == nil {
+		if refusal = a.sendOrDefer(t, request, &row, now); refusal == nil {
+			t.countDecided(request, true, now)
 			return
 		}
-		t.Requests.Remove(request.ID)
 		if refusal.Reason == lentilmux.ReasonNoUpstream && a.holdForRoom(t, row, request, now) || refusal.Reason == lentilmux.ReasonNotReady && a.holdForPeer(t, row, request, now) {
 			return
 		}
+		if refusal.Reason == lentilmux.ReasonNoUpstream {
+			t.countDecided(request, false, now)
+			t.noteRefused(request, refusal, now)
+		}
 	}
 	a.refuse(t, row.Inbound.ID, row.CorrelationID, refusal, now)
 }
@@ -79,7 +88,7 @@
 		}
 		return nil, t.notRunRefusal(lentilmux.ReasonUnknownRoute, "no route")
 	}
-	request = &RequestRow{InboundRequest: *inbound, Parts: suspectableParts(inbound), Route: route, Priority: route.Priority, Service: selectService(route, lentilmux.ComputeFingerprint(string(inbound.ID)))}
+	request = &RequestRow{InboundRequest: *inbound, Parts: suspectableParts(inbound), Route: route, Priority: t.Rules.priority(route, inbound), Service: selectService(route, lentilmux.ComputeFingerprint(string(inbound.ID)))}
 	if inbound.Forwarded.IsForwarded() {
 		return request, t.admitForwarded(request, now)
 	}
@@ -87,9 +96,6 @@
 	switch {
 	case workspace != nil:
 		request.Workspace = workspace.Name
-		if workspace.HasPriority {
-			request.Priority = workspace.Priority
-		}
 	case !route.Anonymous && len(t.Rules.Workspaces) > 0 && !stale:
 		return nil, t.notRunRefusal(lentilmux.ReasonUnknownKey, "unknown key")
 	}
@@ -115,11 +121,6 @@
 	case t.ConfigStale(now), t.Rules.Version < forwarded.MinRules:
 		return t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old")
 	}
-	for i := range t.Rules.Workspaces {
-		if workspace := &t.Rules.Workspaces[i]; workspace.Name == forwarded.Workspace && workspace.HasPriority {
-			request.Priority = workspace.Priority
-		}
-	}
 	request.Workspace, request.PossibleRuns, request.MayHaveRun = forwarded.Workspace, forwarded.PossibleRuns, forwarded.PossibleRuns > 0
 	request.Deadline = earliest(request.Deadline, request.ReceivedAt.Add(request.Route.Timeout))
 	return t.checkCrashes(request, now)
@@ -166,6 +167,7 @@
 	}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: lentilmux.Epoch(request.Attempts + 1), Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
+		Priority: t.Rules.upstreamPriority(request.Service, request.Priority), HasPriority: t.Rules.ranksRequests(request.Service),
 	}
 	service := t.Rules.Service(request.Service)
 	ok := false
@@ -178,6 +180,9 @@
 		if t.lacksLinks(request) && a.forwardToPeer(t, request, correlationID, now) {
 			return nil
 		}
+		if request.Attempts > 0 { // one that was never sent may fit nowhere
+			t.noteShortage(request.Service, request.Priority, request.ID, now)
+		}
 		return a.adjustOutcome(request, t.noRoomRefusal(request, a.describeNoRoom(request.Service), now))
 	}
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
@@ -215,10 +220,14 @@
 // refuse answers a request with a refusal and logs it.
 func (a *AdmitRequests) refuse(t *Tables, id lentilmux.RequestID, correlationID lentilmux.CorrelationID, refusal *lentilmux.Refusal, now time.Time) {
 	t.Answer(correlationID, lentilmux.RefusalAnswer{Refusal: *refusal})
+	retryAfter := "" // unless it is the usual one
+	if refusal.RetryAfter != t.Limits.RefusalRetryAfter {
+		retryAfter = fmt.Sprintf(" retry_after=%dms", refusal.RetryAfter.Milliseconds())
+	}
 	t.RecordDecision(lentilmux.Decision{
 		What: "request_refused", Subject: string(id), Chosen: refusal.Outcome.String(),
 		// rules is the version of the configuration, age the time since it was last
 		// read.
-		Reason: fmt.Sprintf("%s: %s; rules=%d age=%dms", refusal.Reason, refusal.Detail, t.Rules.Version, now.Sub(t.Streams.Rules.AsOf).Milliseconds()),
+		Reason: fmt.Sprintf("%s: %s; rules=%d age=%dms", refusal.Reason, refusal.Detail, t.Rules.Version, now.Sub(t.Streams.Rules.AsOf).Milliseconds()) + retryAfter,
 	})
 }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -13,8 +13,10 @@
 // attempt. Ejected upstreams and the first hop of the last attempt are excluded
 // as first hop, unless that leaves no path.
 func (a *AdmitRequests) choosePath(t *Tables, request *RequestRow, model *lentilmux.ModelProfile, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
+	t.estimateCost(request, model, now)
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
+	pathRequest.UnseenRequests = t.unseenRequests(request.Service, model, a.nodes, now)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
 	if request.Elsewhere {
 		a.excludeOverdue(t, now)
@@ -30,9 +32,10 @@
 		}
 		hops, estimate, ok = a.selectPath(t, pathRequest, now)
 	}
-	if !ok {
+	if !ok || request.MaxMemoryUse > 0 && estimate.MaxMemoryUse > request.MaxMemoryUse {
 		return false
 	}
+	t.Costs.recordSpread(request.Cost.Estimate)
 	cacheTokens := dispatch.CacheTokens(pathRequest.PromptTokens, pathRequest.AnswerTokens)
 	request.Reservations = request.Reservations[:0]
 	for _, hop := range hops {
@@ -43,7 +46,10 @@
 			Upstream: row.ID, Load: Load{Streams: 1, PendingPromptTokens: pathRequest.PromptTokens, Reserved: cacheTokens * int64(hop.Layers.Len())},
 		})
 	}
-	request.Hops = attempt.Path
+	request.setStreamWork(model, estimate)
+	a.setHopCosts(request, hops, estimate)
+	attempt.Delivered = &lentilmux.EventCount{}
+	request.Hops, request.Events = attempt.Path, attempt.Delivered
 	attempt.Upstream, attempt.Addr = attempt.Path[0].Upstream, attempt.Path[0].Addr
 	request.Promised, attempt.Promised = estimate.TimeToFirstEvent, estimate.TimeToFirstEvent
 	attempt.FirstEventTimeout = t.firstEventTimeout(request.Promised)
@@ -71,6 +77,7 @@
 // selectPath selects a path within one availability zone. If there is none, it
 // selects one that crosses zones, as far as the bandwidth between zones allows.
 func (a *AdmitRequests) selectPath(t *Tables, pathRequest lentilmux.PathRequest, now time.Time) (hops []lentilmux.PathHop, estimate lentilmux.PathEstimate, ok bool) {
+	a.addLearned(t)
 	pathRequest.SingleZone = true
 	hops, estimate, ok = a.PathSelector.Choose(pathRequest, a.nodes, a.hops[:0])
 	a.hops = hops[:0]
@@ -149,10 +156,14 @@
 }
 
 // expectedAnswerTokens returns the number of completion tokens that a request is
-// expected to generate, at least 1.
+// expected to generate, at least 1. Before enough answers were observed, it is the
+// caller's estimate or the typical answer of the model.
 func expectedAnswerTokens(request *RequestRow, model *lentilmux.ModelProfile) int {
+	if estimate := request.Cost.Estimate; estimate.Learned {
+		return max(int(estimate.MeanTokens), 1)
+	}
 	tokens := model.TypicalAnswerTokens
-	if request.ExpectedTokens > 0 {
+	if request.ExpectedTokens > 0 && request.ExpectedTokens <= lentilmux.MaxHintTokens {
 		tokens = request.ExpectedTokens
 	}
 	if request.MaxTokens > 0 {
--- a/fleet/digests.go
+++ b/fleet/digests.go
@@ -10,10 +10,11 @@
 
 // SendDigests sends this VM's load to its peers at each DigestInterval, or
 // RelayDigestInterval if relays are used, and earlier if an upstream was found
-// dead or announced its drain. It writes its address to the store at each
+// dead or announced its drain. Before, it brings the reservations of streams up to
+// date. It writes its address to the store at each
 // AnnounceInterval, and again if a restored store lacks it. A relay also sends
-// sums of the loads of other VMs. It reads Upstreams, Streams and RetryBudgets and
-// reads and writes VMs.
+// sums of the loads of other VMs. It reads Upstreams, Streams, RetryBudgets,
+// Shortages and RefusedRequests and reads and writes VMs.
 type SendDigests struct {
 	sequence        uint64
 	rounds          int // digests sent so far
@@ -31,10 +32,7 @@
 			VM: &lentilmux.VMRecord{Name: t.Self.Name, Zone: t.Self.Zone, Addr: t.Self.Addr},
 		})
 	}
-	interval := t.Limits.DigestInterval
-	if t.usesRelays() {
-		interval = t.Limits.RelayDigestInterval
-	}
+	interval := t.digestInterval()
 	if t.NewSuspects || t.NewDrains || t.NewRules {
 		interval = t.Limits.MinDigestInterval
 	}
@@ -45,6 +43,8 @@
 	s.lastSentAt, t.NewSuspects, t.NewDrains, t.NewRules = now, false, false, false
 	s.rounds++
 	t.WakeAt(now.Add(interval))
+	t.followStreams(now)
+	t.refreshSpeeds(now)
 	own := s.ownDigest(t, now)
 	switch {
 	case !t.usesRelays():
@@ -60,6 +60,14 @@
 	}
 }
 
+// digestInterval returns the time between two digests of a VM without urgent news.
+func (t *Tables) digestInterval() (interval time.Duration) {
+	if t.usesRelays() {
+		return t.Limits.RelayDigestInterval
+	}
+	return t.Limits.DigestInterval
+}
+
 const (
 	// standbyRounds is the number of rounds in which a relay that is not the first
 	// of its zone sends the fleet-wide sum once, while the first one is live: the
@@ -122,7 +130,8 @@
 	s.sequence++
 	digest.Sequence = s.sequence
 	digest.Parts, digest.Limits, digest.Drains = t.PartSuspects.suspicions(now), t.knownLimits(now), t.knownDrains(now)
-	digest.BackOffs = t.knownBackOffs(now)
+	digest.BackOffs, digest.Shortages = t.knownBackOffs(now), t.knownShortages(now)
+	digest.Refused = t.knownRefused(digest.Scope, now)
 	t.AddEffect(lentilmux.LoadDigestEffect{Digest: digest, To: to})
 }
 
@@ -132,7 +141,7 @@
 func (s *SendDigests) ownDigest(t *Tables, now time.Time) (digest lentilmux.LoadDigest) {
 	digest = lentilmux.LoadDigest{
 		VM: t.Self.Name, VMCount: 1, Zone: t.Self.Zone, Addr: t.Self.Addr, Incarnation: t.Self.Incarnation,
-		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version,
+		Draining: t.Self.Draining, Stale: t.ConfigStale(now), Rules: t.Rules.Version, Counts: t.ownCounts(s.rounds, now),
 	}
 	if t.isIsolated(now) {
 		digest.IsolatedVMs = []lentilmux.VMHash{lentilmux.HashVM(t.Self.Name)}
@@ -142,9 +151,10 @@
 		if now.Sub(row.ReportedAt) < t.Limits.MaxReportAge {
 			slowdown = row.Slowdown
 		}
-		if row.OwnLoad.Streams > 0 || slowdown > 0 {
+		if speed := row.digestSpeed(now); row.OwnLoad.Streams > 0 || slowdown > 0 || speed.Weight > 0 {
 			digest.Loads = append(digest.Loads, lentilmux.UpstreamLoad{
 				Upstream: row.Hash, Streams: row.OwnLoad.Streams, PendingPromptTokens: row.OwnLoad.PendingPromptTokens, Reserved: row.OwnLoad.Reserved, Slowdown: slowdown,
+				WorkLeft: row.OwnLoad.WorkLeft, WorkKnown: row.OwnLoad.TimedStreams >= row.OwnLoad.Streams, Speed: speed,
 			})
 		}
 		if row.Dead && !row.ReportedByPeer && t.trustsLinks() && !t.isIsolated(now) {
@@ -164,7 +174,7 @@
 // its relays sent.
 func (s *SendDigests) aggregate(t *Tables, own lentilmux.LoadDigest, scope lentilmux.DigestScope, now time.Time) (sum lentilmux.LoadDigest) {
 	sum = own
-	sum.Scope = scope
+	sum.Scope, sum.Counts = scope, t.summedCounts(scope, s.rounds, now)
 	sum.Loads, sum.RetryCounts, sum.Suspects = slices.Clone(own.Loads), slices.Clone(own.RetryCounts), slices.Clone(own.Suspects)
 	sum.IsolatedVMs = slices.Clone(own.IsolatedVMs)
 	indexByUpstream := make(map[lentilmux.UpstreamHash]int, len(sum.Loads))
@@ -198,6 +208,9 @@
 		sum.Streams += load.Streams
 		sum.PendingPromptTokens += load.PendingPromptTokens
 		sum.Reserved += load.Reserved
+		sum.Speed = mergeSpeeds(sum.Speed, load.Speed)
+		sum.WorkLeft += load.WorkLeft
+		sum.WorkKnown = sum.WorkKnown && load.WorkKnown
 		sum.Slowdown = max(sum.Slowdown, load.Slowdown)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,7 +24,9 @@
 	"time"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/admission"
 	"lentilmux.example/lentilmux/dispatch"
+	"lentilmux.example/lentilmux/workload"
 )
 
 // maxTickInterval is the longest time between two ticks.
@@ -43,6 +45,8 @@
 	systems      []System
 	pathSelector lentilmux.PathSelector
 	dispatch     lentilmux.Dispatch
+	shortage     lentilmux.ShortagePolicy
+	estimator    lentilmux.CostEstimator
 }
 
 // Option configures a [Schedule] in [New].
@@ -60,26 +64,44 @@
 	return func(s *Schedule) { s.dispatch = d }
 }
 
+// WithShortagePolicy sets the policy that decides which requests get capacity first while
+// there is too little. The default is [admission.UrgentFirst].
+func WithShortagePolicy(policy lentilmux.ShortagePolicy) Option {
+	return func(s *Schedule) { s.shortage = policy }
+}
+
+// WithCostEstimator sets what learns the lengths of answers. The default is
+// [workload.NewEstimator].
+func WithCostEstimator(estimator lentilmux.CostEstimator) Option {
+	return func(s *Schedule) { s.estimator = estimator }
+}
+
 // New returns a schedule with empty tables.
 func New(self Self, limits Limits, options ...Option) *Schedule {
 	s := &Schedule{
 		tables:       newTables(self, limits),
 		pathSelector: dispatch.NewCheapestPath(self.Incarnation),
 		dispatch:     dispatch.NewTwoChoices(self.Incarnation),
+		shortage:     admission.UrgentFirst{},
+		estimator:    workload.NewEstimator(),
 	}
 	for _, option := range options {
 		option(s)
 	}
-	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch}
+	admit := &AdmitRequests{PathSelector: s.pathSelector, Dispatch: s.dispatch, Shortage: s.shortage}
+	s.tables.Costs.Estimator = s.estimator
 	s.systems = []System{
 		&ApplyStoreUpdates{},
 		&TrackReach{},
 		&ApplyReports{},
+		&MeasureStreams{},
 		&FinishRequests{},
 		&TrackCrashes{},
 		&ApplyRequestLimits{},
 		&ApplyDrains{},
 		&ApplyBackOffs{},
+		&ApplyShortages{},
+		&ApplyRefusedRequests{},
 		&DetectFailures{},
 		&PlaceLayers{},
 		&SendOrders{},
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -10,19 +10,23 @@
 type RequestRow struct {
 	lentilmux.InboundRequest
 	AttemptState
+	Cost          RequestCost
 	Parts         []lentilmux.PromptPart // its shared parts and, last, the one that stands for it alone
 	Older         []AttemptState         // attempts in flight beside the newest, which races with them
 	Route         *lentilmux.RouteRule
 	Service       string
 	Workspace     string
 	Priority      int
-	Attempts      int  // attempts so far
-	PossibleRuns  int  // attempts that may have run the request
-	MayHaveRun    bool // whether any attempt may have run the request
-	Delivered     int  // events that the caller had when the last attempt began
-	Moves         int  // moves so far, also refused ones
-	WaitedForPeer bool // whether it waited in vain for a peer to apply the newest configuration
-	PeerRefusals  int  // peers that refused the request since they cannot serve any
+	MaxMemoryUse  float64 // fraction of KV cache that may be in use on its path; 0 for no limit of its own
+	Attempts      int     // attempts so far
+	PossibleRuns  int     // attempts that may have run the request
+	MayHaveRun    bool    // whether any attempt may have run the request
+	Delivered     int     // events that the caller had when the last attempt began
+	Moves         int     // moves so far, also refused ones
+	WaitedForPeer bool    // whether it waited in vain for a peer to apply the newest configuration
+	Returning     bool    // whether its caller was refused for want of room before
+	NeverFits     bool    // whether it was refused since it does not fit into idle upstreams either
+	PeerRefusals  int     // peers that refused the request since they cannot serve any
 }
 
 // AttemptState is the state of one attempt of a request.
@@ -36,9 +40,11 @@
 	Reservations  []Reservation
 	Hops          []lentilmux.Hop // its path
 	Move          MoveState
-	HopsBefore    []lentilmux.Hop // hops before the move in flight, which continues if the move is refused
-	HeldBefore    []Reservation   // reservations of HopsBefore
-	LostHops      []string        // upstreams of the path that cannot continue the request, although they may not be dead
+	HopsBefore    []lentilmux.Hop       // hops before the move in flight, which continues if the move is refused
+	HeldBefore    []Reservation         // reservations of HopsBefore
+	LostHops      []string              // upstreams of the path that cannot continue the request, although they may not be dead
+	Events        *lentilmux.EventCount // delivered to the caller, of all attempts together; nil without a path
+	EventGap      time.Duration         // expected time between two events; zero without a path
 	SentAt        time.Time
 	Promised      time.Duration  // expected time to its first event; zero without a path
 	Elsewhere     bool           // whether its first hop must be another one than LastUpstream, which has not begun the request
@@ -65,6 +71,7 @@
 type Reservation struct {
 	Upstream string
 	Load     Load
+	Cost     HopCost // as expected when the path was selected; zero after a move
 }
 
 // Requests is the table of requests in flight.
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -38,6 +38,7 @@
 		return
 	}
 	if refusal := a.retryFailed(t, request, failed, now); refusal != nil && !a.holdToResume(t, request, failed, refusal, now) {
+		t.noteRefused(request, refusal, now)
 		a.refuse(t, request.ID, failed.CorrelationID, refusal, now)
 	}
 }
@@ -50,7 +51,7 @@
 	if reason == "" {
 		return a.sendRetry(t, request, failed, charged, now)
 	}
-	refusal = a.adjustOutcome(request, t.notRunRefusal(reason, detail))
+	refusal = a.adjustOutcome(request, t.noRetryRefusal(request, reason, detail, now))
 	if failed.PeerRefusal != nil {
 		refusal.RetryAfter = failed.PeerRefusal.RetryAfter
 	}
@@ -219,6 +220,8 @@
 		return lentilmux.ReasonQuarantined, "it crashes upstreams, or has a prompt part that does", false
 	case failed.Kind == lentilmux.FailureDial && failed.NotRun && !failed.Answered:
 		return "", "", false // nothing reached the upstream
+	case !a.leavesRetries(t, request, now):
+		return lentilmux.ReasonRetryBudget, "the rest of the retry budget is kept for more urgent requests", false
 	case !t.spendRetry(request.Service, now):
 		return lentilmux.ReasonRetryBudget, "the retry budget is spent", false
 	default:
--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -15,7 +15,8 @@
 	Service       string
 	requests      [bucketCount]int
 	retries       [bucketCount]int
-	currentBucket int64 // number of the bucket that is filling, counted from the Unix epoch
+	currentBucket int64       // number of the bucket that is filling, counted from the Unix epoch
+	dealt         TokenBucket // retries beyond this VM's own share
 }
 
 // RetryBudgets is the table of retry budgets, by service.
@@ -64,24 +65,29 @@
 }
 
 // spendRetry charges a retry to a service's budget. It returns false if none is
-// left. A VM may always use its own share. Beyond that it borrows from what its
-// peers are known to have left, up to maxBorrowFactor times its share. Borrowing
-// is bounded because all VMs see a fault at the same time but learn of each
-// other's retries only with the next digests.
+// left. A VM may always use its own share. Beyond that it may use what is dealt to it
+// of the retries that the fleet is known to have left.
 func (t *Tables) spendRetry(service string, now time.Time) bool {
 	row := t.RetryBudgets.GetOrCreate(service)
 	requests, retries := row.totals(now, t.Limits.RetryWindow)
-	slack := t.Limits.RetrySlack / float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
-	ownShare := t.Limits.RetryRatio*float64(requests) + slack
-	if float64(retries+1) > ownShare {
-		if float64(retries+1) > maxBorrowFactor*ownShare || !t.canBorrow(service, requests, retries, now) {
-			return false
-		}
+	if float64(retries+1) > t.ownRetryShare(requests, now) && !t.takeDealtRetry(row, requests, retries, now) {
+		return false
 	}
 	row.retries[row.advanceBuckets(now, t.Limits.RetryWindow)]++
 	return true
 }
 
+// ownRetryShare returns the retries that this VM may always use, given its requests
+// in the retry window.
+func (t *Tables) ownRetryShare(requests int, now time.Time) (retries float64) {
+	return t.Limits.RetryRatio*float64(requests) + t.Limits.RetrySlack/t.budgetVMs(now)
+}
+
+// budgetVMs returns the number of VMs among which retry budgets are divided.
+func (t *Tables) budgetVMs(now time.Time) (count float64) {
+	return float64(max(t.LiveVMs(now), len(t.VMs.Rows)+1))
+}
+
 // refundRetry takes back a charge for a retry that was not sent.
 func (t *Tables) refundRetry(service string, now time.Time) {
 	row := t.RetryBudgets.GetOrCreate(service)
@@ -91,27 +97,49 @@
 }
 
 const (
-	// maxBorrowFactor is the maximum use of the budget by one VM, as a multiple
-	// of its share. Together with retryRatioFraction and retrySlackFraction it
-	// keeps the sum over VMs that know of each other within the deployment's budget, however late they
-	// learn of each other's retries.
-	maxBorrowFactor = 1 / retryRatioFraction
-	// borrowFraction is the fraction of the fleet-wide budget up to which VMs
-	// may borrow.
-	borrowFraction = 0.3
+	// dealtFraction is the fraction of the fleet-wide budget up to which the VMs may
+	// use more than their own shares. The rest covers own shares that are used later,
+	// and counts that are lost when VMs restart.
+	dealtFraction = 0.6
+	// dealRounds is the number of digest intervals over which the retries that are left
+	// are dealt out. Counts are up to three intervals old where relays pass them on: all
+	// VMs together then still use less than what was left.
+	dealRounds = 4
+	// minDealtBurst is the number of dealt retries that a VM may save up, so that the
+	// small part of one VM in a large fleet adds up to a retry.
+	minDealtBurst = 1
 )
 
-// canBorrow reports whether all VMs together have used less than borrowFraction
-// of a budget.
-func (t *Tables) canBorrow(service string, requests, retries int, now time.Time) bool {
+// takeDealtRetry takes a retry of those that are dealt to this VM, or returns false.
+// The fleet's retries that are left are dealt out again with each digest. Without
+// recent digests of others nothing is dealt.
+func (t *Tables) takeDealtRetry(row *RetryBudgetRow, requests, retries int, now time.Time) (taken bool) {
+	left := t.retriesLeft(row.Service, requests, retries, now)
+	if left <= 0 {
+		return false
+	}
+	dealt := left / dealRounds / t.budgetVMs(now)
+	return row.dealt.take(now, dealt/t.digestInterval().Seconds(), max(dealt, minDealtBurst), 1)
+}
+
+// retriesLeft returns how many retries the fleet may use beyond those that it is known
+// to have used, apart from the own shares of its VMs. requests and retries are those of
+// this VM.
+func (t *Tables) retriesLeft(service string, requests, retries int, now time.Time) (left float64) {
+	requests, retries = t.fleetCounts(service, requests, retries, now)
+	return dealtFraction*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack) - float64(retries)
+}
+
+// fleetCounts returns the requests and retries of a service in the retry window on all
+// VMs, as last known. requests and retries are those of this VM.
+func (t *Tables) fleetCounts(service string, requests, retries int, now time.Time) (allRequests, allRetries int) {
 	if t.FleetLoads.isFresh(now, t.Limits.PeerTimeout) {
-		requests, retries = addRetryCounts(t.FleetLoads.RetryCounts, service, 0, 0) // includes this VM's own counts
-	} else {
-		for _, vm := range t.digestSources(now) {
-			requests, retries = addRetryCounts(vm.RetryCounts, service, requests, retries)
-		}
+		return addRetryCounts(t.FleetLoads.RetryCounts, service, 0, 0) // includes this VM's own counts
+	}
+	for _, vm := range t.digestSources(now) {
+		requests, retries = addRetryCounts(vm.RetryCounts, service, requests, retries)
 	}
-	return float64(retries+1) <= borrowFraction*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack)
+	return requests, retries
 }
 
 // addRetryCounts adds the counts of a service to requests and retries.
--- a/fleet/storeupdates.go
+++ b/fleet/storeupdates.go
@@ -10,7 +10,8 @@
 // ApplyStoreUpdates applies new limits and the results of reads from the store:
 // configuration, upstreams and entry VMs. It reads Events.Limits,
 // Events.StreamUpdates, Events.StreamFailures and Events.StreamsBehind and writes
-// Limits, Streams, Rules, Upstreams, Departures, PartSuspects, VMs, Zones and Self.
+// Limits, Streams, Rules, Upstreams, Departures, PartSuspects, VMs, Zones, Self,
+// PriorityShares and StreamDurations.
 type ApplyStoreUpdates struct{}
 
 // Run implements [System].
@@ -159,7 +160,7 @@
 		return
 	}
 	previous := t.Rules.Version
-	t.Rules.install(rules)
+	invalidPriorities := t.Rules.install(rules)
 	t.Rules.InstalledAt, t.NewRules = now, previous > 0
 	t.AddEffect(lentilmux.BodyLimitEffect{MaxBytes: rules.Limits.MaxBodyBytes})
 	t.AddEffect(lentilmux.RulesVersionEffect{Version: rules.Version})
@@ -167,6 +168,8 @@
 		What: "rules_installed", Subject: fmt.Sprint(rules.Version), Chosen: fmt.Sprintf("%d routes, %d workspaces", len(rules.Routes), len(rules.Workspaces)),
 		Reason: fmt.Sprintf("previous version %d", previous),
 	})
+	t.recordInvalidPriorities(invalidPriorities)
+	t.forgetServices()
 }
 
 // ModelAndAccelerator returns the model that an upstream runs and its
--- a/fleet/tables.go
+++ b/fleet/tables.go
@@ -39,7 +39,12 @@
 	ResumeWaits     []ResumeWaitRow
 	Drains          Drains
 	BackOffs        BackOffs
+	Costs           Costs
 	RetryBudgets    RetryBudgets
+	StreamDurations StreamDurations
+	PriorityShares  PriorityShares
+	Shortages       Shortages
+	RefusedRequests RefusedRequests
 	CrashSuspects   CrashSuspects
 	PartSuspects    PartSuspects
 	Zones           Zones
--- a/forward.go
+++ b/forward.go
@@ -59,11 +59,14 @@
 	Addr              netip.AddrPort
 	Path              []Hop // empty if the upstream runs all layers itself
 	Workspace         string
+	Priority          int           // 0 is the most urgent; valid if HasPriority
+	HasPriority       bool          // whether the upstream is told the priority
 	Deadline          time.Time     // by which the answer has to be complete
 	Promised          time.Duration // expected time to the first event; 0 if none is expected
 	FirstEventTimeout time.Duration // time without a first event after which the attempt is stalled; 0 for no limit
 	EventGapTimeout   time.Duration // time between events after which the attempt is stalled
 	Progress          []*Progress   // of the path's upstreams
+	Delivered         *EventCount   // of the request, of all attempts together; nil if it is not followed
 	Limited           bool          // whether the upstream named a limit, so that an answer without one has to be reported
 	StartedAt         time.Time     // start of the upstream's process, as known when the attempt was sent
 }
--- a/path.go
+++ b/path.go
@@ -82,13 +82,16 @@
 type PathNode struct {
 	Zone                int // index of its availability zone
 	Layers              LayerRange
-	StepFactor          float64 // of its accelerator, times its slowdown
-	PrefillFactor       float64 // of its accelerator, times its slowdown
-	Streams             int     // requests of all entry VMs in flight on it
-	PendingPromptTokens int     // prompt tokens of all entry VMs that wait for prefill
-	Reserved            int64   // KV cache reserved for requests of all entry VMs, in tokens times layers
-	Capacity            int64   // KV cache, in tokens times layers
-	Full                bool    // whether it accepts no more requests as the first hop of a path
+	StepFactor          float64       // of its accelerator, times its slowdown
+	PrefillFactor       float64       // of its accelerator, times its slowdown
+	Streams             int           // requests of all entry VMs in flight on it
+	PendingPromptTokens int           // prompt tokens of all entry VMs that wait for prefill
+	Reserved            int64         // KV cache reserved for requests of all entry VMs, in tokens times layers
+	Capacity            int64         // KV cache, in tokens times layers
+	WorkLeft            time.Duration // sum of the times that its streams still run, if WorkKnown
+	PauseShare          float64       // part of its streams that it is expected to pause
+	WorkKnown           bool          // whether WorkLeft covers all streams
+	Full                bool          // whether it accepts no more requests as the first hop of a path
 }
 
 // PathRequest holds the requirements of a request on its path.
@@ -100,6 +103,10 @@
 	SourceZone     int        // zone of the entry VM, or of the preceding upstream
 	PromptTokens   int        // prompt tokens to prefill
 	AnswerTokens   int        // expected completion tokens
+	// UnseenRequests is the number of requests of other entry VMs that each node is
+	// expected to have got since its load was known. A node with room for few requests
+	// is full by then, although it seems the emptiest.
+	UnseenRequests float64
 }
 
 // PathHop is one hop of a chosen path. Node is an index into the nodes that were
--- a/streams.go
+++ b/streams.go
@@ -293,10 +293,22 @@
 // load digest.
 type UpstreamLoad struct {
 	Upstream            UpstreamHash
-	Streams             int     // requests in flight
-	PendingPromptTokens int     // prompt tokens that wait for prefill
-	Reserved            int64   // reserved KV cache, in tokens times layers
-	Slowdown            float64 // as reported by the upstream; 0 without a recent report
+	Streams             int           // requests in flight
+	PendingPromptTokens int           // prompt tokens that wait for prefill
+	Reserved            int64         // reserved KV cache, in tokens times layers
+	Slowdown            float64       // as reported by the upstream; 0 without a recent report
+	WorkLeft            time.Duration // sum of the times that the streams still run, if WorkKnown
+	WorkKnown           bool          // whether WorkLeft covers all streams; false if a VM does not say
+	Speed               UpstreamSpeed // as measured by the VMs
+}
+
+// UpstreamSpeed holds the ratios of the measured to the expected times of an upstream,
+// where the expected ones follow from its accelerator and its reported slowdown.
+type UpstreamSpeed struct {
+	Step    float64 // of the gaps between events
+	Prefill float64
+	Pauses  float64 // part of its streams that it paused, as when it preempts them
+	Weight  float64 // number of answers that were measured, decayed; 0 if the ratios are not known
 }
 
 // DigestScope is the set of VMs whose work a load digest covers.
@@ -330,12 +342,15 @@
 	Slice       int            // slice that it covers: upstreams whose hash modulo Slices is this number
 	Suspects    []string       // upstreams that are suspected to be dead
 	RetryCounts []RetryCounts
-	Parts       []PartSuspicion // prompt parts that may crash upstreams, as the sender knows them
-	Limits      []UpstreamLimit // limits that upstreams named, as the sender knows them
-	Drains      []UpstreamDrain // drains that upstreams announced, as the sender knows them
-	Rules       Revision        // newest version of the configuration that is in force on a VM that the digest covers
-	IsolatedVMs []VMHash        // VMs that the digest covers and that reach no upstream
-	BackOffs    []BackOffHint   // upstreams that asked a VM for a back-off, as the sender knows them
+	Parts       []PartSuspicion   // prompt parts that may crash upstreams, as the sender knows them
+	Limits      []UpstreamLimit   // limits that upstreams named, as the sender knows them
+	Drains      []UpstreamDrain   // drains that upstreams announced, as the sender knows them
+	Rules       Revision          // newest version of the configuration that is in force on a VM that the digest covers
+	IsolatedVMs []VMHash          // VMs that the digest covers and that reach no upstream
+	Shortages   []ServiceShortage // services whose requests lately found no room, as the sender knows them
+	Refused     []RefusedRequest  // requests that were refused for want of room, as the sender knows them
+	Counts      []AnswerCounts    // answers that the VMs that the digest covers observed, of some keys
+	BackOffs    []BackOffHint     // upstreams that asked a VM for a back-off, as the sender knows them
 }
 
 // BackOffHint tells that an upstream asked some VM for a back-off. It binds that VM
