Bound what one VM takes of the retry budget, and other findings of a review

A review by reading found: own shares and dealt retries together could exceed the deployment's budget where all VMs fail at once, since counts are up to 0.9 s old; one VM now uses at most 1.25 times its share, which bounds the sum as before. The lower limit on memory of a request that had left room to others stayed for its later attempts. A learned speed stayed in use when nobody measured the upstream any more. A refusal of a request forwarded by a peer did not say that an earlier attempt may have run it.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -32,7 +32,7 @@
 		}
 		hops, estimate, ok = a.selectPath(t, pathRequest, now)
 	}
-	if !ok || request.MaxMemoryUse > 0 && estimate.MaxMemoryUse > request.MaxMemoryUse {
+	if !ok || request.Attempts == 0 && request.MaxMemoryUse > 0 && estimate.MaxMemoryUse > request.MaxMemoryUse {
 		return false
 	}
 	t.Costs.recordSpread(request.Cost.Estimate)
--- a/fleet/deferral.go
+++ b/fleet/deferral.go
@@ -20,7 +20,7 @@
 	row.DeferredUntil, row.DeferredFor = time.Time{}, 0
 	if short != nil && !lastTry {
 		row.DeferredUntil, row.DeferredFor = short.At.Add(t.shortageDuration()), short.Priority
-		return t.noRoomRefusal(request, fmt.Sprintf("room of %s is kept for priority %d", request.Service, short.Priority), now)
+		return a.adjustOutcome(request, t.noRoomRefusal(request, fmt.Sprintf("room of %s is kept for priority %d", request.Service, short.Priority), now))
 	}
 	request.MaxMemoryUse = 0
 	if short != nil {
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -101,8 +101,8 @@
 		MaxRoomWaiters:           0.15,
 		// Digests over relays are 0.3 to 0.9 s old when they arrive. With 1 s, a tenth
 		// less was served of all requests to an overloaded fleet than without priorities.
-		DeferredLastTry:     true,
 		ShortageDuration:    500 * time.Millisecond,
+		DeferredLastTry:     true, // else room that no urgent request takes stays unused
 		ResumeWait:          time.Second,
 		RefusalRetryAfter:   500 * time.Millisecond,
 		MaxCrashes:          3,
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -17,7 +17,7 @@
 	Service       string
 	Workspace     string
 	Priority      int
-	MaxMemoryUse  float64 // fraction of KV cache that may be in use on its path; 0 for no limit of its own
+	MaxMemoryUse  float64 // fraction of KV cache that may be in use on the path of its first attempt; 0 for no limit of its own
 	Attempts      int     // attempts so far
 	PossibleRuns  int     // attempts that may have run the request
 	MayHaveRun    bool    // whether any attempt may have run the request
--- a/fleet/retrybudgets.go
+++ b/fleet/retrybudgets.go
@@ -66,11 +66,13 @@
 
 // spendRetry charges a retry to a service's budget. It returns false if none is
 // left. A VM may always use its own share. Beyond that it may use what is dealt to it
-// of the retries that the fleet is known to have left.
+// of the retries that the fleet is known to have left, up to maxShareFactor times its
+// share in all.
 func (t *Tables) spendRetry(service string, now time.Time) bool {
 	row := t.RetryBudgets.GetOrCreate(service)
 	requests, retries := row.totals(now, t.Limits.RetryWindow)
-	if float64(retries+1) > t.ownRetryShare(requests, now) && !t.takeDealtRetry(row, requests, retries, now) {
+	ownShare := t.ownRetryShare(requests, now)
+	if float64(retries+1) > maxShareFactor*ownShare || float64(retries+1) > ownShare && !t.takeDealtRetry(row, requests, retries, now) {
 		return false
 	}
 	row.retries[row.advanceBuckets(now, t.Limits.RetryWindow)]++
@@ -97,13 +99,17 @@
 }
 
 const (
+	// maxShareFactor is the maximum use of the budget by one VM, as a multiple of its
+	// share. The sum over all VMs then stays within the deployment's budget, of which
+	// the shares are a fraction, however late they learn of each other's retries.
+	maxShareFactor = 1 / retryRatioFraction
 	// dealtFraction is the fraction of the fleet-wide budget up to which the VMs may
 	// use more than their own shares. The rest covers own shares that are used later,
 	// and counts that are lost when VMs restart.
 	dealtFraction = 0.6
 	// dealRounds is the number of digest intervals over which the retries that are left
-	// are dealt out. Counts are up to three intervals old where relays pass them on: all
-	// VMs together then still use less than what was left.
+	// are dealt out, since counts are up to three intervals old where relays pass them
+	// on.
 	dealRounds = 4
 	// minDealtBurst is the number of dealt retries that a VM may save up, so that the
 	// small part of one VM in a large fleet adds up to a retry.
@@ -122,9 +128,8 @@
 	return row.dealt.take(now, dealt/t.digestInterval().Seconds(), max(dealt, minDealtBurst), 1)
 }
 
-// retriesLeft returns how many retries the fleet may use beyond those that it is known
-// to have used, apart from the own shares of its VMs. requests and retries are those of
-// this VM.
+// retriesLeft returns how many retries the fleet has left of dealtFraction of its
+// budget, as far as is known. requests and retries are those of this VM.
 func (t *Tables) retriesLeft(service string, requests, retries int, now time.Time) (left float64) {
 	requests, retries = t.fleetCounts(service, requests, retries, now)
 	return dealtFraction*(t.Limits.RetryRatio*float64(requests)+t.Limits.RetrySlack) - float64(retries)
--- a/fleet/roomdisplacement.go
+++ b/fleet/roomdisplacement.go
@@ -37,7 +37,7 @@
 func (a *AdmitRequests) refuseWaiter(t *Tables, waiter *PendingRow, other *RequestRow, now time.Time) {
 	refused, refusal := a.admit(t, &waiter.Inbound, now)
 	if refusal == nil {
-		refusal = t.noRoomRefusal(refused, "its place to wait for room went to "+string(other.ID), now)
+		refusal = a.adjustOutcome(refused, t.noRoomRefusal(refused, "its place to wait for room went to "+string(other.ID), now))
 		t.countDecided(refused, false, now)
 		t.noteRefused(refused, refusal, now)
 	}
--- a/fleet/speeds.go
+++ b/fleet/speeds.go
@@ -115,7 +115,7 @@
 func (t *Tables) refreshSpeeds(now time.Time) {
 	logs := !t.usesRelays() || t.isRelay(now)
 	for _, row := range t.Upstreams.Rows {
-		if row.OwnSpeed.Weight > 0 || row.PeerSpeed.Weight > 0 {
+		if row.OwnSpeed.Weight > 0 || row.PeerSpeed.Weight > 0 || row.Speed.Weight > 0 {
 			row.Speed = row.speed(now)
 		}
 		if logs && row.Speed.Weight > 0 {
--- a/fleet/unseen.go
+++ b/fleet/unseen.go
@@ -7,7 +7,8 @@
 )
 
 // loadAgeIntervals is the age of the loads that a VM knows of others, in digest
-// intervals: half of one until the sender's digest, and as long at each relay.
+// intervals: on average half of one until the sender's digest and at each of two relays,
+// and as long until the next digest arrives.
 const loadAgeIntervals = 2
 
 // unseenRequests returns how many requests of other VMs each upstream of a service is
