Explain where a request would go now, without sending it

Cause: an operator could not ask why a request goes where it goes; only the log lines of requests that were sent say it.

Change: the metrics address serves /explain, and lentilctl explain asks it.

Run: the scenario explained and TestExplainView pass; the command against an address without a listener exits with 3, with a negative number with 2. Not tried on a deployment.

--- a/cmd/lentilctl/main.go
+++ b/cmd/lentilctl/main.go
@@ -7,6 +7,7 @@
 //	lentilctl --addrs 127.0.0.1:7101,127.0.0.1:7102 show upstreams where state != open
 //	lentilctl --addrs 127.0.0.1:7101 --file deployment.lentil
 //	lentilctl --addrs 127.0.0.1:7101 --output json show requests
+//	lentilctl explain --metrics-addr 10.1.0.40:9464 --host desk.example --path /chat/ --workspace counter --prompt-tokens 800
 //
 // The exit code gives the result to scripts: 0 for success, 1 if the statement
 // was refused, 2 for invalid settings or an invalid statement, 3 if no entry VM
@@ -50,6 +51,9 @@
 // run reads the settings, executes the statements, and returns the exit code.
 // With --watch it repeats them until one fails.
 func run() (code int) {
+	if len(os.Args) > 1 && os.Args[1] == "explain" {
+		return runExplain(os.Args[2:])
+	}
 	set := settings.New("lentilctl", "LENTILCTL", "Shows the state of entry VMs and changes their configuration.", version)
 	addrs := set.AddrPorts("addrs", "127.0.0.1:7080", "control addresses of entry VMs, tried in order")
 	key := set.String("key", "", "operator key", settings.Secret())
--- a/entryvm/smallservers.go
+++ b/entryvm/smallservers.go
@@ -63,11 +63,12 @@
 	return mux
 }
 
-// metricsHandler serves the metrics and the held prompt parts.
+// metricsHandler serves the metrics, the held prompt parts and explanations.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+g.config.MetricsPath, g.metrics.handler())
 	mux.HandleFunc("GET "+heldPartsPath, g.listHeldParts)
+	mux.HandleFunc("GET "+explainPath, g.explain)
 	mux.HandleFunc("POST "+releasePartPath, g.releaseHeldPart)
 	return mux
 }
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -21,7 +21,8 @@
 	rows       []*UpstreamRow       // rows of nodes or candidates
 	hops       []lentilmux.PathHop  // buffer for the selected path
 	candidates []lentilmux.Candidate
-	atLimit    int // upstreams considered last at which this VM may not start a request because of their limit
+	memoryUse  float64 // of the fullest upstream of the path chosen last
+	atLimit    int     // upstreams considered last at which this VM may not start a request because of their limit
 }
 
 // Run implements [System].
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -35,6 +35,7 @@
 	if !ok || request.Attempts == 0 && request.MaxMemoryUse > 0 && estimate.MaxMemoryUse > request.MaxMemoryUse {
 		return false
 	}
+	a.memoryUse = estimate.MaxMemoryUse
 	t.Costs.recordSpread(request.Cost.Estimate)
 	cacheTokens := dispatch.CacheTokens(pathRequest.PromptTokens, pathRequest.AnswerTokens)
 	request.Reservations = request.Reservations[:0]
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -28,6 +28,12 @@
 	CorrelationID lentilmux.CorrelationID
 }
 
+// ExplainRow is an operator's question where a request would go.
+type ExplainRow struct {
+	lentilmux.ExplainMsg
+	CorrelationID lentilmux.CorrelationID
+}
+
 // LimitsMsg replaces the limits in force.
 type LimitsMsg struct {
 	Limits Limits
@@ -53,6 +59,7 @@
 	UpstreamDrains  []lentilmux.UpstreamDrainMsg
 	BackOffs        []lentilmux.UpstreamBackOffMsg
 	ConnectResults  []lentilmux.ConnectResultMsg
+	Explains        []ExplainRow
 	Limits          *Limits
 	BeginDrain      bool
 }
@@ -97,6 +104,8 @@
 		e.BackOffs = append(e.BackOffs, x)
 	case lentilmux.ConnectResultMsg:
 		e.ConnectResults = append(e.ConnectResults, x)
+	case lentilmux.ExplainMsg:
+		e.Explains = append(e.Explains, ExplainRow{ExplainMsg: x, CorrelationID: envelope.CorrelationID})
 	case LimitsMsg:
 		e.Limits = &x.Limits
 	case lentilmux.BeginDrainMsg:
@@ -121,6 +130,6 @@
 		OrderResults: e.OrderResults[:0], Plans: e.Plans[:0], Arrivals: e.Arrivals[:0], AnswersStarted: e.AnswersStarted[:0], FailedAttempts: e.FailedAttempts[:0],
 		StalledAttempts: e.StalledAttempts[:0], MoveResults: e.MoveResults[:0], Done: e.Done[:0],
 		PartReleases: e.PartReleases[:0], UpstreamLimits: e.UpstreamLimits[:0], UpstreamDrains: e.UpstreamDrains[:0],
-		BackOffs: e.BackOffs[:0], ConnectResults: e.ConnectResults[:0],
+		BackOffs: e.BackOffs[:0], ConnectResults: e.ConnectResults[:0], Explains: e.Explains[:0],
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,7 @@
 		&SendOrders{},
 		&MoveRequests{Admit: admit},
 		admit,
+		&ExplainRequests{Admit: admit},
 		&ProbeUpstreams{},
 		&SendDigests{},
 		&SelectReadSource{},
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -177,6 +177,8 @@
 		return nil, nil
 	case "arrive":
 		return lentilmux.ForwardMsg{Inbound: inboundRequest(name, fields, now)}, nil
+	case "explain":
+		return lentilmux.ExplainMsg{Inbound: inboundRequest(name, fields, now), Workspace: fields["workspace"]}, nil
 	case "started":
 		return lentilmux.ForwardStartedMsg{Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields)}, nil
 	case "stalled":
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -134,6 +134,8 @@
 			text += fmt.Sprintf(", retry after %s", after)
 		}
 		return text
+	case lentilmux.ExplainAnswer:
+		return "answer " + label + ": " + formatExplanation(&answer)
 	case lentilmux.WaitAnswer:
 		return fmt.Sprintf("answer %s: wait %s", label, answer.Wait)
 	}
@@ -147,3 +149,15 @@
 	}
 	return "[" + strings.Join(texts, " ") + "]"
 }
+
+// formatExplanation formats where a request would go, with one line for each upstream.
+func formatExplanation(e *lentilmux.ExplainAnswer) (text string) {
+	text = fmt.Sprintf("rules=%d route=%s service=%s ranked=%t priority=%d answer_tokens=%d to %s %s", e.Rules, e.Route, e.Service, e.Ranked, e.Priority, e.AnswerTokens, e.Upstream, formatHops(e.Path))
+	if e.Refusal != nil {
+		text += fmt.Sprintf(" refused %s %s: %s", e.Refusal.Outcome, e.Refusal.Reason, e.Refusal.Detail)
+	}
+	for _, u := range e.Candidates {
+		text += fmt.Sprintf("\n            %s %d-%d streams=%d reserved=%d of %d not_first=%t %s", u.Upstream, u.Layers.First, u.Layers.Last, u.Streams, u.Reserved, u.Capacity, u.NotFirst, u.Excluded)
+	}
+	return text
+}
