--- a/entryvm/conneviction.go
+++ b/entryvm/conneviction.go
@@ -28,10 +28,13 @@
 	useHandled
 )
 
-// use returns how the connection is used.
+// use returns how the connection is used. All connections of a table with ageOnly have
+// the same use.
 func (r *connRow) use() (use connUse) {
 	use = useIdleUnproven
 	switch {
+	case r.table.ageOnly && !r.evicted:
+		return useIdleUnproven
 	case r.evicted || r.handled && !r.readsBody:
 		return useHandled
 	case r.received > 0 || r.handled:
--- a/entryvm/conneviction_test.go
+++ b/entryvm/conneviction_test.go
@@ -72,6 +72,8 @@
 		use.setReadsBody(true)
 	case "body_end":
 		return fmt.Sprintf("given up %t", use.setReadsBody(false))
+	case "age_only":
+		p.table.ageOnly = true
 	case "prove":
 		use.Prove()
 	case "idle":
--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -20,6 +20,11 @@
 	count       func(cause connEnd)
 	limits      ConnLimits
 	reportLimit func(limit string)
+	// ageOnly makes the oldest connection go first when a limit is reached, whatever its use,
+	// also while a handler has its request. It is set for servers that pass on nothing to
+	// upstreams: there, requests whose refused bodies are still read could fill all places,
+	// and a probe must be admitted and go last.
+	ageOnly bool
 
 	mu           sync.Mutex
 	rows         map[*connRow]struct{}
--- a/entryvm/smallservers.go
+++ b/entryvm/smallservers.go
@@ -29,13 +29,15 @@
 	return newConnTable(g.decisionLog.enqueue, count).withLimits(limits, log.record)
 }
 
-// serveSmall serves an address whose requests and answers are small and short.
+// serveSmall serves an address whose requests and answers are small and short, and are
+// not passed on to upstreams.
 func (g *Gateway) serveSmall(name string, addr netip.AddrPort, limits ConnLimits, handler http.Handler) (server *http.Server, err error) {
 	server = &http.Server{
 		Handler: closeAfterRequests(readSmallBodies(handler, g.config.HeaderTimeout)), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: smallHeaderBytes, WriteTimeout: smallWriteTimeout,
 	}
 	conns := g.newConnTable(name, limits, func(connEnd) {})
+	conns.ageOnly = true
 	conns.install(server)
 	g.countConnections(server)
 	_, err = g.serve(server, addr, conns)
