Set no read deadline after a body that was read to its end

The background read of net/http could time out while the last flush waited for a slow reader, which cancelled the context of the caller's next request.

--- a/entryvm/boundedhandler.go
+++ b/entryvm/boundedhandler.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,19 +20,42 @@
 )
 
 // boundRest wraps a handler so that what it leaves of a body is read for restTimeout at
-// most.
+// most. No deadline is set after a body that was read to its end: net/http then reads in
+// the background while the answer is written, and a timeout of that read would cancel the
+// context of the connection and of the caller's next request.
 func boundRest(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &watchedBody{ReadCloser: r.Body}
 		defer func() {
-			if r.Body != http.NoBody {
+			if !body.ended.Load() {
 				// A connection without deadlines, such as a pipe in memory, is ended by the caller.
 				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
 			}
 		}()
-		next.ServeHTTP(w, r)
+		watched := *r // net/http looks at the type of the body of its own request
+		watched.Body = body
+		next.ServeHTTP(w, &watched)
 	})
 }
 
+// watchedBody is a request's body that records whether its end was read.
+type watchedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Read implements [io.Reader].
+func (b *watchedBody) Read(buffer []byte) (n int, err error) {
+	if n, err = b.ReadCloser.Read(buffer); err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // readSmallBodies wraps a handler so that it gets bodies of smallBodyBytes at most, which
 // have to arrive within timeout. Other requests are refused.
 func readSmallBodies(next http.Handler, timeout time.Duration) http.Handler {
