--- a/entryvm/conneviction.go
+++ b/entryvm/conneviction.go
@@ -154,9 +154,10 @@
 	return c.row.requests
 }
 
-// ReadBody reads a body with read. Only meanwhile the connection of a request that has
-// reached its handler may be closed for a limit; then the error is
-// [lentilmux.ErrNoMemory], and the request must not be passed on.
+// ReadBody reads a body with read, or waits for something else before anything is passed
+// on. Only meanwhile the connection of a request that has reached its handler may be
+// closed for a limit; then the error is [lentilmux.ErrNoMemory], and the request must not
+// be passed on.
 func (c ConnUse) ReadBody(read func() error) (err error) {
 	if c.row == nil {
 		return read()
--- a/entryvm/connrow.go
+++ b/entryvm/connrow.go
@@ -48,8 +48,8 @@
 	unread   bool      // whether bytes had arrived but were not read when this VM closed the connection
 	deadline time.Time // for reads, as set by the server; 0 for none
 
-	proven    bool  // whether a request was answered for a valid key, or for a peer
-	readsBody bool  // whether the handler still reads the body, so that nothing was passed on
+	proven    bool  // whether ConnUse.Prove was called
+	readsBody bool  // whether the handler still reads the body or waits, so that nothing was passed on
 	evicted   bool  // whether this VM closed the connection for a limit
 	requests  int   // that a handler has counted
 	headBytes int64 // memory that the head of the request holds, in bytes
--- a/entryvm/forwardedrequests.go
+++ b/entryvm/forwardedrequests.go
@@ -51,6 +51,7 @@
 		f.other.ServeHTTP(w, r)
 		return
 	}
+	ConnUseOf(r.Context()).Prove() // it goes after connections that only read copies
 	f.begin(r.Context().Value(connKey{}).(net.Conn))
 	f.handler.ServeHTTP(w, r)
 }
--- a/entryvm/gatewayservers.go
+++ b/entryvm/gatewayservers.go
@@ -59,7 +59,7 @@
 		}
 	}
 	copies := http.NewServeMux()
-	copies.Handle(peer.NewCopyHandler(provenReader{g.copies}))
+	copies.Handle(peer.NewCopyHandler(evictableReader{g.copies}))
 	s.forwarded.other = readSmallBodies(copies, g.config.HeaderTimeout)
 	if g.dependencies.NewPeerHandler != nil {
 		s.forwarded.handler = g.dependencies.NewPeerHandler(relay, &g.state)
--- a/entryvm/smallservers.go
+++ b/entryvm/smallservers.go
@@ -74,11 +74,16 @@
 	return mux
 }
 
-// provenReader marks the connections of peers that read copies of streams.
-type provenReader struct{ peer.CopyReader }
+// evictableReader lets the connection of a read of a copy be closed for a limit while the
+// read waits for changes. Such reads need no key, wait for up to 30 s and pass on nothing
+// to an upstream, so that they must not fill the peers' port.
+type evictableReader struct{ peer.CopyReader }
 
 // Read implements [peer.CopyReader].
-func (p provenReader) Read(ctx context.Context, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
-	ConnUseOf(ctx).Prove()
-	return p.CopyReader.Read(ctx, read)
+func (e evictableReader) Read(ctx context.Context, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
+	err = ConnUseOf(ctx).ReadBody(func() (err error) {
+		page, err = e.CopyReader.Read(ctx, read)
+		return err
+	})
+	return page, err
 }
