Hold what may be buffered of the next request's head

The count of a connection's head was set to 0 after an answer, although up to 4 KiB of the next head may have been read in the same segment.

--- a/entryvm/conneviction.go
+++ b/entryvm/conneviction.go
@@ -60,6 +60,9 @@
 	return r.since.Before(other.since)
 }
 
+// readBufferBytes is the size of the buffer through which net/http reads a connection.
+const readBufferBytes = 4 << 10
+
 // findVictim returns the connection to be closed first, or nil if all have a request that
 // may have been passed on. With byHead it returns one whose head takes memory.
 func (t *connTable) findVictim(byHead bool) (victim *connRow) {
@@ -102,12 +105,26 @@
 // holdHead adds what was read of a request's head to what heads hold, and closes
 // connections until that is within the limit.
 func (t *connTable) holdHead(row *connRow, data []byte) {
-	if row.handled || row.evicted || len(data) == 0 {
+	if row.evicted || len(data) == 0 {
+		return
+	}
+	row.noteRest(data)
+	if row.handled {
 		return
 	}
-	held := int64(len(data)) + headLineBytes*int64(bytes.Count(data, []byte{'\n'}))
+	held := headMemory(data)
 	row.headBytes += held
 	t.headBytes += held
+	t.boundHeads()
+}
+
+// headMemory returns the memory that a part of a request's head takes, in bytes.
+func headMemory(data []byte) (size int64) {
+	return int64(len(data)) + headLineBytes*int64(bytes.Count(data, []byte{'\n'}))
+}
+
+// boundHeads closes connections until what heads hold is within the limit.
+func (t *connTable) boundHeads() {
 	for t.limits.HeadBytes > 0 && t.headBytes > t.limits.HeadBytes {
 		victim := t.findVictim(true)
 		if victim == nil {
@@ -117,6 +134,48 @@
 	}
 }
 
+// noteRest records a bound of what data, which was just read, holds of the head of the next
+// request. net/http reads into a buffer of readBufferBytes, and a longer read goes past it.
+// Its read in the background, of one byte, leaves in the buffer what was there.
+func (r *connRow) noteRest(data []byte) {
+	switch {
+	case len(data) == 1:
+		r.restBytes = min(r.restBytes+headMemory(data), readBufferBytes*(1+headLineBytes))
+	case len(data) > readBufferBytes:
+		r.restBytes = 0
+	case r.handled: // data may end a body anywhere
+		r.restBytes = headMemory(data)
+	default:
+		r.restBytes = headMemory(afterHead(data))
+	}
+}
+
+// afterHead returns what follows the first empty line in data, or data if there is none.
+// A head that ends in data ends there or later. The empty line may have begun before data.
+func afterHead(data []byte) (rest []byte) {
+	for rest = data; ; {
+		line, next, found := bytes.Cut(rest, []byte{'\n'})
+		if !found {
+			return data
+		}
+		if rest = next; len(line) == 0 || string(line) == "\r" {
+			return rest
+		}
+	}
+}
+
+// holdRest makes what may have been read of the next request's head the head that a
+// connection holds, when its request has been answered.
+func (t *connTable) holdRest(row *connRow) {
+	t.releaseHead(row)
+	if row.evicted {
+		return
+	}
+	row.headBytes = row.restBytes
+	t.headBytes += row.headBytes
+	t.boundHeads()
+}
+
 // releaseHead removes a connection's head from what heads hold.
 func (t *connTable) releaseHead(row *connRow) {
 	t.headBytes -= row.headBytes
--- a/entryvm/conneviction_test.go
+++ b/entryvm/conneviction_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -65,6 +67,9 @@
 		var bytes int
 		_, _ = fmt.Sscan(step[2], &bytes) // the file has only numbers here
 		row.recordRead([]byte(strings.Repeat("x", bytes)), nil)
+	case "receive":
+		text, _ := strconv.Unquote(step[2]) // the file has only quoted texts here
+		row.recordRead([]byte(text), nil)
 	case "handle":
 		admitted, _ := p.table.markHandled(row)
 		return fmt.Sprintf("admitted %t", admitted)
@@ -77,8 +82,8 @@
 	case "prove":
 		use.Prove()
 	case "idle":
-		row.received, row.handled, row.answered = 0, false, true
-		p.table.releaseHead(row)
+		p.table.setState(row, http.StateIdle)
+		row.since = time.Unix(int64(len(p.rows)), 0)
 	case "close":
 		p.table.remove(row)
 	default:
--- a/entryvm/connrow.go
+++ b/entryvm/connrow.go
@@ -53,6 +53,7 @@
 	evicted   bool  // whether this VM closed the connection for a limit
 	requests  int   // that a handler has counted
 	headBytes int64 // memory that the head of the request holds, in bytes
+	restBytes int64 // bound of what the last read holds of the next head, in bytes as for headBytes
 }
 
 // Read implements [net.Conn]. During a drain it fails at the earlier deadline of
--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -125,7 +125,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		row.received, row.sent, row.handled, row.answered, row.since = 0, 0, false, true, time.Now()
-		t.releaseHead(row)
+		t.holdRest(row)
 	case http.StateClosed, http.StateHijacked:
 		t.remove(row)
 	}
