--- a/entryvm/conneviction.go
+++ b/entryvm/conneviction.go
@@ -84,17 +84,17 @@
 	t.evictedCount++
 	t.releaseHead(row)
 	_ = row.Conn.Close() // its goroutine notices
-	t.reportLimit(limit)
+	t.unreported = append(t.unreported, limit)
 }
 
 // makeRoom closes connections until one more may be open. It reports whether it may.
 func (t *connTable) makeRoom() bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlockAndReport()
 	for t.limits.Conns > 0 && len(t.rows)-t.evictedCount >= t.limits.Conns {
 		victim := t.findVictim(false)
 		if victim == nil {
-			t.reportLimit(limitConnections)
+			t.unreported = append(t.unreported, limitConnections)
 			return false
 		}
 		t.evict(victim, limitConnections)
--- a/entryvm/connrow.go
+++ b/entryvm/connrow.go
@@ -72,7 +72,7 @@
 // arrived, or were read together with the request before.
 func (r *connRow) recordRead(data []byte, err error) (repeat bool) {
 	r.table.mu.Lock()
-	defer r.table.mu.Unlock()
+	defer r.table.unlockAndReport()
 	n := len(data)
 	awaited := r.awaitsRequest()
 	r.table.holdHead(r, data)
--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -28,8 +28,9 @@
 
 	mu           sync.Mutex
 	rows         map[*connRow]struct{}
-	evictedCount int   // rows that were closed for a limit
-	headBytes    int64 // memory that the heads of requests hold, in bytes
+	evictedCount int      // rows that were closed for a limit
+	headBytes    int64    // memory that the heads of requests hold, in bytes
+	unreported   []string // limits that have ended connections, for unlockAndReport
 	draining     bool
 	empty        chan struct{} // closed when there is no row; nil if nothing waits for that
 }
@@ -47,6 +48,17 @@
 	return t
 }
 
+// unlockAndReport unlocks the table and then reports the limits that have ended
+// connections: a log writer that blocks must not stop the reads of other connections.
+func (t *connTable) unlockAndReport() {
+	limits := t.unreported
+	t.unreported = nil
+	t.mu.Unlock()
+	for _, limit := range limits {
+		t.reportLimit(limit)
+	}
+}
+
 // listen returns a listener whose connections are rows of the table.
 func (t *connTable) listen(listener net.Listener) net.Listener {
 	return &connListener{Listener: listener, table: t}
@@ -123,7 +135,7 @@
 	switch state {
 	case http.StateIdle:
 		t.mu.Lock()
-		defer t.mu.Unlock()
+		defer t.unlockAndReport()
 		row.received, row.sent, row.handled, row.answered, row.since = 0, 0, false, true, time.Now()
 		t.holdRest(row)
 	case http.StateClosed, http.StateHijacked:
--- a/entryvm/limitlog.go
+++ b/entryvm/limitlog.go
@@ -39,18 +39,27 @@
 	return &limitLog{server: server, count: count, log: log, nextAt: make(map[string]time.Time), ended: make(map[string]int)}
 }
 
-// record records that a connection or a request was ended.
+// record records that a connection or a request was ended. A log that blocks does not
+// delay later calls within the interval.
 func (l *limitLog) record(limit string) {
 	l.count(l.server, limit)
-	now := time.Now()
+	if ended := l.take(limit, time.Now()); ended > 0 {
+		l.log(lentilmux.Decision{What: "client_limited", Subject: l.server, Chosen: limit, Reason: fmt.Sprintf("ended=%d since the last line", ended)})
+	}
+}
+
+// take counts one connection or request. It returns the number for a line that is due, or
+// 0 if none is.
+func (l *limitLog) take(limit string, now time.Time) (ended int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended[limit]++
 	if now.Before(l.nextAt[limit]) {
-		return
+		return 0
 	}
-	l.log(lentilmux.Decision{What: "client_limited", Subject: l.server, Chosen: limit, Reason: fmt.Sprintf("ended=%d since the last line", l.ended[limit])})
+	ended = l.ended[limit]
 	l.nextAt[limit], l.ended[limit] = now.Add(limitLogInterval), 0
+	return ended
 }
 
 // countLimited counts a connection or request that a limit has ended.
