--- a/entryvm/conneviction.go
+++ b/entryvm/conneviction.go
@@ -17,9 +17,11 @@
 // limit is reached.
 type connUse int
 
-// The uses. A connection is proven once one of its requests was answered for a valid key,
-// or for a peer. One with a request that a handler may pass on to an upstream is never
-// closed for a limit.
+// The uses. A connection is proven once a handler has called [ConnUse.Prove]: a request
+// with an Authorization was answered by an upstream, on a route for anonymous callers also
+// one whose key is not valid, or a request had the headers of one that a peer forwards. A
+// connection with a request that a handler may pass on to an upstream is never closed for
+// a limit.
 const (
 	useIdleUnproven connUse = iota
 	useReadingUnproven
@@ -128,7 +130,7 @@
 	for t.limits.HeadBytes > 0 && t.headBytes > t.limits.HeadBytes {
 		victim := t.findVictim(true)
 		if victim == nil {
-			return // handlers have all requests; they were within the limit when read
+			return // not expected: the connection whose head has grown can be closed itself
 		}
 		t.evict(victim, limitHeads)
 	}
@@ -192,7 +194,8 @@
 	return ConnUse{row: row}
 }
 
-// Prove records that the caller was answered for a valid key, or is a peer.
+// Prove records that an upstream has answered a request with an Authorization, or that a
+// request had the headers of one that a peer forwards.
 func (c ConnUse) Prove() {
 	if c.row == nil {
 		return
--- a/entryvm/connlimits.go
+++ b/entryvm/connlimits.go
@@ -34,8 +34,11 @@
 // ConnLimits bound the connections of one server and what they hold. A limit of 0 is not
 // set.
 type ConnLimits struct {
-	Conns     int           // open connections
-	HeadBytes int64         // memory of all heads of requests that are read or handled
+	Conns int // open connections
+	// HeadBytes bounds the estimated memory of the heads of requests that are read or
+	// handled, and of what may be buffered of the heads after them, in bytes. Below TLS the
+	// estimate is made from encrypted bytes. Trailers do not count.
+	HeadBytes int64
 	BodyTime  time.Duration // in which a body has to arrive, whatever the caller's deadline
 }
 
