--- a/entryvm/conneviction.go
+++ b/entryvm/conneviction.go
@@ -17,9 +17,11 @@
 // limit is reached.
 type connUse int
 
-// The uses. A connection is proven once one of its requests was answered for a valid key,
-// or for a peer. One with a request that a handler may pass on to an upstream is never
-// closed for a limit.
+// The uses. A connection is proven once a handler has called [ConnUse.Prove]: a request
+// with an Authorization was answered by an upstream, on a route for anonymous callers also
+// one whose key is not valid, or a request had the headers of one that a peer forwards. A
+// connection with a request that a handler may pass on to an upstream is never closed for
+// a limit.
 const (
 	useIdleUnproven connUse = iota
 	useReadingUnproven
@@ -28,10 +30,13 @@
 	useHandled
 )
 
-// use returns how the connection is used.
+// use returns how the connection is used. All connections of a table with ageOnly have
+// the same use.
 func (r *connRow) use() (use connUse) {
 	use = useIdleUnproven
 	switch {
+	case r.table.ageOnly && !r.evicted:
+		return useIdleUnproven
 	case r.evicted || r.handled && !r.readsBody:
 		return useHandled
 	case r.received > 0 || r.handled:
@@ -57,6 +62,9 @@
 	return r.since.Before(other.since)
 }
 
+// readBufferBytes is the size of the buffer through which net/http reads a connection.
+const readBufferBytes = 4 << 10
+
 // findVictim returns the connection to be closed first, or nil if all have a request that
 // may have been passed on. With byHead it returns one whose head takes memory.
 func (t *connTable) findVictim(byHead bool) (victim *connRow) {
@@ -78,17 +86,17 @@
 	t.evictedCount++
 	t.releaseHead(row)
 	_ = row.Conn.Close() // its goroutine notices
-	t.reportLimit(limit)
+	t.unreported = append(t.unreported, limit)
 }
 
 // makeRoom closes connections until one more may be open. It reports whether it may.
 func (t *connTable) makeRoom() bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlockAndReport()
 	for t.limits.Conns > 0 && len(t.rows)-t.evictedCount >= t.limits.Conns {
 		victim := t.findVictim(false)
 		if victim == nil {
-			t.reportLimit(limitConnections)
+			t.unreported = append(t.unreported, limitConnections)
 			return false
 		}
 		t.evict(victim, limitConnections)
@@ -99,21 +107,77 @@
 // holdHead adds what was read of a request's head to what heads hold, and closes
 // connections until that is within the limit.
 func (t *connTable) holdHead(row *connRow, data []byte) {
-	if row.handled || row.evicted || len(data) == 0 {
+	if row.evicted || len(data) == 0 {
+		return
+	}
+	row.noteRest(data)
+	if row.handled {
 		return
 	}
-	held := int64(len(data)) + headLineBytes*int64(bytes.Count(data, []byte{'\n'}))
+	held := headMemory(data)
 	row.headBytes += held
 	t.headBytes += held
+	t.boundHeads()
+}
+
+// headMemory returns the memory that a part of a request's head takes, in bytes.
+func headMemory(data []byte) (size int64) {
+	return int64(len(data)) + headLineBytes*int64(bytes.Count(data, []byte{'\n'}))
+}
+
+// boundHeads closes connections until what heads hold is within the limit.
+func (t *connTable) boundHeads() {
 	for t.limits.HeadBytes > 0 && t.headBytes > t.limits.HeadBytes {
 		victim := t.findVictim(true)
 		if victim == nil {
-			return // handlers have all requests; they were within the limit when read
+			return // not expected: the connection whose head has grown can be closed itself
 		}
 		t.evict(victim, limitHeads)
 	}
 }
 
+// noteRest records a bound of what data, which was just read, holds of the head of the next
+// request. net/http reads into a buffer of readBufferBytes, and a longer read goes past it.
+// Its read in the background, of one byte, leaves in the buffer what was there.
+func (r *connRow) noteRest(data []byte) {
+	switch {
+	case len(data) == 1:
+		r.restBytes = min(r.restBytes+headMemory(data), readBufferBytes*(1+headLineBytes))
+	case len(data) > readBufferBytes:
+		r.restBytes = 0
+	case r.handled: // data may end a body anywhere
+		r.restBytes = headMemory(data)
+	default:
+		r.restBytes = headMemory(afterHead(data))
+	}
+}
+
+// afterHead returns what follows the first empty line in data, or data if there is none.
+// A head that ends in data ends there or later. The empty line may have begun before data.
+func afterHead(data []byte) (rest []byte) {
+	for rest = data; ; {
+		line, next, found := bytes.Cut(rest, []byte{'\n'})
+		if !found {
+			return data
+		}
+		if rest = next; len(line) == 0 || string(line) == "\r" {
+			return rest
+		}
+	}
+}
+
+// holdRest makes what may have been read of the next request's head the head that a
+// connection holds, when its request has been answered.
+func (t *connTable) holdRest(row *connRow) {
+	t.releaseHead(row)
+	if row.evicted {
+		return
+	}
+	row.headBytes = row.restBytes
+	t.headBytes += row.headBytes
+	t.boundHeads()
+}
+
 // releaseHead removes a connection's head from what heads hold.
 func (t *connTable) releaseHead(row *connRow) {
 	t.headBytes -= row.headBytes
@@ -130,7 +194,8 @@
 	return ConnUse{row: row}
 }
 
-// Prove records that the caller was answered for a valid key, or is a peer.
+// Prove records that an upstream has answered a request with an Authorization, or that a
+// request had the headers of one that a peer forwards.
 func (c ConnUse) Prove() {
 	if c.row == nil {
 		return
@@ -151,9 +216,10 @@
 	return c.row.requests
 }
 
-// ReadBody reads a body with read. Only meanwhile the connection of a request that has
-// reached its handler may be closed for a limit; then the error is
-// [lentilmux.ErrNoMemory], and the request must not be passed on.
+// ReadBody reads a body with read, or waits for something else before anything is passed
+// on. Only meanwhile the connection of a request that has reached its handler may be
+// closed for a limit; then the error is [lentilmux.ErrNoMemory], and the request must not
+// be passed on.
 func (c ConnUse) ReadBody(read func() error) (err error) {
 	if c.row == nil {
 		return read()
--- a/entryvm/connrow.go
+++ b/entryvm/connrow.go
@@ -48,11 +48,12 @@
 	unread   bool      // whether bytes had arrived but were not read when this VM closed the connection
 	deadline time.Time // for reads, as set by the server; 0 for none
 
-	proven    bool  // whether a request was answered for a valid key, or for a peer
-	readsBody bool  // whether the handler still reads the body, so that nothing was passed on
+	proven    bool  // whether ConnUse.Prove was called
+	readsBody bool  // whether the handler still reads the body or waits, so that nothing was passed on
 	evicted   bool  // whether this VM closed the connection for a limit
 	requests  int   // that a handler has counted
 	headBytes int64 // memory that the head of the request holds, in bytes
+	restBytes int64 // bound of what the last read holds of the next head, in bytes as for headBytes
 }
 
 // Read implements [net.Conn]. During a drain it fails at the earlier deadline of
@@ -71,7 +72,7 @@
 // arrived, or were read together with the request before.
 func (r *connRow) recordRead(data []byte, err error) (repeat bool) {
 	r.table.mu.Lock()
-	defer r.table.mu.Unlock()
+	defer r.table.unlockAndReport()
 	n := len(data)
 	awaited := r.awaitsRequest()
 	r.table.holdHead(r, data)
--- a/entryvm/conntable.go
+++ b/entryvm/conntable.go
@@ -20,11 +20,17 @@
 	count       func(cause connEnd)
 	limits      ConnLimits
 	reportLimit func(limit string)
+	// ageOnly makes the oldest connection go first when a limit is reached, whatever its use,
+	// also while a handler has its request. It is set for servers that pass on nothing to
+	// upstreams: there, requests whose refused bodies are still read could fill all places,
+	// and a probe must be admitted and go last.
+	ageOnly bool
 
 	mu           sync.Mutex
 	rows         map[*connRow]struct{}
-	evictedCount int   // rows that were closed for a limit
-	headBytes    int64 // memory that the heads of requests hold, in bytes
+	evictedCount int      // rows that were closed for a limit
+	headBytes    int64    // memory that the heads of requests hold, in bytes
+	unreported   []string // limits that have ended connections, for unlockAndReport
 	draining     bool
 	empty        chan struct{} // closed when there is no row; nil if nothing waits for that
 }
@@ -42,6 +48,17 @@
 	return t
 }
 
+// unlockAndReport unlocks the table and then reports the limits that have ended
+// connections: a log writer that blocks must not stop the reads of other connections.
+func (t *connTable) unlockAndReport() {
+	limits := t.unreported
+	t.unreported = nil
+	t.mu.Unlock()
+	for _, limit := range limits {
+		t.reportLimit(limit)
+	}
+}
+
 // listen returns a listener whose connections are rows of the table.
 func (t *connTable) listen(listener net.Listener) net.Listener {
 	return &connListener{Listener: listener, table: t}
@@ -118,9 +135,9 @@
 	switch state {
 	case http.StateIdle:
 		t.mu.Lock()
-		defer t.mu.Unlock()
+		defer t.unlockAndReport()
 		row.received, row.sent, row.handled, row.answered, row.since = 0, 0, false, true, time.Now()
-		t.releaseHead(row)
+		t.holdRest(row)
 	case http.StateClosed, http.StateHijacked:
 		t.remove(row)
 	}
--- a/entryvm/smallservers.go
+++ b/entryvm/smallservers.go
@@ -29,13 +29,15 @@
 	return newConnTable(g.decisionLog.enqueue, count).withLimits(limits, log.record)
 }
 
-// serveSmall serves an address whose requests and answers are small and short.
+// serveSmall serves an address whose requests and answers are small and short, and are
+// not passed on to upstreams.
 func (g *Gateway) serveSmall(name string, addr netip.AddrPort, limits ConnLimits, handler http.Handler) (server *http.Server, err error) {
 	server = &http.Server{
 		Handler: closeAfterRequests(readSmallBodies(handler, g.config.HeaderTimeout)), ReadHeaderTimeout: g.config.HeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: smallHeaderBytes, WriteTimeout: smallWriteTimeout,
 	}
 	conns := g.newConnTable(name, limits, func(connEnd) {})
+	conns.ageOnly = true
 	conns.install(server)
 	g.countConnections(server)
 	_, err = g.serve(server, addr, conns)
@@ -73,11 +75,16 @@
 	return mux
 }
 
-// provenReader marks the connections of peers that read copies of streams.
-type provenReader struct{ peer.CopyReader }
+// evictableReader lets the connection of a read of a copy be closed for a limit while the
+// read waits for changes. Such reads need no key, wait for up to 30 s and pass on nothing
+// to an upstream, so that they must not fill the peers' port.
+type evictableReader struct{ peer.CopyReader }
 
 // Read implements [peer.CopyReader].
-func (p provenReader) Read(ctx context.Context, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
-	ConnUseOf(ctx).Prove()
-	return p.CopyReader.Read(ctx, read)
+func (e evictableReader) Read(ctx context.Context, read lentilmux.CopyRead) (page lentilmux.CompactedPage, err error) {
+	err = ConnUseOf(ctx).ReadBody(func() (err error) {
+		page, err = e.CopyReader.Read(ctx, read)
+		return err
+	})
+	return page, err
 }
