Fill upstreams up to 1.08 of what is reserved

Cause: reserved KV cache exceeds what upstreams report by a tenth, so a limit of 1.0 left room unused.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -27,7 +27,7 @@
 	// may be expected to fill. Paths avoid upstreams above it. It is above 1 since
 	// what is reserved exceeds what upstreams report by a tenth, and since an
 	// upstream that was full when its load was known has ended requests since.
-	maxMemoryUse = 1.0
+	maxMemoryUse = 1.08
 	// memoryUseLimit sets how steeply the cost of an upstream rises as its KV
 	// cache fills: costs are divided by this limit minus the fraction in use.
 	memoryUseLimit = 1.15
