Overcommit the KV cache only where many streams share it

Change: the bound rises from 1.0 to 1.08 with the streams of an upstream, up to 60. The accelerators of the urgency tests have their former memory again.

--- a/dispatch/cheapestpath.go
+++ b/dispatch/cheapestpath.go
@@ -24,10 +24,14 @@
 	// cross zones there, not the activations.
 	crossZoneEntrySeconds = 0.02
 	// maxMemoryUse is the fraction of an upstream's KV cache that its requests
-	// may be expected to fill. Paths avoid upstreams above it. It is above 1 since
-	// what is reserved exceeds what upstreams report by a tenth, and since an
-	// upstream that was full when its load was known has ended requests since.
-	maxMemoryUse = 1.08
+	// may be expected to fill. Paths avoid upstreams above it.
+	maxMemoryUse = 1.0
+	// maxOvercommit is added to maxMemoryUse at an upstream with overcommitStreams
+	// requests or more, and in proportion at one with fewer: what is reserved for
+	// many requests exceeds what they hold by a tenth, while few that end late
+	// together would fill it.
+	maxOvercommit     = 0.08
+	overcommitStreams = 60
 	// memoryUseLimit sets how steeply the cost of an upstream rises as its KV
 	// cache fills: costs are divided by this limit minus the fraction in use.
 	memoryUseLimit = 1.15
@@ -118,7 +122,7 @@
 		prefill := node.PrefillFactor * (float64(request.PromptTokens) + pendingPrefillFraction*float64(node.PendingPromptTokens)) / model.PrefillTokensPerSecond
 		unseen := request.UnseenRequests * cacheOf(node, request, cacheTokens) / float64(max(node.Capacity, 1))
 		cost := (float64(request.AnswerTokens)*step + prefill) / float64(model.Layers) / memoryHeadroom(use+unseen) * learnedFactor(node)
-		if use > maxMemoryUse || !isFinite(cost) {
+		if use > memoryUseBound(node) || !isFinite(cost) {
 			c.layerCosts = append(c.layerCosts, math.Inf(1))
 			continue
 		}
@@ -153,6 +157,12 @@
 	return (memoryUseLimit - 1) / (use * use)
 }
 
+// memoryUseBound returns the fraction of a node's KV cache that may be expected to be
+// in use with a request.
+func memoryUseBound(node *lentilmux.PathNode) (use float64) {
+	return maxMemoryUse + maxOvercommit*min(float64(node.Streams)/overcommitStreams, 1)
+}
+
 // isFinite reports whether a cost can be added and compared. A node with another
 // one, which takes an impossible speed or load, runs nothing.
 func isFinite(cost float64) bool { return cost >= 0 && cost < math.MaxFloat64/math.MaxInt32 }
--- a/fleet/urgencysimulation_test.go
+++ b/fleet/urgencysimulation_test.go
@@ -12,9 +12,8 @@
 	urgencyStart = 2 * time.Second  // after which callers send, so that all VMs know each other
 	urgencyEnd   = 22 * time.Second // when they stop sending
 	urgencyTail  = 8 * time.Second  // for returns and answers after that
-	// urgencyMemory is the memory of an accelerator. The VMs fill 1.08 of it, which is
-	// about ten streams.
-	urgencyMemory = 22000
+	// urgencyMemory is the memory of an accelerator, which takes about ten streams.
+	urgencyMemory = 24000
 	// urgencyStreams is the number of streams that a pair of upstreams takes.
 	urgencyStreams = 10
 )
