review: a case in which a booking runs twice after torn bytes

Cause: a refusal is believed by status and headers of whatever reads as a head, on a kept connection, so bytes that belong to no request complete it.

--- a/review/_cases2/deployment.go
+++ b/review/_cases2/deployment.go
@@ -32,15 +32,18 @@
 	store     *store
 	storeAddr string
 	version   int
-	network   string // first three bytes of the machines' addresses
+	loadTime  time.Duration // of all layers of the model
+	network   string        // first three bytes of the machines' addresses
 
-	mu       sync.Mutex
-	log      []string
-	started  time.Time
-	workers  map[string]*worker // by address
-	runs     map[string]int     // of each request that is no stream
-	machines []*machine
-	nextID   atomic.Int64
+	mu         sync.Mutex
+	log        []string
+	started    time.Time
+	workers    map[string]*worker // by address
+	runs       map[string]int     // of each request that is no stream
+	machines   []*machine
+	nextID     atomic.Int64
+	violations int
+	nextWorker atomic.Int64
 }
 
 // machine is one machine of the system and its process.
@@ -65,9 +68,12 @@
 		panic(err)
 	}
 	d := &deployment{
-		dir: dir, program: filepath.Join(root, "target", "lentilmux"), store: newStore(), started: time.Now(), workers: make(map[string]*worker), runs: make(map[string]int),
+		dir: dir, program: filepath.Join(root, "target", "lentilmux"), store: newStore(), started: time.Now(), loadTime: 14 * time.Second, workers: make(map[string]*worker), runs: make(map[string]int),
 		network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
+	if program := os.Getenv("PROGRAM"); program != "" {
+		d.program = program
+	}
 	if _, err := os.Stat(d.program); err != nil {
 		d.cannotRun("the program is missing: %v", err)
 	}
@@ -155,6 +161,14 @@
 	d.record("worker %s runs %s %s %s, tenant %q, %d bytes, run %d", k.id, id, r.Method, r.URL.Path, r.Header.Get("Tenant"), len(body), count)
 }
 
+// violate records that a promise was broken.
+func (d *deployment) violate(format string, values ...any) {
+	d.say("VIOLATION "+format, values...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.violations++
+}
+
 // runCount returns how often a request has run.
 func (d *deployment) runCount(id string) int {
 	d.mu.Lock()
@@ -184,7 +198,7 @@
 		"services": []any{
 			map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 1058, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 192, "kv_capacity": 100000, "kv_bytes": 918000, "link_mbps": 400000.0, "stride": 3,
-				"models": []any{map[string]any{"name": "m1", "pace": 1.0, "load_s": 2.0, "warm_s": 1.0}}, "step_ms": 1.02, "per_seq_ms": 0.00714, "context_per_k": 0.00956,
+				"models": []any{map[string]any{"name": "m1", "pace": 1.0, "load_s": d.loadTime.Seconds(), "warm_s": 1.0}}, "step_ms": 1.02, "per_seq_ms": 0.00714, "context_per_k": 0.00956,
 				"read_per_s": 105000.0, "pairs_per_m": 0.309, "chunk": 512, "report_lag_ms": 200.0, "loads_per_s": 0.0, "loads_at_once": 5,
 				"delays": []any{}, "usual": map[string]any{"prompt": 774, "answer": 203}, "layers": modelLayers, "layer_mb": 1750.0, "activation_bytes": 45900, "pipe_mbps": 18000.0,
 				"layer_kinds": []any{map[string]any{"name": "a100", "size_mb": 90000.0, "pace": 2.4, "read_factor": 3.2}},
@@ -401,6 +415,9 @@
 			want += event(a.id, i)
 		}
 	}
+	if err == nil && a.status == http.StatusOK && a.text != want {
+		d.violate("client gets a complete success with a wrong body for %s: %.300q", a.id, a.text)
+	}
 	a.whole = err == nil && a.status == http.StatusOK && a.text == want && response.Header.Get("Server-Stamp") != ""
 	return a
 }
--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -14,7 +14,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(d *deployment, trouble bool){
-	"replaced": runReplaced,
+	"replaced":   runReplaced,
+	"unrepaired": runUnrepaired,
+	"torn":       runTorn,
 }
 
 func main() {
--- a/review/_cases2/replaced.go
+++ b/review/_cases2/replaced.go
@@ -21,10 +21,11 @@
 // is back, empty, after two seconds.
 func runReplaced(d *deployment, trouble bool) {
 	replaces := trouble && os.Getenv("REPLACED") != "0"
+	d.loadTime = 2 * time.Second
 	d.putConfig()
 	workers := []*worker{
-		{d: d, id: "i-llm-1", service: "llm", zone: "kochi", kind: "a100", load: 2 * time.Second, events: 10, gap: 20 * time.Millisecond},
-		{d: d, id: "i-llm-2", service: "llm", zone: "kochi", kind: "a100", load: 2 * time.Second, events: 10, gap: 20 * time.Millisecond},
+		{d: d, id: "i-llm-1", service: "llm", zone: "kochi", kind: "a100", load: d.loadTime, events: 10, gap: 20 * time.Millisecond},
+		{d: d, id: "i-llm-2", service: "llm", zone: "kochi", kind: "a100", load: d.loadTime, events: 10, gap: 20 * time.Millisecond},
 		{d: d, id: "i-app-1", service: "app", zone: "kochi", work: 30 * time.Millisecond},
 	}
 	for _, k := range workers {
--- a/review/_cases2/worker.go
+++ b/review/_cases2/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -28,26 +29,30 @@
 	d                       *deployment
 	id, service, zone, kind string
 	addr                    string
-	load                    time.Duration // time to load layers
+	load                    time.Duration // time to load all layers
 	events                  int           // of a stream
 	gap                     time.Duration // between two events
 	work                    time.Duration // of a plain request
 
-	mu       sync.Mutex
-	layers   *layerRange
-	sequence int
-	born     int64
-	state    string
-	busy     bool
-	server   *http.Server
-	alive    chan struct{} // closed when the process ends
+	mu          sync.Mutex
+	held        *layerRange // that it holds when it is first started
+	layers      *layerRange
+	sequence    int
+	born        int64
+	state       string
+	busy        bool
+	server      *http.Server
+	alive       chan struct{} // closed when the process ends
+	lateOrders  float64       // share of the orders that get no answer and are carried out late
+	faultShare  float64       // share of the requests that fail in some way
+	silentUntil time.Time     // until then nothing is answered
 }
 
 // start starts a process of the worker, empty, at its address or at a free one.
 func (k *worker) start() {
 	listen := k.addr
 	if listen == "" {
-		listen = "127.0.0.1:0"
+		listen = fmt.Sprintf("%s.%d:8080", k.d.network, 100+k.d.nextWorker.Add(1))
 	}
 	var listener net.Listener
 	var err error
@@ -62,7 +67,8 @@
 	}
 	k.mu.Lock()
 	k.addr = listener.Addr().String()
-	k.layers, k.sequence, k.born, k.state, k.busy = nil, 0, time.Now().UnixMilli(), "ready", false
+	k.layers, k.sequence, k.born, k.state, k.busy = k.held, 0, time.Now().UnixMilli(), "ready", false
+	k.held = nil
 	k.alive = make(chan struct{})
 	k.server = &http.Server{Handler: k}
 	server, alive := k.server, k.alive
@@ -77,15 +83,44 @@
 func (k *worker) crash() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	select {
+	case <-k.alive:
+		return
+	default:
+	}
 	close(k.alive)
 	_ = k.server.Close()
 	k.layers = nil
 	k.d.record("worker %s crashes", k.id)
 }
 
+// drain announces the drain of the worker, which ends after a while.
+func (k *worker) drain(after time.Duration) {
+	k.mu.Lock()
+	k.state = "draining"
+	k.mu.Unlock()
+	k.writeEntry()
+	k.d.record("worker %s drains", k.id)
+	time.AfterFunc(after, func() {
+		k.crash()
+		k.d.store.drop("keyed.servers", k.id)
+	})
+}
+
+// lose crashes the worker for good; its entry expires after three heartbeats.
+func (k *worker) lose() {
+	k.crash()
+	time.AfterFunc(3*heartbeat, func() { k.d.store.drop("keyed.servers", k.id) })
+}
+
 // beat writes the entry of the worker until the process ends.
 func (k *worker) beat(alive chan struct{}) {
 	for {
+		select {
+		case <-alive:
+			return
+		default:
+		}
 		k.writeEntry()
 		select {
 		case <-alive:
@@ -124,6 +159,12 @@
 	if id := r.Header.Get("Request-Id"); id != "" {
 		w.Header().Set("Request-Id", id)
 	}
+	k.mu.Lock()
+	silent := time.Until(k.silentUntil)
+	k.mu.Unlock()
+	if silent > 0 {
+		time.Sleep(silent)
+	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != k.id {
 		w.Header().Set("Instance-Id", k.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -174,6 +215,14 @@
 		return
 	}
 	k.mu.Lock()
+	late := rand.Float64() < k.lateOrders
+	k.mu.Unlock()
+	if late {
+		select {
+		case <-time.After(time.Duration(2000+rand.IntN(4000)) * time.Millisecond):
+		}
+	}
+	k.mu.Lock()
 	defer k.mu.Unlock()
 	if order.Expect != nil && *order.Expect != k.sequence || k.busy {
 		w.WriteHeader(http.StatusConflict)
@@ -183,7 +232,7 @@
 	k.busy = true
 	born := k.born
 	k.d.record("worker %s is ordered to hold layers %d to %d", k.id, order.From, order.Target)
-	time.AfterFunc(k.load, func() {
+	time.AfterFunc(time.Duration(float64(k.load)*float64(order.Target-order.From)/modelLayers), func() {
 		k.mu.Lock()
 		same := k.born == born
 		if same {
@@ -231,9 +280,37 @@
 			}
 		}
 	}
+	k.mu.Lock()
+	sheds := rand.Float64() < k.faultShare/3
+	k.mu.Unlock()
+	if sheds {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	k.d.run(id, k, r, body)
 	w.Header().Set("Server-Stamp", "stamp-"+k.id+"-"+id)
 	if k.kind == "" {
+		k.mu.Lock()
+		fault := ""
+		if rand.Float64() < k.faultShare {
+			fault = []string{"reset", "shed", "error", "unframed", "cut", "hang"}[rand.IntN(6)]
+		}
+		k.mu.Unlock()
+		switch fault {
+		case "reset":
+			panic(http.ErrAbortHandler)
+		case "error":
+			w.WriteHeader(500)
+			return
+		case "cut":
+			w.Header().Set("Content-Length", "500")
+			_, _ = io.WriteString(w, "answer")
+			panic(http.ErrAbortHandler)
+		case "hang":
+			<-r.Context().Done()
+			return
+		}
 		time.Sleep(k.work)
 		_, _ = io.WriteString(w, plainAnswer(id, r.URL.Path, body))
 		return
