--- a/review/_cases2/deployment.go
+++ b/review/_cases2/deployment.go
@@ -71,9 +71,6 @@
 		dir: dir, program: filepath.Join(root, "target", "lentilmux"), store: newStore(), started: time.Now(), loadTime: 14 * time.Second, workers: make(map[string]*worker), runs: make(map[string]int),
 		network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
-	if program := os.Getenv("PROGRAM"); program != "" {
-		d.program = program
-	}
 	if _, err := os.Stat(d.program); err != nil {
 		d.cannotRun("the program is missing: %v", err)
 	}
--- a/review/_cases2/store.go
+++ b/review/_cases2/store.go
@@ -18,7 +18,6 @@
 	mu      sync.Mutex
 	topics  map[string][]storeRecord
 	changed chan struct{} // closed when a record is appended
-	down    string        // how calls fail: busy, reset, silent; empty if the store is up
 }
 
 // storeRecord is a record of a topic. Without a value it drops the key.
@@ -53,45 +52,8 @@
 	return offset
 }
 
-// setDown sets how calls fail.
-func (s *store) setDown(how string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = how
-}
-
-// keys returns the keys of a topic that have a value.
-func (s *store) keys(topic string) (keys []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	newest := make(map[string][]byte)
-	for _, record := range s.topics[topic] {
-		newest[record.key] = record.value
-	}
-	for key, value := range newest {
-		if len(value) > 0 {
-			keys = append(keys, key)
-		}
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	topic := r.URL.Query().Get("topic")
-	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	switch down {
-	case "busy":
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case "reset":
-		panic(http.ErrAbortHandler)
-	case "silent":
-		<-r.Context().Done()
-		return
-	}
 	switch r.URL.Path {
 	case "/api/log-newest":
 		s.newest(w, topic, r.URL.Query().Get("after"))
--- a/review/_cases2/worker.go
+++ b/review/_cases2/worker.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,18 +33,15 @@
 	gap                     time.Duration // between two events
 	work                    time.Duration // of a plain request
 
-	mu          sync.Mutex
-	held        *layerRange // that it holds when it is first started
-	layers      *layerRange
-	sequence    int
-	born        int64
-	state       string
-	busy        bool
-	server      *http.Server
-	alive       chan struct{} // closed when the process ends
-	lateOrders  float64       // share of the orders that get no answer and are carried out late
-	faultShare  float64       // share of the requests that fail in some way
-	silentUntil time.Time     // until then nothing is answered
+	mu       sync.Mutex
+	held     *layerRange // that it holds when it is first started
+	layers   *layerRange
+	sequence int
+	born     int64
+	state    string
+	busy     bool
+	server   *http.Server
+	alive    chan struct{} // closed when the process ends
 }
 
 // start starts a process of the worker, empty, at its address or at a free one.
@@ -94,19 +90,6 @@
 	k.d.record("worker %s crashes", k.id)
 }
 
-// drain announces the drain of the worker, which ends after a while.
-func (k *worker) drain(after time.Duration) {
-	k.mu.Lock()
-	k.state = "draining"
-	k.mu.Unlock()
-	k.writeEntry()
-	k.d.record("worker %s drains", k.id)
-	time.AfterFunc(after, func() {
-		k.crash()
-		k.d.store.drop("keyed.servers", k.id)
-	})
-}
-
 // lose crashes the worker for good; its entry expires after three heartbeats.
 func (k *worker) lose() {
 	k.crash()
@@ -159,12 +142,6 @@
 	if id := r.Header.Get("Request-Id"); id != "" {
 		w.Header().Set("Request-Id", id)
 	}
-	k.mu.Lock()
-	silent := time.Until(k.silentUntil)
-	k.mu.Unlock()
-	if silent > 0 {
-		time.Sleep(silent)
-	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != k.id {
 		w.Header().Set("Instance-Id", k.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -215,14 +192,6 @@
 		return
 	}
 	k.mu.Lock()
-	late := rand.Float64() < k.lateOrders
-	k.mu.Unlock()
-	if late {
-		select {
-		case <-time.After(time.Duration(2000+rand.IntN(4000)) * time.Millisecond):
-		}
-	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
 	if order.Expect != nil && *order.Expect != k.sequence || k.busy {
 		w.WriteHeader(http.StatusConflict)
@@ -280,37 +249,9 @@
 			}
 		}
 	}
-	k.mu.Lock()
-	sheds := rand.Float64() < k.faultShare/3
-	k.mu.Unlock()
-	if sheds {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	k.d.run(id, k, r, body)
 	w.Header().Set("Server-Stamp", "stamp-"+k.id+"-"+id)
 	if k.kind == "" {
-		k.mu.Lock()
-		fault := ""
-		if rand.Float64() < k.faultShare {
-			fault = []string{"reset", "shed", "error", "unframed", "cut", "hang"}[rand.IntN(6)]
-		}
-		k.mu.Unlock()
-		switch fault {
-		case "reset":
-			panic(http.ErrAbortHandler)
-		case "error":
-			w.WriteHeader(500)
-			return
-		case "cut":
-			w.Header().Set("Content-Length", "500")
-			_, _ = io.WriteString(w, "answer")
-			panic(http.ErrAbortHandler)
-		case "hang":
-			<-r.Context().Done()
-			return
-		}
 		time.Sleep(k.work)
 		_, _ = io.WriteString(w, plainAnswer(id, r.URL.Path, body))
 		return
