review: a case in which one stream crashes three upstreams for each VM

Cause: crashes after the beginning of an answer are counted by each VM alone, and not looked at before a request is sent again.

--- a/review/_cases2/deployment.go
+++ b/review/_cases2/deployment.go
@@ -27,19 +27,22 @@
 // deployment is a small deployment on loopback addresses: stand-ins of the store, the
 // workers and the clients in this process, and the program of each machine as a process.
 type deployment struct {
-	dir       string // temporary
-	program   string
-	store     *store
-	storeAddr string
-	version   int
-	loadTime  time.Duration // of all layers of the model
-	network   string        // first three bytes of the machines' addresses
+	dir        string // temporary
+	program    string
+	store      *store
+	storeAddr  string
+	version    int
+	cardMB     float64       // memory of a card, in MB
+	deadlyPath string        // of the request that crashes each worker that begins to run it; empty for none
+	loadTime   time.Duration // of all layers of the model
+	network    string        // first three bytes of the machines' addresses
 
 	mu         sync.Mutex
 	log        []string
 	started    time.Time
 	workers    map[string]*worker // by address
 	runs       map[string]int     // of each request that is no stream
+	runTimes   []runTime          // of all requests
 	machines   []*machine
 	nextID     atomic.Int64
 	violations int
@@ -68,7 +71,7 @@
 		panic(err)
 	}
 	d := &deployment{
-		dir: dir, program: filepath.Join(root, "target", "lentilmux"), store: newStore(), started: time.Now(), loadTime: 14 * time.Second, workers: make(map[string]*worker), runs: make(map[string]int),
+		dir: dir, program: filepath.Join(root, "target", "lentilmux"), store: newStore(), started: time.Now(), loadTime: 14 * time.Second, cardMB: 90000, workers: make(map[string]*worker), runs: make(map[string]int),
 		network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
 	if _, err := os.Stat(d.program); err != nil {
@@ -149,10 +152,16 @@
 	}
 }
 
+// isDeadly reports whether requests with a path crash the workers that run them.
+func (d *deployment) isDeadly(path string) bool {
+	return d.deadlyPath != "" && path == d.deadlyPath
+}
+
 // run records that a worker runs a request.
 func (d *deployment) run(id string, k *worker, r *http.Request, body []byte) {
 	d.mu.Lock()
 	d.runs[id]++
+	d.runTimes = append(d.runTimes, runTime{path: r.URL.Path, at: time.Now()})
 	count := d.runs[id]
 	d.mu.Unlock()
 	d.record("worker %s runs %s %s %s, tenant %q, %d bytes, run %d", k.id, id, r.Method, r.URL.Path, r.Header.Get("Tenant"), len(body), count)
@@ -198,7 +207,7 @@
 				"models": []any{map[string]any{"name": "m1", "pace": 1.0, "load_s": d.loadTime.Seconds(), "warm_s": 1.0}}, "step_ms": 1.02, "per_seq_ms": 0.00714, "context_per_k": 0.00956,
 				"read_per_s": 105000.0, "pairs_per_m": 0.309, "chunk": 512, "report_lag_ms": 200.0, "loads_per_s": 0.0, "loads_at_once": 5,
 				"delays": []any{}, "usual": map[string]any{"prompt": 774, "answer": 203}, "layers": modelLayers, "layer_mb": 1750.0, "activation_bytes": 45900, "pipe_mbps": 18000.0,
-				"layer_kinds": []any{map[string]any{"name": "a100", "size_mb": 90000.0, "pace": 2.4, "read_factor": 3.2}},
+				"layer_kinds": []any{map[string]any{"name": "a100", "size_mb": d.cardMB, "pace": 2.4, "read_factor": 3.2}},
 			}},
 			map[string]any{"name": "app", "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": false},
 		},
--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(d *deployment, trouble bool){
 	"replaced":   runReplaced,
 	"unrepaired": runUnrepaired,
+	"deadly":     runDeadly,
 	"torn":       runTorn,
 }
 
--- a/review/_cases2/worker.go
+++ b/review/_cases2/worker.go
@@ -15,6 +15,9 @@
 // heartbeat is the time between two entries of a worker.
 const heartbeat = 1200 * time.Millisecond
 
+// crashDuration is the time until a worker that a request has crashed is back.
+const crashDuration = 3 * time.Second
+
 // layerRange is a range of layers as workers report and are ordered to hold it.
 type layerRange struct {
 	From    int `json:"from"`
@@ -250,6 +253,7 @@
 		}
 	}
 	k.d.run(id, k, r, body)
+	deadly := k.d.isDeadly(r.URL.Path)
 	w.Header().Set("Server-Stamp", "stamp-"+k.id+"-"+id)
 	if k.kind == "" {
 		time.Sleep(k.work)
@@ -269,6 +273,12 @@
 		}
 		fmt.Fprint(w, event(id, i))
 		_ = http.NewResponseController(w).Flush()
+		if deadly {
+			time.Sleep(10 * time.Millisecond)
+			k.crash()
+			time.AfterFunc(crashDuration, k.start)
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
