--- a/review/_cases2/replaced.go
+++ b/review/_cases2/replaced.go
@@ -77,13 +77,22 @@
 
 	if trouble {
 		d.putConfig()
-		d.say("all processes of the system are killed")
-		for _, m := range live {
-			m.kill()
-		}
-		time.Sleep(time.Second)
-		for _, m := range live {
-			m.start()
+		if os.Getenv("ROLL") != "" {
+			d.say("all processes of the system are stopped and started in turn")
+			for _, m := range live {
+				m.terminate()
+				m.start()
+				d.waitUntil(8*time.Second, m.ready)
+			}
+		} else {
+			d.say("all processes of the system are killed")
+			for _, m := range live {
+				m.kill()
+			}
+			time.Sleep(time.Second)
+			for _, m := range live {
+				m.start()
+			}
 		}
 		if !d.waitUntil(15*time.Second, allReady) {
 			d.cannotRun("the machines are not ready again")
