--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by name.
@@ -26,5 +28,11 @@
 		os.Exit(2)
 	}
 	d := newDeployment()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		d.cannotRun("it was stopped")
+	}()
 	cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 }
