Reject answers whose status line is malformed

Seen: callers got an upstream's answer with the status 000 as an answer. On the product's own front end service.Client.Call returned it as a reply: the handler panicked in WriteHeader and the caller's connection ended without an answer. A keyed reply would be stored and given again (read in the code, not run).

Cause: net/http takes any three characters that strconv.Atoi reads for a status (000, 099, +20, -00, 999), any version of two digits and control bytes in the reason. Each reader judged the status for itself, and most did not.

Change: package http1 checks heads on the connection, before net/http parses them: status 100 to 599 except 101, which no request asks for, HTTP/1.x, and a sound reason. Such a head fails the request with the new kind malformed, and the connection is closed, so that it cannot be used again. The request may have run. The upstream is ejected like one that breaks its connections, but is not taken for one that crashed: a resumable stream gets no attempt beyond those of its route, which are counted by the upstreams that run it, and no request is a crash suspect for it. Bytes that are no HTTP at all are of this kind now, too.

The head is checked by exchange: net/http says which request a connection is taken for (httptrace), so that bytes before it are not the head of its answer.

Why it works: no reader sees an answer before its head was checked, since the check is below all of them; RoundTrip returns no answer whose head it did not see.

--- a/engine.go
+++ b/engine.go
@@ -95,11 +95,20 @@
 	// this VM held too many bytes for requests in flight. It is no sign of a fault of
 	// the upstream.
 	FailureNoMemory
+	// FailureMalformed means that the upstream answered with a head that is not valid
+	// HTTP, so that nothing in the answer counts and its connection was closed.
+	FailureMalformed
 )
 
 // String returns the kind in snake case, as log lines show it.
 func (f FailureKind) String() string {
-	return [...]string{"refused", "dial", "crash", "timeout", "protocol", "aborted", "too_large", "no_memory"}[f]
+	return [...]string{"refused", "dial", "crash", "timeout", "protocol", "aborted", "too_large", "no_memory", "malformed"}[f]
+}
+
+// IsInvalidOutput reports whether the upstream was reached and its output was invalid or
+// too large. It is no sign of a fault of the link.
+func (f FailureKind) IsInvalidOutput() bool {
+	return f == FailureProtocol || f == FailureTooLarge || f == FailureMalformed
 }
 
 // UpstreamError is the error of a failed call to an upstream.
--- a/fleet/eject.go
+++ b/fleet/eject.go
@@ -7,8 +7,8 @@
 	"lentilmux.example/lentilmux"
 )
 
-// An upstream may report that it is healthy and still break every connection, or send
-// answers without end. Outlier ejection covers this: after several failed attempts in a row, the
+// An upstream may report that it is healthy and still break every connection, answer
+// with malformed heads, or send answers without end. Outlier ejection covers this: after several failed attempts in a row, the
 // upstream is not selected as the first hop of a path, or for a service without
 // layers, while there is an alternative. It is tried again when the ejection
 // expires. Only an answer that begins, or a restart of the upstream, ends the
@@ -16,7 +16,7 @@
 // without end begins, so after one only a whole answer or a restart does.
 
 // recordBrokenAttempt counts an attempt whose connection broke before the answer
-// began, and ejects the upstream after MaxConsecutiveFailures in a row. The
+// began, or whose answer had a malformed head, and ejects the upstream after MaxConsecutiveFailures in a row. The
 // ejection doubles with each further failure, up to MaxEjectDuration.
 func (t *Tables) recordBrokenAttempt(row *UpstreamRow, now time.Time) {
 	row.ConsecutiveFailures++
--- a/fleet/failures.go
+++ b/fleet/failures.go
@@ -57,7 +57,8 @@
 		switch {
 		case msg.Kind == lentilmux.FailureTooLarge:
 			t.recordTooLargeAnswer(firstHop, now)
-		case msg.Kind == lentilmux.FailureCrash && !request.AnswerStarted:
+		case request.AnswerStarted:
+		case msg.Kind == lentilmux.FailureCrash, msg.Kind == lentilmux.FailureMalformed:
 			t.recordBrokenAttempt(firstHop, now)
 		}
 		d.probeStalledHops(t, request, now)
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -122,7 +122,7 @@
 	}
 	for _, msg := range t.Events.Reports {
 		var upstreamErr *lentilmux.UpstreamError
-		if errors.As(msg.Err, &upstreamErr) && upstreamErr.Kind != lentilmux.FailureProtocol && upstreamErr.Kind != lentilmux.FailureTooLarge {
+		if errors.As(msg.Err, &upstreamErr) && !upstreamErr.Kind.IsInvalidOutput() {
 			t.addLinkFailure(msg.Upstream, now)
 		}
 	}
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -299,7 +299,7 @@
 func (s *scenario) failedAttempt(name string, fields map[string]string) lentilmux.Msg {
 	kinds := map[string]lentilmux.FailureKind{
 		"dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash, "timeout": lentilmux.FailureTimeout, "refused": lentilmux.FailureRefused,
-		"too_large": lentilmux.FailureTooLarge, "no_memory": lentilmux.FailureNoMemory,
+		"too_large": lentilmux.FailureTooLarge, "no_memory": lentilmux.FailureNoMemory, "malformed": lentilmux.FailureMalformed,
 	}
 	msg := lentilmux.ForwardFailedMsg{
 		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]],
--- /dev/null
+++ b/http1/conn.go
@@ -0,0 +1,84 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// dialFunc opens a connection, as [net.Dialer.DialContext] does.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checkedDial returns a function that opens connections with dial and checks the heads
+// of the answers on them.
+func checkedDial(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (opened net.Conn, err error) {
+		opened, err = dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: opened}, nil
+	}
+}
+
+// exchange is one request with its answer.
+type exchange struct {
+	conn        *conn       // on which the request is sent; nil before it is known
+	headChecked atomic.Bool // whether the head of the answer has arrived and is valid
+}
+
+// begin expects the next answer on a connection to be that of the exchange. net/http
+// calls it before it writes the request, when the previous answer was read to its end.
+func (e *exchange) begin(opened net.Conn) {
+	if c, ok := opened.(*conn); ok {
+		e.conn = c
+		c.current.Store(e)
+	}
+}
+
+// abort closes the connection of the exchange.
+func (e *exchange) abort() {
+	if e.conn != nil {
+		_ = e.conn.Close() // it is not used again
+	}
+}
+
+// conn is a connection that checks the head of the answer to each request.
+type conn struct {
+	net.Conn
+	current atomic.Pointer[exchange] // of the last request
+
+	// The fields below belong to the goroutine that reads.
+	checked *exchange // of the last bytes that were read
+	head    headChecker
+}
+
+// Read implements [net.Conn]. It returns no byte of a read that makes a head malformed.
+func (c *conn) Read(buffer []byte) (count int, err error) {
+	count, err = c.Conn.Read(buffer)
+	if headErr := c.check(buffer[:count]); headErr != nil {
+		return 0, headErr
+	}
+	return count, err
+}
+
+// check checks the bytes up to the end of the head of the current exchange.
+func (c *conn) check(data []byte) (err error) {
+	current := c.current.Load()
+	if current == nil {
+		return nil // no request was sent, which RoundTrip finds
+	}
+	if c.checked != current {
+		c.checked, c.head = current, headChecker{}
+	}
+	if c.head.isComplete() {
+		return nil
+	}
+	if err = c.head.check(data); err != nil {
+		return err
+	}
+	if c.head.isComplete() {
+		current.headChecked.Store(true)
+	}
+	return nil
+}
--- /dev/null
+++ b/http1/head.go
@@ -0,0 +1,170 @@
+package http1
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// statusPrefix begins each status line; a digit, a blank and the status follow.
+	statusPrefix = "HTTP/1."
+	// statusDigits is the number of digits of a status.
+	statusDigits = 3
+	// statusLineBytes is the length of a status line up to the status, in bytes.
+	statusLineBytes = len(statusPrefix) + len("1 ") + statusDigits
+	// maxStatus is the highest status that the protocol defines a class for.
+	maxStatus = 599
+)
+
+// headState is the part of a head that the next byte belongs to.
+type headState int
+
+// The states, in the order in which they occur.
+const (
+	inStatusLine  headState = iota // version and status
+	afterStatus                    // the byte after the status
+	inReason                       // reason phrase
+	beforeLineEnd                  // LF after the CR of the status line
+	atLineStart                    // the first byte of a field or of the end
+	inField                        // the rest of a field
+	beforeHeadEnd                  // LF of the empty line
+	complete                       // the head of the final answer has ended
+)
+
+// headChecker checks the heads of one answer and of the interim answers before it, byte by
+// byte. The zero value is ready for use.
+type headChecker struct {
+	state      headState
+	statusLine [statusLineBytes]byte // its beginning, of which length bytes have arrived
+	length     int
+	isInterim  bool // whether another head follows
+}
+
+// isComplete reports whether the head of the final answer has ended.
+func (h *headChecker) isComplete() bool { return h.state == complete }
+
+// check checks the next bytes up to the end of the final head. The error wraps
+// [ErrMalformedHead].
+func (h *headChecker) check(data []byte) (err error) {
+	for _, b := range data {
+		if h.isComplete() {
+			return nil
+		}
+		if err := h.checkByte(b); err != nil {
+			return errors.WithType(err, ErrMalformedHead)
+		}
+	}
+	return nil
+}
+
+// checkByte checks the next byte of a head.
+func (h *headChecker) checkByte(b byte) (err error) {
+	switch h.state {
+	case inStatusLine:
+		return h.checkStatusLine(b)
+	case afterStatus:
+		return h.checkAfterStatus(b)
+	case inReason:
+		return h.checkReason(b)
+	case atLineStart, inField:
+		h.skipField(b)
+		return nil
+	case beforeLineEnd:
+		h.state = atLineStart
+		return checkLineFeed(b)
+	default:
+		h.endHead()
+		return checkLineFeed(b)
+	}
+}
+
+// checkStatusLine collects the bytes of the status line up to the status.
+func (h *headChecker) checkStatusLine(b byte) (err error) {
+	h.statusLine[h.length] = b
+	h.length++
+	if h.length < statusLineBytes {
+		return nil
+	}
+	h.state = afterStatus
+	status, err := parseStatusLine(string(h.statusLine[:]))
+	h.isInterim = status < http.StatusOK
+	return err
+}
+
+// parseStatusLine returns the status of a status line that ends after it. A status has
+// three digits and a class, from 1 to 5. No request asks for another protocol, so 101 is
+// invalid.
+func parseStatusLine(line string) (status int, err error) {
+	version, digits := line[:len(line)-statusDigits], line[len(line)-statusDigits:]
+	minor := version[len(statusPrefix)]
+	if version[:len(statusPrefix)] != statusPrefix || !isDigit(minor) || version[len(version)-1] != ' ' {
+		return 0, errors.Errorf("status line begins with %q; expected HTTP/1.x and a status", line)
+	}
+	status, err = strconv.Atoi(digits)
+	if err != nil || !isDigit(digits[0]) || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return 0, errors.Errorf("status %q; expected one from 100 to %d other than 101", digits, maxStatus)
+	}
+	return status, nil
+}
+
+// checkAfterStatus checks the byte after the status, which a reason phrase may follow.
+func (h *headChecker) checkAfterStatus(b byte) (err error) {
+	switch b {
+	case ' ', '\r', '\n':
+		h.state = inReason
+		return h.checkReason(b)
+	default:
+		return errors.Errorf("byte 0x%02x follows the status", b)
+	}
+}
+
+// checkReason checks a byte of a reason phrase.
+func (h *headChecker) checkReason(b byte) (err error) {
+	switch {
+	case b == '\n':
+		h.state = atLineStart
+	case b == '\r':
+		h.state = beforeLineEnd
+	case isControl(b) && b != '\t':
+		return errors.Errorf("control byte 0x%02x in the reason phrase", b)
+	}
+	return nil
+}
+
+// skipField skips a byte of a field, or begins the end of the head.
+func (h *headChecker) skipField(b byte) {
+	switch {
+	case b == '\n' && h.state == atLineStart:
+		h.endHead()
+	case b == '\r' && h.state == atLineStart:
+		h.state = beforeHeadEnd
+	case b == '\n':
+		h.state = atLineStart
+	default:
+		h.state = inField
+	}
+}
+
+// checkLineFeed checks the byte after a CR.
+func checkLineFeed(b byte) (err error) {
+	if b != '\n' {
+		return errors.Errorf("byte 0x%02x follows a CR", b)
+	}
+	return nil
+}
+
+// endHead ends a head. After that of an interim answer another one begins.
+func (h *headChecker) endHead() {
+	if h.isInterim {
+		*h = headChecker{}
+		return
+	}
+	h.state = complete
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isControl reports whether b is an ASCII control character.
+func isControl(b byte) bool { return b < ' ' || b == 0x7f }
--- /dev/null
+++ b/http1/http1.go
@@ -0,0 +1,65 @@
+// Package http1 checks the heads of HTTP/1.1 answers before net/http parses them.
+//
+// net/http accepts status lines that the protocol forbids, such as any three digits as a
+// status. Nothing in an answer with such a head can be relied on, nor where it ends, so
+// [Transport] fails the request with [ErrMalformedHead] and closes the connection.
+// Status and fields of such a head are never returned.
+//
+// The check covers the interim answers (1xx) before an answer and rejects answers
+// whose head came before their request. It does not look into bodies.
+//
+// # Usage
+//
+//	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: dialer.DialContext})}
+//	response, err := client.Do(request)
+//	if errors.Is(err, http1.ErrMalformedHead) { ... } // the request may have run
+package http1
+
+import (
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/juju/errors"
+)
+
+// ErrMalformedHead reports an answer whose head is not valid HTTP/1.1, or came before
+// the request.
+const ErrMalformedHead = errors.ConstError("malformed head of an HTTP answer")
+
+// errEarlyHead reports an answer whose head arrived before its request was sent.
+const errEarlyHead = errors.ConstError("head arrived before the request")
+
+// Transport is an [http.RoundTripper] that checks the heads of answers. It is safe for
+// concurrent use.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that checks the answers which base receives. base must
+// speak HTTP/1.1 without TLS and have a DialContext, which is replaced.
+func NewTransport(base *http.Transport) *Transport {
+	base.DialContext = checkedDial(base.DialContext)
+	return &Transport{base: base}
+}
+
+// RoundTrip implements [http.RoundTripper]. The error wraps [ErrMalformedHead] if the
+// head of the answer is malformed.
+func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
+	exchange := &exchange{}
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { exchange.begin(info.Conn) },
+	})
+	response, err = t.base.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if !exchange.headChecked.Load() {
+		_ = response.Body.Close() // the answer is dropped
+		exchange.abort()
+		return nil, errors.WithType(errEarlyHead, ErrMalformedHead)
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the connections without a request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/service/service.go
+++ b/service/service.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/http1"
 	"lentilmux.example/lentilmux/memory"
 )
 
@@ -87,7 +88,7 @@
 		option(transport, dialer)
 	}
 	return &Client{dialer: dialer, client: &http.Client{
-		Transport:     transport,
+		Transport:     http1.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -196,6 +197,8 @@
 	switch {
 	case !writeStarted:
 		return lentilmux.FailureDial
+	case errors.Is(err, http1.ErrMalformedHead):
+		return lentilmux.FailureMalformed
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return lentilmux.FailureTimeout
 	case errors.As(err, &netError) && netError.Timeout():
