Reject answers with malformed fields

Seen: callers got an upstream's answer in whose head the name of a field held a blank, without that line, or with a body that was not the upstream's.

Cause: net/http accepts blanks at any place of a name and joins a line that begins with one to the value before it. Such a field is then dropped or lost; if it says how long the body is, the body ends where the connection does.

Change: package http1 checks the fields of a head as well: a name is a token of at least one character and the colon follows it, no line continues the one before, and no value holds a control byte. It holds for interim answers, too. A refusal in such a head is not believed: the request may have run.

Evidence: the stand-in writes 25 more malformed heads. Names with control bytes and without any character were rejected before by net/http, as crashes; they have the kind malformed now.

Why it works: the check reads each byte of the head, in the state that the grammar gives it, and net/http parses nothing that it has not passed.

--- a/http1/head.go
+++ b/http1/head.go
@@ -25,10 +25,10 @@
 const (
 	inStatusLine  headState = iota // version and status
 	afterStatus                    // the byte after the status
-	inReason                       // reason phrase
-	beforeLineEnd                  // LF after the CR of the status line
+	inText                         // reason phrase or value of a field
+	beforeLineEnd                  // LF after a CR
 	atLineStart                    // the first byte of a field or of the end
-	inField                        // the rest of a field
+	inName                         // name of a field
 	beforeHeadEnd                  // LF of the empty line
 	complete                       // the head of the final answer has ended
 )
@@ -66,11 +66,12 @@
 		return h.checkStatusLine(b)
 	case afterStatus:
 		return h.checkAfterStatus(b)
-	case inReason:
-		return h.checkReason(b)
-	case atLineStart, inField:
-		h.skipField(b)
-		return nil
+	case inText:
+		return h.checkText(b)
+	case atLineStart:
+		return h.checkLineStart(b)
+	case inName:
+		return h.checkName(b)
 	case beforeLineEnd:
 		h.state = atLineStart
 		return checkLineFeed(b)
@@ -113,38 +114,53 @@
 func (h *headChecker) checkAfterStatus(b byte) (err error) {
 	switch b {
 	case ' ', '\r', '\n':
-		h.state = inReason
-		return h.checkReason(b)
+		h.state = inText
+		return h.checkText(b)
 	default:
 		return errors.Errorf("byte 0x%02x follows the status", b)
 	}
 }
 
-// checkReason checks a byte of a reason phrase.
-func (h *headChecker) checkReason(b byte) (err error) {
+// checkText checks a byte of a reason phrase or of a value.
+func (h *headChecker) checkText(b byte) (err error) {
 	switch {
 	case b == '\n':
 		h.state = atLineStart
 	case b == '\r':
 		h.state = beforeLineEnd
 	case isControl(b) && b != '\t':
-		return errors.Errorf("control byte 0x%02x in the reason phrase", b)
+		return errors.Errorf("control byte 0x%02x in a value or a reason phrase", b)
 	}
 	return nil
 }
 
-// skipField skips a byte of a field, or begins the end of the head.
-func (h *headChecker) skipField(b byte) {
+// checkLineStart checks the first byte of a line. A line that begins with a blank would
+// continue the value before it, which no server may send; it may be a field whose name
+// was damaged.
+func (h *headChecker) checkLineStart(b byte) (err error) {
 	switch {
-	case b == '\n' && h.state == atLineStart:
+	case b == '\n':
 		h.endHead()
-	case b == '\r' && h.state == atLineStart:
+	case b == '\r':
 		h.state = beforeHeadEnd
-	case b == '\n':
-		h.state = atLineStart
+	case b == ':':
+		return errors.New("field without a name")
 	default:
-		h.state = inField
+		h.state = inName
+		return h.checkName(b)
 	}
+	return nil
+}
+
+// checkName checks a byte of a field's name or the colon after it.
+func (h *headChecker) checkName(b byte) (err error) {
+	switch {
+	case b == ':':
+		h.state = inText
+	case !isTokenByte(b):
+		return errors.Errorf("byte 0x%02x in the name of a field", b)
+	}
+	return nil
 }
 
 // checkLineFeed checks the byte after a CR.
@@ -168,3 +184,16 @@
 
 // isControl reports whether b is an ASCII control character.
 func isControl(b byte) bool { return b < ' ' || b == 0x7f }
+
+// isTokenByte reports whether b may be in the name of a field.
+func isTokenByte(b byte) bool {
+	switch {
+	case isDigit(b), b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
+		return true
+	}
+	switch b {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return false
+}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -1,9 +1,11 @@
 // Package http1 checks the heads of HTTP/1.1 answers before net/http parses them.
 //
-// net/http accepts status lines that the protocol forbids, such as any three digits as a
-// status. Nothing in an answer with such a head can be relied on, nor where it ends, so
-// [Transport] fails the request with [ErrMalformedHead] and closes the connection.
-// Status and fields of such a head are never returned.
+// net/http accepts heads that the protocol forbids: status lines with any three digits as
+// a status, names of fields with blanks, and lines that continue the one before. It drops
+// such fields or joins them to others, among them those that say how long a body is.
+// Nothing in an answer with such a head can be relied on, nor where it ends, so [Transport]
+// fails the request with [ErrMalformedHead] and closes the connection. Status and fields
+// of such a head are never returned.
 //
 // The check covers the interim answers (1xx) before an answer and rejects answers
 // whose head came before their request. It does not look into bodies.
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -28,10 +33,14 @@
 	return server
 }
 
+// callTimeout ends a call whose answer never ends, as one without a length does on a
+// connection that stays open.
+const callTimeout = 2 * time.Second
+
 // newClient returns a client that keeps its connections.
 func newClient(t *testing.T) *http.Client {
 	t.Helper()
-	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})}
+	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext}), Timeout: callTimeout}
 	t.Cleanup(client.CloseIdleConnections)
 	return client
 }
@@ -95,3 +104,100 @@
 		t.Errorf("%d connections, expected 1", conns)
 	}
 }
+
+const (
+	// fuzzSeeds is the number of random answers of TestRandomHeads.
+	fuzzSeeds = 1000
+	// fuzzBytes are the bytes that a mutation writes into a head.
+	fuzzBytes = " \t\x00\x01\x1f\x7f\xe9:;\r\na0"
+	// maxMutations is the largest number of bytes that are changed in a head.
+	maxMutations = 3
+	// seedHeader carries the seed of the answer to a request.
+	seedHeader = "Seed"
+)
+
+// soundHeads matches an answer that begins with a sound head, after any number of sound
+// interim ones, by the grammar of RFC 9112 without folded lines.
+var soundHeads = func() *regexp.Regexp {
+	const text = `[\t -~\x80-\xff]*`
+	const fields = `([!#$%&'*+.^_\x60|~0-9A-Za-z-]+:` + text + `\r?\n)*\r?\n`
+	const reason = `( ` + text + `)?\r?\n`
+	return regexp.MustCompile(`^(HTTP/1\.[0-9] 1(0[02-9]|[1-9][0-9])` + reason + fields + `)*HTTP/1\.[0-9] [2-5][0-9][0-9]` + reason + fields)
+}()
+
+// mutatedAnswer returns a sound answer with some bytes of its head replaced, inserted or
+// deleted, as the seed decides.
+func mutatedAnswer(seed uint64) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	heads := slices.DeleteFunc(slices.Clone(standin.RawHeads), func(h standin.RawHead) bool { return !h.Sound })
+	answer := []byte(heads[random.IntN(len(heads))].Answer("X-Id: r1\r\n"))
+	for range random.IntN(maxMutations + 1) {
+		i := random.IntN(len(answer) - len("OK"))
+		b := fuzzBytes[random.IntN(len(fuzzBytes))]
+		switch random.IntN(3) {
+		case 0:
+			answer[i] = b
+		case 1:
+			answer = slices.Insert(answer, i, b)
+		default:
+			answer = slices.Delete(answer, i, i+1)
+		}
+	}
+	return string(answer)
+}
+
+// isSound reports whether an answer begins with sound heads. The bytes are matched as
+// Latin-1, since a regular expression matches no bytes that are not UTF-8.
+func isSound(answer string) bool {
+	runes := make([]rune, len(answer))
+	for i := range len(answer) {
+		runes[i] = rune(answer[i])
+	}
+	return soundHeads.MatchString(string(runes))
+}
+
+// TestRandomHeads guards against malformed heads that no table names: it compares what a
+// caller gets of random answers with the grammar. An answer with a sound head may still
+// be an error, since its length may be damaged, but not a malformed head.
+func TestRandomHeads(t *testing.T) {
+	server, err := standin.StartRawServer(func(request *http.Request) standin.RawAnswer {
+		seed, _ := strconv.ParseUint(request.Header.Get(seedHeader), 10, 64) // as the test sent it
+		return standin.RawAnswer{Text: mutatedAnswer(seed)}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	client := newClient(t)
+	var sound int
+	for seed := range uint64(fuzzSeeds) {
+		answer := mutatedAnswer(seed)
+		err := getSeeded(t, client, server, seed)
+		switch isSound := isSound(answer); {
+		case !isSound && err == nil:
+			t.Errorf("seed %d: the malformed answer %q is returned", seed, answer)
+		case isSound && errors.Is(err, http1.ErrMalformedHead):
+			t.Errorf("seed %d: the sound answer %q: %v", seed, answer, err)
+		case isSound:
+			sound++
+		}
+	}
+	if sound < fuzzSeeds/10 || sound > fuzzSeeds*9/10 {
+		t.Errorf("%d of %d answers have a sound head: the mutations show little", sound, fuzzSeeds)
+	}
+}
+
+// getSeeded sends a request for the answer of a seed and returns the error of its head.
+func getSeeded(t *testing.T, client *http.Client, server *standin.RawServer, seed uint64) (err error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Addr().String()+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(seedHeader, strconv.FormatUint(seed, 10))
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
--- a/standin/heads.go
+++ b/standin/heads.go
@@ -56,6 +56,34 @@
 	{Name: "another protocol", Text: strings.Replace(sizedHead("200 OK", ""), "HTTP", "http", 1)},
 	{Name: "status 000 after an interim answer", Text: "HTTP/1.1 103 Early\r\nX: y\r\n\r\n" + sizedHead("000 OK", "")},
 	{Name: "status 099 before an answer", Text: "HTTP/1.1 099 Early\r\n\r\n" + sizedHead("200 OK", "")},
+
+	{Name: "blank in a name", Text: sizedHead("200 OK", "Odd Name: x\r\n")},
+	{Name: "blank in a name of a 500", Text: sizedHead("500 Oops", "Odd Name: x\r\n")},
+	{Name: "blank after a name", Text: sizedHead("200 OK", "Odd : x\r\n")},
+	{Name: "blank before a name", Text: sizedHead("200 OK", "X: y\r\n Odd: x\r\n")},
+	{Name: "blank before the first name", Text: "HTTP/1.1 200 OK\r\n Odd: x\r\n" + fieldsMark + "Content-Length: 2\r\n\r\n"},
+	{Name: "line of blanks", Text: sizedHead("200 OK", "X: y\r\n \r\n")},
+	{Name: "tab in a name", Text: sizedHead("200 OK", "Odd\tName: x\r\n")},
+	{Name: "tab after a name", Text: sizedHead("200 OK", "Odd\t: x\r\n")},
+	{Name: "tab before a name", Text: sizedHead("200 OK", "X: y\r\n\tOdd: x\r\n")},
+	{Name: "NUL in a name", Text: sizedHead("200 OK", "Odd\x00Name: x\r\n")},
+	{Name: "0x01 in a name", Text: sizedHead("200 OK", "Odd\x01Name: x\r\n")},
+	{Name: "DEL in a name", Text: sizedHead("200 OK", "Odd\x7fName: x\r\n")},
+	{Name: "CR in a name", Text: sizedHead("200 OK", "Odd\rName: x\r\n")},
+	{Name: "0xe9 in a name", Text: sizedHead("200 OK", "Odd\xe9Name: x\r\n")},
+	{Name: "bracket in a name", Text: sizedHead("200 OK", "Odd(Name: x\r\n")},
+	{Name: "empty name", Text: sizedHead("200 OK", ": x\r\n")},
+	{Name: "no colon", Text: sizedHead("200 OK", "Odd\r\n")},
+	{Name: "NUL in a value", Text: sizedHead("200 OK", "X: a\x00b\r\n")},
+	{Name: "CR in a value", Text: sizedHead("200 OK", "X: a\rb\r\n")},
+
+	{Name: "blank after Content-Length", Text: "HTTP/1.1 200 OK\r\n" + fieldsMark + "Content-Length : 1\r\n\r\n"},
+	{Name: "blank before Content-Length", Text: "HTTP/1.1 200 OK\r\n" + fieldsMark + "X: y\r\n Content-Length: 1\r\n\r\n"},
+	{Name: "Content-Length without its name", Text: "HTTP/1.1 200 OK\r\n" + fieldsMark + ": 1\r\n\r\n"},
+	{Name: "blank after Transfer-Encoding", Text: sizedHead("200 OK", "Transfer-Encoding : chunked\r\n")},
+
+	{Name: "blank in a name of an interim answer", Text: "HTTP/1.1 100 Continue\r\nOdd Name: x\r\n\r\n" + sizedHead("200 OK", "")},
+	{Name: "blank in a name after an interim answer", Text: "HTTP/1.1 103 Early\r\nX: y\r\n\r\n" + sizedHead("200 OK", "Odd Name: x\r\n")},
 }
 
 // sizedHead returns a head with a status, further fields and the length of rawBody.
