Reject answers whose length is ambiguous

Seen, on the stand-in: an answer of HTTP/1.0 with Transfer-Encoding: chunked reached callers with the chunks' sizes as part of its body ("2\r\nOK\r\n0\r\n\r\nOK" in place of "OK"), signed by the upstream. One with chunks and a Content-Length, which no server may send, was read by its chunks.

Cause: net/http ignores a transfer coding in HTTP/1.0 and reads to the end of the connection, and ignores the length beside a coding. It drops the field, so that no reader can tell.

Change: package http1 notes whether a head has a coding and a length, and rejects both together and a coding in HTTP/1.0.

Evidence: without the change TestMalformedHeads failed in service, caller and platform with these two answers passed on, and TestMalformedHeadsOfControl with an order, a move, a write and a forwarded request that took them; all pass now.

--- a/http1/head.go
+++ b/http1/head.go
@@ -14,6 +14,10 @@
 	statusDigits = 3
 	// statusLineBytes is the length of a status line up to the status, in bytes.
 	statusLineBytes = len(statusPrefix) + len("1 ") + statusDigits
+	// lengthName and codingName are the names of the fields that say where a body ends, in
+	// lower case.
+	lengthName = "content-length"
+	codingName = "transfer-encoding"
 	// maxStatus is the highest status that the protocol defines a class for.
 	maxStatus = 599
 )
@@ -40,6 +44,12 @@
 	statusLine [statusLineBytes]byte // its beginning, of which length bytes have arrived
 	length     int
 	isInterim  bool // whether another head follows
+	isOld      bool // whether it is of HTTP/1.0, which has no transfer codings
+
+	name       [len(codingName)]byte // of the field, in lower case; its beginning if it is longer
+	nameLength int
+	hasLength  bool // whether a field gives the length of the body
+	hasCoding  bool // whether a field gives a transfer coding
 }
 
 // isComplete reports whether the head of the final answer has ended.
@@ -76,8 +86,10 @@
 		h.state = atLineStart
 		return checkLineFeed(b)
 	default:
-		h.endHead()
-		return checkLineFeed(b)
+		if err = checkLineFeed(b); err != nil {
+			return err
+		}
+		return h.endHead()
 	}
 }
 
@@ -91,6 +103,7 @@
 	h.state = afterStatus
 	status, err := parseStatusLine(string(h.statusLine[:]))
 	h.isInterim = status < http.StatusOK
+	h.isOld = h.statusLine[len(statusPrefix)] == '0'
 	return err
 }
 
@@ -140,13 +153,13 @@
 func (h *headChecker) checkLineStart(b byte) (err error) {
 	switch {
 	case b == '\n':
-		h.endHead()
+		return h.endHead()
 	case b == '\r':
 		h.state = beforeHeadEnd
 	case b == ':':
 		return errors.New("field without a name")
 	default:
-		h.state = inName
+		h.state, h.nameLength = inName, 0
 		return h.checkName(b)
 	}
 	return nil
@@ -156,13 +169,37 @@
 func (h *headChecker) checkName(b byte) (err error) {
 	switch {
 	case b == ':':
-		h.state = inText
+		h.endName()
 	case !isTokenByte(b):
 		return errors.Errorf("byte 0x%02x in the name of a field", b)
+	default:
+		h.addToName(b)
 	}
 	return nil
 }
 
+// addToName adds a byte to the name of a field.
+func (h *headChecker) addToName(b byte) {
+	if h.nameLength < len(h.name) {
+		h.name[h.nameLength] = lower(b)
+	}
+	h.nameLength++
+}
+
+// endName ends the name of a field.
+func (h *headChecker) endName() {
+	h.state = inText
+	if h.nameLength > len(h.name) {
+		return
+	}
+	switch string(h.name[:h.nameLength]) {
+	case lengthName:
+		h.hasLength = true
+	case codingName:
+		h.hasCoding = true
+	}
+}
+
 // checkLineFeed checks the byte after a CR.
 func checkLineFeed(b byte) (err error) {
 	if b != '\n' {
@@ -171,13 +208,28 @@
 	return nil
 }
 
-// endHead ends a head. After that of an interim answer another one begins.
-func (h *headChecker) endHead() {
-	if h.isInterim {
+// endHead ends a head. After that of an interim answer another one begins. A transfer
+// coding beside a length, or in HTTP/1.0, leaves open where the body ends.
+func (h *headChecker) endHead() (err error) {
+	switch {
+	case h.hasCoding && h.hasLength:
+		return errors.New("both a transfer coding and a length")
+	case h.hasCoding && h.isOld:
+		return errors.New("transfer coding in HTTP/1.0")
+	case h.isInterim:
 		*h = headChecker{}
-		return
+	default:
+		h.state = complete
+	}
+	return nil
+}
+
+// lower returns b in lower case if it is an ASCII letter.
+func lower(b byte) byte {
+	if b >= 'A' && b <= 'Z' {
+		return b + 'a' - 'A'
 	}
-	h.state = complete
+	return b
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -2,7 +2,8 @@
 //
 // net/http accepts heads that the protocol forbids: status lines with any three digits as
 // a status, names of fields with blanks, and lines that continue the one before. It drops
-// such fields or joins them to others, among them those that say how long a body is.
+// such fields or joins them to others, among them those that say how long a body is, and
+// chooses where two fields disagree about that.
 // Nothing in an answer with such a head can be relied on, nor where it ends, so [Transport]
 // fails the request with [ErrMalformedHead] and closes the connection. Status and fields
 // of such a head are never returned.
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -147,7 +147,8 @@
 }
 
 // isSound reports whether an answer begins with sound heads. The bytes are matched as
-// Latin-1, since a regular expression matches no bytes that are not UTF-8.
+// Latin-1, since a regular expression matches no bytes that are not UTF-8. The sound
+// heads of the stand-in have no transfer coding, and mutations spell none.
 func isSound(answer string) bool {
 	runes := make([]rune, len(answer))
 	for i := range len(answer) {
--- a/standin/heads.go
+++ b/standin/heads.go
@@ -8,7 +8,8 @@
 // rawBody is the body of the answers with a [RawHead].
 const rawBody = "OK"
 
-// RawHead is the head of an answer, up to and including the empty line.
+// RawHead is the head of an answer, up to and including the empty line, which bytes may
+// follow.
 type RawHead struct {
 	Name  string
 	Text  string // with fieldsMark
@@ -82,6 +83,9 @@
 	{Name: "Content-Length without its name", Text: "HTTP/1.1 200 OK\r\n" + fieldsMark + ": 1\r\n\r\n"},
 	{Name: "blank after Transfer-Encoding", Text: sizedHead("200 OK", "Transfer-Encoding : chunked\r\n")},
 
+	{Name: "chunks in HTTP/1.0", Text: "HTTP/1.0 200 OK\r\n" + fieldsMark + "Transfer-Encoding: chunked\r\n\r\n2\r\nOK\r\n0\r\n\r\n"},
+	{Name: "chunks and a length", Text: sizedHead("200 OK", "transfer-ENCODING: chunked\r\n") + "2\r\nOK\r\n0\r\n\r\n"},
+
 	{Name: "blank in a name of an interim answer", Text: "HTTP/1.1 100 Continue\r\nOdd Name: x\r\n\r\n" + sizedHead("200 OK", "")},
 	{Name: "blank in a name after an interim answer", Text: "HTTP/1.1 103 Early\r\nX: y\r\n\r\n" + sizedHead("200 OK", "Odd Name: x\r\n")},
 }
