--- a/http1/head.go
+++ b/http1/head.go
@@ -1,26 +1,6 @@
 package http1
 
-import (
-	"net/http"
-	"strconv"
-
-	"github.com/juju/errors"
-)
-
-const (
-	// statusPrefix begins each status line; a digit, a blank and the status follow.
-	statusPrefix = "HTTP/1."
-	// statusDigits is the number of digits of a status.
-	statusDigits = 3
-	// statusLineBytes is the length of a status line up to the status, in bytes.
-	statusLineBytes = len(statusPrefix) + len("1 ") + statusDigits
-	// lengthName and codingName are the names of the fields that say where a body ends, in
-	// lower case.
-	lengthName = "content-length"
-	codingName = "transfer-encoding"
-	// maxStatus is the highest status that the protocol defines a class for.
-	maxStatus = 599
-)
+import "github.com/juju/errors"
 
 // headState is the part of a head that the next byte belongs to.
 type headState int
@@ -93,47 +73,6 @@
 	}
 }
 
-// checkStatusLine collects the bytes of the status line up to the status.
-func (h *headChecker) checkStatusLine(b byte) (err error) {
-	h.statusLine[h.length] = b
-	h.length++
-	if h.length < statusLineBytes {
-		return nil
-	}
-	h.state = afterStatus
-	status, err := parseStatusLine(string(h.statusLine[:]))
-	h.isInterim = status < http.StatusOK
-	h.isOld = h.statusLine[len(statusPrefix)] == '0'
-	return err
-}
-
-// parseStatusLine returns the status of a status line that ends after it. A status has
-// three digits and a class, from 1 to 5. No request asks for another protocol, so 101 is
-// invalid.
-func parseStatusLine(line string) (status int, err error) {
-	version, digits := line[:len(line)-statusDigits], line[len(line)-statusDigits:]
-	minor := version[len(statusPrefix)]
-	if version[:len(statusPrefix)] != statusPrefix || !isDigit(minor) || version[len(version)-1] != ' ' {
-		return 0, errors.Errorf("status line begins with %q; expected HTTP/1.x and a status", line)
-	}
-	status, err = strconv.Atoi(digits)
-	if err != nil || !isDigit(digits[0]) || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return 0, errors.Errorf("status %q; expected one from 100 to %d other than 101", digits, maxStatus)
-	}
-	return status, nil
-}
-
-// checkAfterStatus checks the byte after the status, which a reason phrase may follow.
-func (h *headChecker) checkAfterStatus(b byte) (err error) {
-	switch b {
-	case ' ', '\r', '\n':
-		h.state = inText
-		return h.checkText(b)
-	default:
-		return errors.Errorf("byte 0x%02x follows the status", b)
-	}
-}
-
 // checkText checks a byte of a reason phrase or of a value.
 func (h *headChecker) checkText(b byte) (err error) {
 	switch {
@@ -147,59 +86,6 @@
 	return nil
 }
 
-// checkLineStart checks the first byte of a line. A line that begins with a blank would
-// continue the value before it, which no server may send; it may be a field whose name
-// was damaged.
-func (h *headChecker) checkLineStart(b byte) (err error) {
-	switch {
-	case b == '\n':
-		return h.endHead()
-	case b == '\r':
-		h.state = beforeHeadEnd
-	case b == ':':
-		return errors.New("field without a name")
-	default:
-		h.state, h.nameLength = inName, 0
-		return h.checkName(b)
-	}
-	return nil
-}
-
-// checkName checks a byte of a field's name or the colon after it.
-func (h *headChecker) checkName(b byte) (err error) {
-	switch {
-	case b == ':':
-		h.endName()
-	case !isTokenByte(b):
-		return errors.Errorf("byte 0x%02x in the name of a field", b)
-	default:
-		h.addToName(b)
-	}
-	return nil
-}
-
-// addToName adds a byte to the name of a field.
-func (h *headChecker) addToName(b byte) {
-	if h.nameLength < len(h.name) {
-		h.name[h.nameLength] = lower(b)
-	}
-	h.nameLength++
-}
-
-// endName ends the name of a field.
-func (h *headChecker) endName() {
-	h.state = inText
-	if h.nameLength > len(h.name) {
-		return
-	}
-	switch string(h.name[:h.nameLength]) {
-	case lengthName:
-		h.hasLength = true
-	case codingName:
-		h.hasCoding = true
-	}
-}
-
 // checkLineFeed checks the byte after a CR.
 func checkLineFeed(b byte) (err error) {
 	if b != '\n' {
@@ -224,28 +110,7 @@
 	return nil
 }
 
-// lower returns b in lower case if it is an ASCII letter.
-func lower(b byte) byte {
-	if b >= 'A' && b <= 'Z' {
-		return b + 'a' - 'A'
-	}
-	return b
-}
-
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
 
 // isControl reports whether b is an ASCII control character.
 func isControl(b byte) bool { return b < ' ' || b == 0x7f }
-
-// isTokenByte reports whether b may be in the name of a field.
-func isTokenByte(b byte) bool {
-	switch {
-	case isDigit(b), b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
-		return true
-	}
-	switch b {
-	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
-		return true
-	}
-	return false
-}
