Check the heads of the log's, the list's, peers' and operators' answers

Seen, on the stand-in: an answer of the log with "Content-Length : 80" and nothing after it was an append that counts as stored, and an empty log; one of the VM list was a list without VMs; one of an entry VM a statement without an error, and a digest was read from such an answer of a peer.

The body of a Connect call that is not a stream is one message, of which each beginning that ends between two fields, and the empty one, is valid.

Change: they use http1.NewTransport. Peers and operators may use TLS, under which the bytes on the connection are not the head; http1 then checks what TLS returns. The server is verified as before. The error now says that the head is malformed.

A worker in trouble reaches none of these: they are processes of the platform or our own, at addresses of their own. lentilctl explain and lentilload keep plain clients: they read from an entry VM and decide nothing.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync/atomic"
 )
@@ -21,6 +22,30 @@
 	}
 }
 
+// tlsDial returns a function that opens connections with dial and secures them with TLS.
+func tlsDial(dial dialFunc, config *tls.Config) dialFunc {
+	return func(ctx context.Context, network, address string) (opened net.Conn, err error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		plain, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		config := config.Clone()
+		if config.ServerName == "" {
+			config.ServerName = host
+		}
+		secured := tls.Client(plain, config)
+		if err = secured.HandshakeContext(ctx); err != nil {
+			_ = plain.Close() // not used
+			return nil, err
+		}
+		return secured, nil
+	}
+}
+
 // exchange is one request with its answer.
 type exchange struct {
 	conn        *conn       // on which the request is sent; nil before it is known
--- a/http1/head.go
+++ b/http1/head.go
@@ -38,6 +38,7 @@
 // check checks the next bytes up to the end of the final head. The error wraps
 // [ErrMalformedHead].
 func (h *headChecker) check(data []byte) (err error) {
+	defer errors.DeferredAnnotatef(&err, "malformed head")
 	for _, b := range data {
 		if h.isComplete() {
 			return nil
--- a/http1/head_test.go
+++ b/http1/head_test.go
@@ -34,7 +34,7 @@
 	case err != nil && !errors.Is(err, ErrMalformedHead):
 		return "another error: " + err.Error()
 	case err != nil:
-		return "malformed: " + err.Error()
+		return err.Error()
 	case head.isComplete():
 		return "sound"
 	default:
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -39,8 +39,12 @@
 }
 
 // NewTransport returns a transport that checks the answers which base receives. base must
-// speak HTTP/1.1 without TLS and have a DialContext, which is replaced.
+// speak HTTP/1.1 and have a DialContext, which is replaced. With a TLSClientConfig its
+// DialTLSContext is set, too.
 func NewTransport(base *http.Transport) *Transport {
+	if base.TLSClientConfig != nil {
+		base.DialTLSContext = checkedDial(tlsDial(base.DialContext, base.TLSClientConfig))
+	}
 	base.DialContext = checkedDial(base.DialContext)
 	return &Transport{base: base}
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"lentilmux.example/lentilmux/http1"
 	"lentilmux.example/lentilmux/operator/operatorpb"
 	"lentilmux.example/lentilmux/operator/operatorpb/operatorpbconnect"
 )
@@ -39,7 +40,7 @@
 	if tlsConfig != nil {
 		scheme = "https://"
 	}
-	return &Client{addrs: addrs, key: key, who: who, scheme: scheme, httpClient: &http.Client{Transport: transport}}
+	return &Client{addrs: addrs, key: key, who: who, scheme: scheme, httpClient: &http.Client{Transport: http1.NewTransport(transport)}}
 }
 
 // Result is the result of a statement: rows for a query, else the outcome of a
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -32,6 +32,7 @@
 	"github.com/juju/errors"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/http1"
 	"lentilmux.example/lentilmux/peer/peerpb"
 	"lentilmux.example/lentilmux/peer/peerpb/peerpbconnect"
 )
@@ -60,7 +61,7 @@
 		scheme = "https://"
 	}
 	return &Client{
-		key: key, scheme: scheme, client: &http.Client{Transport: transport},
+		key: key, scheme: scheme, client: &http.Client{Transport: http1.NewTransport(transport)},
 		stubs: make(map[netip.AddrPort]peerpbconnect.PeerServiceClient),
 	}
 }
--- a/platformlog/platformlog.go
+++ b/platformlog/platformlog.go
@@ -29,6 +29,7 @@
 	"github.com/juju/errors"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/http1"
 	"lentilmux.example/lentilmux/platformlog/platformlogpb"
 	"lentilmux.example/lentilmux/platformlog/platformlogpb/platformlogpbconnect"
 )
@@ -49,7 +50,7 @@
 func NewClient(addr netip.AddrPort) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}
-	return &Client{stub: platformlogpbconnect.NewLogServiceClient(&http.Client{Transport: transport}, "http://"+addr.String())}
+	return &Client{stub: platformlogpbconnect.NewLogServiceClient(&http.Client{Transport: http1.NewTransport(transport)}, "http://"+addr.String())}
 }
 
 // Append implements [lentilmux.Log].
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -21,6 +21,7 @@
 	"github.com/juju/errors"
 
 	"lentilmux.example/lentilmux"
+	"lentilmux.example/lentilmux/http1"
 	"lentilmux.example/lentilmux/vmlist/vmlistpb"
 	"lentilmux.example/lentilmux/vmlist/vmlistpb/vmlistpbconnect"
 )
@@ -41,7 +42,7 @@
 func NewClient(addr netip.AddrPort) *Client {
 	dialer := &net.Dialer{Timeout: readTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext}
-	return &Client{stub: vmlistpbconnect.NewVMListServiceClient(&http.Client{Transport: transport}, "http://"+addr.String())}
+	return &Client{stub: vmlistpbconnect.NewVMListServiceClient(&http.Client{Transport: http1.NewTransport(transport)}, "http://"+addr.String())}
 }
 
 // List implements [lentilmux.VMList]. A VM whose address cannot be parsed is listed
