Say in the log what is wrong with a malformed head

Cause: attempt_failed named the kind alone, so that an on-call engineer could not tell a status that is none from an odd name or two lengths.

Change: the error of a head is typed (http1.HeadError); its reason goes with UpstreamError and ForwardFailedMsg into attempt_failed as head="...".

--- a/engine.go
+++ b/engine.go
@@ -113,8 +113,9 @@
 
 // UpstreamError is the error of a failed call to an upstream.
 type UpstreamError struct {
-	Kind FailureKind
-	Err  error
+	Kind   FailureKind
+	Detail string // of a malformed answer: what is wrong with its head
+	Err    error
 }
 
 // ErrNotListening is wrapped by the error of a call whose connection the upstream's
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -78,6 +78,9 @@
 
 // recordFailedAttempt logs a failed attempt and what follows.
 func (t *Tables) recordFailedAttempt(request *RequestRow, failed FailedAttemptRow, chosen, detail string) {
+	if failed.Detail != "" {
+		detail = fmt.Sprintf("head=%q %s", failed.Detail, detail)
+	}
 	t.RecordDecision(lentilmux.Decision{
 		What: "attempt_failed", Subject: string(request.ID), Chosen: chosen,
 		// delivered is the number of events that the caller has, runs the number of
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -302,7 +302,7 @@
 		"too_large": lentilmux.FailureTooLarge, "no_memory": lentilmux.FailureNoMemory, "malformed": lentilmux.FailureMalformed,
 	}
 	msg := lentilmux.ForwardFailedMsg{
-		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]],
+		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]], Detail: fields["detail"],
 		NotRun: fields["not_run"] == "true", Answered: fields["answered"] == "true", Delivered: parseInt(fields["delivered"]),
 	}
 	if row := s.tables.Upstreams.Find(fields["blamed"]); row != nil {
--- a/forward.go
+++ b/forward.go
@@ -88,6 +88,7 @@
 	Request        RequestID
 	Epoch          Epoch
 	Kind           FailureKind
+	Detail         string         // of a malformed answer: what is wrong with its head
 	NotRun         bool           // whether the upstream certainly did not run the request
 	Answered       bool           // whether the upstream itself answered with an error
 	BlamedUpstream netip.AddrPort // hop that the error answer names as the cause, if any
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -50,7 +50,7 @@
 		}
 		failure.PeerRefusal = a.response.PeerRefusal()
 	case errors.As(err, &upstreamErr):
-		failure.Kind = upstreamErr.Kind
+		failure.Kind, failure.Detail = upstreamErr.Kind, upstreamErr.Detail
 		failure.NotRun = failure.Kind == lentilmux.FailureDial
 	}
 	r.race.recordFailure(a, failure)
--- a/http1/head.go
+++ b/http1/head.go
@@ -35,16 +35,15 @@
 // isComplete reports whether the head of the final answer has ended.
 func (h *headChecker) isComplete() bool { return h.state == complete }
 
-// check checks the next bytes up to the end of the final head. The error wraps
-// [ErrMalformedHead].
+// check checks the next bytes up to the end of the final head. The error is a
+// [*HeadError].
 func (h *headChecker) check(data []byte) (err error) {
-	defer errors.DeferredAnnotatef(&err, "malformed head")
 	for _, b := range data {
 		if h.isComplete() {
 			return nil
 		}
 		if err := h.checkByte(b); err != nil {
-			return errors.WithType(err, ErrMalformedHead)
+			return &HeadError{Reason: err.Error()}
 		}
 	}
 	return nil
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -5,8 +5,8 @@
 // such fields or joins them to others, among them those that say how long a body is, and
 // chooses where two fields disagree about that.
 // Nothing in an answer with such a head can be relied on, nor where it ends, so [Transport]
-// fails the request with [ErrMalformedHead] and closes the connection. Status and fields
-// of such a head are never returned.
+// fails the request with a [*HeadError] and closes the connection. Status and fields of
+// such a head are never returned.
 //
 // The check covers the interim answers (1xx) before an answer and rejects answers
 // whose head came before their request. It does not look into bodies.
@@ -25,12 +25,20 @@
 	"github.com/juju/errors"
 )
 
-// ErrMalformedHead reports an answer whose head is not valid HTTP/1.1, or came before
+// ErrMalformedHead is wrapped by each [HeadError].
+const ErrMalformedHead = errors.ConstError("malformed head")
+
+// HeadError is the error of an answer whose head is not valid HTTP/1.1, or came before
 // the request.
-const ErrMalformedHead = errors.ConstError("malformed head of an HTTP answer")
+type HeadError struct {
+	Reason string // what is wrong with the head
+}
+
+// Error returns the reason.
+func (e *HeadError) Error() string { return ErrMalformedHead.Error() + ": " + e.Reason }
 
-// errEarlyHead reports an answer whose head arrived before its request was sent.
-const errEarlyHead = errors.ConstError("head arrived before the request")
+// Unwrap returns [ErrMalformedHead].
+func (e *HeadError) Unwrap() error { return ErrMalformedHead }
 
 // Transport is an [http.RoundTripper] that checks the heads of answers. It is safe for
 // concurrent use.
@@ -49,8 +57,8 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements [http.RoundTripper]. The error wraps [ErrMalformedHead] if the
-// head of the answer is malformed.
+// RoundTrip implements [http.RoundTripper]. The error wraps a [*HeadError] if the head of
+// the answer is malformed.
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
 	exchange := &exchange{}
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
@@ -63,7 +71,7 @@
 	if !exchange.headChecked.Load() {
 		_ = response.Body.Close() // the answer is dropped
 		exchange.abort()
-		return nil, errors.WithType(errEarlyHead, ErrMalformedHead)
+		return nil, &HeadError{Reason: "arrived before the request"}
 	}
 	return response, nil
 }
--- a/service/service.go
+++ b/service/service.go
@@ -147,8 +147,7 @@
 	if err != nil {
 		// A call that is canceled once it has a connection may still be being written.
 		mayBeWritten := writeStarted.Load() || connected.Load() && ctx.Err() != nil
-		kind := failureKind(err, mayBeWritten)
-		return nil, &lentilmux.UpstreamError{Kind: kind, Err: markRefused(err)}
+		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, mayBeWritten), Detail: headDetail(err), Err: markRefused(err)}
 	}
 	return response, nil
 }
@@ -208,6 +207,16 @@
 	}
 }
 
+// headDetail returns what is wrong with the head of an answer, or "" if err is no error of
+// a head.
+func headDetail(err error) (detail string) {
+	var headErr *http1.HeadError
+	if errors.As(err, &headErr) {
+		return headErr.Reason
+	}
+	return ""
+}
+
 // CloseIdle closes the connections without a call. They may be silent like one on which
 // a call was not answered in time.
 func (c *Client) CloseIdle() { c.client.CloseIdleConnections() }
