Pause a service that answers with malformed heads

Seen, in a scenario: the product's own front end sent a new call at once to a service that had just answered with a malformed head. Before the check of heads, bytes that are no HTTP counted as a crash, after which the service gets no new work for a moment.

Cause: Health pauses an upstream after a failed dial and a crash; the new kind malformed was counted as a failure and probed, but not paused.

Change: it is paused like after a failed dial. It still makes no request a crash suspect, and its retries are charged to the retry budget, since the service lives on.

The other golden files are unchanged. Two comments are clearer.

--- a/fleet/failures.go
+++ b/fleet/failures.go
@@ -58,6 +58,7 @@
 		case msg.Kind == lentilmux.FailureTooLarge:
 			t.recordTooLargeAnswer(firstHop, now)
 		case request.AnswerStarted:
+			// An upstream that began to answer is not ejected for the rest of it.
 		case msg.Kind == lentilmux.FailureCrash, msg.Kind == lentilmux.FailureMalformed:
 			t.recordBrokenAttempt(firstHop, now)
 		}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -4,12 +4,12 @@
 // a status, names of fields with blanks, and lines that continue the one before. It drops
 // such fields or joins them to others, among them those that say how long a body is, and
 // chooses where two fields disagree about that.
+//
 // Nothing in an answer with such a head can be relied on, nor where it ends, so [Transport]
 // fails the request with a [*HeadError] and closes the connection. Status and fields of
-// such a head are never returned.
-//
-// The check covers the interim answers (1xx) before an answer and rejects answers
-// whose head came before their request. It does not look into bodies.
+// such a head are never returned. The check covers the interim answers (1xx) before an
+// answer and rejects answers whose head came before their request. It does not look into
+// bodies.
 //
 // # Usage
 //
--- a/system/health.go
+++ b/system/health.go
@@ -74,7 +74,7 @@
 	case lentilmux.FailureRefused:
 		s.pauseUpstream(t, now, u)
 		return
-	case lentilmux.FailureDial:
+	case lentilmux.FailureDial, lentilmux.FailureMalformed:
 		s.pauseUpstream(t, now, u)
 	case lentilmux.FailureCrash:
 		s.pauseUpstream(t, now, u)
--- a/system/scenario_test.go
+++ b/system/scenario_test.go
@@ -213,7 +213,7 @@
 }
 
 var failureKinds = map[string]lentilmux.FailureKind{
-	"refused": lentilmux.FailureRefused, "dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash,
+	"refused": lentilmux.FailureRefused, "dial": lentilmux.FailureDial, "crash": lentilmux.FailureCrash, "malformed": lentilmux.FailureMalformed,
 	"timeout": lentilmux.FailureTimeout, "aborted": lentilmux.FailureAborted,
 }
 
