Rename fields of the check of heads

A reader had to learn that length was that of the status line and that old meant HTTP/1.0; a variable had the name of its type. No code changes otherwise; go test -race ./http1 passes.

--- a/http1/head.go
+++ b/http1/head.go
@@ -20,16 +20,17 @@
 // headChecker checks the heads of one answer and of the interim answers before it, byte by
 // byte. The zero value is ready for use.
 type headChecker struct {
-	state      headState
-	statusLine [statusLineBytes]byte // its beginning, of which length bytes have arrived
-	length     int
-	isInterim  bool // whether another head follows
-	isOld      bool // whether it is of HTTP/1.0, which has no transfer codings
+	state headState
 
-	name       [len(codingName)]byte // of the field, in lower case; its beginning if it is longer
-	nameLength int
-	hasLength  bool // whether a field gives the length of the body
-	hasCoding  bool // whether a field gives a transfer coding
+	statusLine       [statusLineBytes]byte // up to the status
+	statusLineLength int                   // bytes of it that have arrived
+	isInterim        bool                  // whether another head follows
+	isHTTP10         bool                  // whether it is of HTTP/1.0, which has no transfer codings
+
+	name       [len(codingName)]byte // of the current field, in lower case; its beginning if it is longer
+	nameLength int                   // of the whole name so far, in bytes
+	hasLength  bool                  // whether a field gives the length of the body
+	hasCoding  bool                  // whether a field gives a transfer coding
 }
 
 // isComplete reports whether the head of the final answer has ended.
@@ -100,7 +101,7 @@
 	switch {
 	case h.hasCoding && h.hasLength:
 		return errors.New("both a transfer coding and a length")
-	case h.hasCoding && h.isOld:
+	case h.hasCoding && h.isHTTP10:
 		return errors.New("transfer coding in HTTP/1.0")
 	case h.isInterim:
 		*h = headChecker{}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -60,17 +60,17 @@
 // RoundTrip implements [http.RoundTripper]. The error wraps a [*HeadError] if the head of
 // the answer is malformed.
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
-	exchange := &exchange{}
+	pending := &exchange{}
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { exchange.begin(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { pending.begin(info.Conn) },
 	})
 	response, err = t.base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if !exchange.headChecked.Load() {
+	if !pending.headChecked.Load() {
 		_ = response.Body.Close() // the answer is dropped
-		exchange.abort()
+		pending.abort()
 		return nil, &HeadError{Reason: "arrived before the request"}
 	}
 	return response, nil
--- a/http1/statusline.go
+++ b/http1/statusline.go
@@ -20,15 +20,15 @@
 
 // checkStatusLine collects the bytes of the status line up to the status.
 func (h *headChecker) checkStatusLine(b byte) (err error) {
-	h.statusLine[h.length] = b
-	h.length++
-	if h.length < statusLineBytes {
+	h.statusLine[h.statusLineLength] = b
+	h.statusLineLength++
+	if h.statusLineLength < statusLineBytes {
 		return nil
 	}
 	h.state = afterStatus
 	status, err := parseStatusLine(string(h.statusLine[:]))
 	h.isInterim = status < http.StatusOK
-	h.isOld = h.statusLine[len(statusPrefix)] == '0'
+	h.isHTTP10 = h.statusLine[len(statusPrefix)] == '0'
 	return err
 }
 
--- a/http1/unchecked_test.go
+++ b/http1/unchecked_test.go
@@ -41,18 +41,18 @@
 		}
 	}()
 	buffer := make([]byte, 64)
-	exchange := &exchange{}
+	pending := &exchange{}
 	if _, err := c.Read(buffer); err != nil {
 		t.Fatal(err)
 	}
-	exchange.begin(c)
-	if exchange.headChecked.Load() {
+	pending.begin(c)
+	if pending.headChecked.Load() {
 		t.Error("the head before the request counts as its answer")
 	}
-	if _, err := c.Read(buffer); err != nil || !exchange.headChecked.Load() {
+	if _, err := c.Read(buffer); err != nil || !pending.headChecked.Load() {
 		t.Errorf("the head after the request does not count as its answer, error %v", err)
 	}
-	exchange.abort()
+	pending.abort()
 	if _, err := c.Read(buffer); err == nil {
 		t.Error("the connection is open after the exchange was aborted")
 	}
--- a/standin/heads.go
+++ b/standin/heads.go
@@ -8,8 +8,8 @@
 // rawBody is the body of the answers with a [RawHead].
 const rawBody = "OK"
 
-// RawHead is the head of an answer, up to and including the empty line, which bytes may
-// follow.
+// RawHead is the beginning of an answer: its head with the empty line, and in some cases
+// chunks after it.
 type RawHead struct {
 	Name  string
 	Text  string // with fieldsMark
