Test that malformed reports do not put the links in doubt

Cause: IsInvalidOutput keeps malformed reports of upstreams from counting as failed links, and no test guarded that: all scenarios passed with the kind taken out of it (a trial on a scratch copy).

No product code changes.

Evidence: without the kind in IsInvalidOutput the scenario fails: the VM opens connections to other upstreams and logs upstreams_doubted. All other scenarios are unchanged.

--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -333,10 +333,9 @@
 // report returns the message for a report of an upstream, or for a failed probe.
 func (s *scenario) report(name string, fields map[string]string) lentilmux.Msg {
 	if fields["error"] != "" {
-		kind := map[string]lentilmux.FailureKind{"refused": lentilmux.FailureDial, "unreachable": lentilmux.FailureDial}[fields["error"]]
-		if fields["error"] == "late" {
-			kind = lentilmux.FailureTimeout
-		}
+		kind := map[string]lentilmux.FailureKind{
+			"refused": lentilmux.FailureDial, "unreachable": lentilmux.FailureDial, "late": lentilmux.FailureTimeout, "malformed": lentilmux.FailureMalformed,
+		}[fields["error"]]
 		cause := errors.New(fields["error"])
 		if fields["error"] == "refused" {
 			cause = errors.WithType(cause, lentilmux.ErrNotListening)
