Say in the log which upstreams of a request had ended

Cause: attempt_failed counts the attempts that may have run a request, but names only the last upstream, and nothing was logged of an upstream that lived on after its connections broke. From the log alone a request that ran on three upstreams could not be told from one of which an upstream had crashed.

Change: attempt_failed lists the upstreams on which the request may have run, each with what is known of its process since then (ran_on=a:alive,b:unknown; ended, alive or unknown). upstream_survived is logged once for the attempts that broke before an upstream's next sign of life. No decision changes.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -191,7 +191,7 @@
 	}
 	request.Move, request.HopsBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.RunCounted = attempt.Epoch, false, false
-	request.SentAt, request.LastUpstream, request.Peer = now, attempt.Upstream, ""
+	request.SentAt, request.LastUpstream, request.UpstreamStartedAt, request.Peer = now, attempt.Upstream, attempt.StartedAt, ""
 	request.Attempts++
 	t.reserve(request)
 	t.startTrial(request, now)
--- a/fleet/brokenattempts.go
+++ b/fleet/brokenattempts.go
@@ -81,7 +81,8 @@
 		case row == nil, row.isGone(now), !row.StartedAt.Equal(broken.StartedAt), !broken.ByReport && t.refusedTest(&broken, row):
 			c.countCrash(t, &broken, now)
 			return true
-		case broken.ByReport && t.hasReported(&broken, row), !broken.ByReport && t.acceptedTest(&broken, row):
+		case broken.ByReport && row.showedLifeSince(broken.At), !broken.ByReport && t.acceptedTest(&broken, row):
+			t.recordSurvival(&broken, row, now)
 			return true
 		case broken.ByReport:
 			t.probe(row, now) // once MinProbeInterval has passed
@@ -93,12 +94,6 @@
 	})
 }
 
-// hasReported reports whether an upstream has reported or made progress since an
-// attempt broke.
-func (t *Tables) hasReported(broken *BrokenAttempt, row *UpstreamRow) bool {
-	return !row.ProbedAt.Before(broken.At) && row.ReportedAt.After(broken.At) || row.Progress.Last().Sub(broken.At) > lateProgress
-}
-
 // testConnection opens a connection to an upstream once crashTestDelay has passed since
 // an attempt broke, unless that was done or this VM's share of MaxProbesPerSecond is
 // used up.
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -17,39 +17,41 @@
 	Service       string
 	Workspace     string
 	Priority      int
-	MaxMemoryUse  float64 // fraction of KV cache that may be in use on the path of its first attempt; 0 for no limit of its own
-	Attempts      int     // attempts so far
-	PossibleRuns  int     // attempts that may have run the request
-	MayHaveRun    bool    // whether any attempt may have run the request
-	Delivered     int     // events that the caller had when the last attempt began
-	Moves         int     // moves so far, also refused ones
-	WaitedForPeer bool    // whether it waited in vain for a peer to apply the newest configuration
-	Returning     bool    // whether its caller was refused for want of room before
-	NeverFits     bool    // whether it was refused since it does not fit into idle upstreams either
-	PeerRefusals  int     // peers that refused the request since they cannot serve any
+	MaxMemoryUse  float64       // fraction of KV cache that may be in use on the path of its first attempt; 0 for no limit of its own
+	Attempts      int           // attempts so far
+	PossibleRuns  int           // attempts that may have run the request
+	Runs          []UpstreamRun // upstreams on which it may have run
+	MayHaveRun    bool          // whether any attempt may have run the request
+	Delivered     int           // events that the caller had when the last attempt began
+	Moves         int           // moves so far, also refused ones
+	WaitedForPeer bool          // whether it waited in vain for a peer to apply the newest configuration
+	Returning     bool          // whether its caller was refused for want of room before
+	NeverFits     bool          // whether it was refused since it does not fit into idle upstreams either
+	PeerRefusals  int           // peers that refused the request since they cannot serve any
 }
 
 // AttemptState is the state of one attempt of a request.
 type AttemptState struct {
-	Epoch         lentilmux.Epoch
-	AnswerStarted bool               // whether it has delivered an event
-	RunCounted    bool               // whether PossibleRuns counts it already
-	LastUpstream  string             // its first hop; empty if a peer selects it
-	Peer          string             // that it was forwarded to; empty for none
-	AwaitedRules  lentilmux.Revision // version of the configuration that the peer needs, if its last digest named an older one; 0 otherwise
-	Reservations  []Reservation
-	Hops          []lentilmux.Hop // its path
-	Move          MoveState
-	HopsBefore    []lentilmux.Hop       // hops before the move in flight, which continues if the move is refused
-	HeldBefore    []Reservation         // reservations of HopsBefore
-	LostHops      []string              // upstreams of the path that cannot continue the request, although they may not be dead
-	Events        *lentilmux.EventCount // delivered to the caller, of all attempts together; nil without a path
-	EventGap      time.Duration         // expected time between two events; zero without a path
-	SentAt        time.Time
-	Promised      time.Duration  // expected time to its first event; zero without a path
-	Elsewhere     bool           // whether its first hop must be another one than LastUpstream, which has not begun the request
-	PartsAtSend   []PartEvidence // of the shared parts when it was sent; nil if none was suspected
-	TrialUpstream string         // its first hop if it is a trial which has not begun to answer; empty otherwise
+	Epoch             lentilmux.Epoch
+	AnswerStarted     bool               // whether it has delivered an event
+	RunCounted        bool               // whether PossibleRuns counts it already
+	LastUpstream      string             // its first hop; empty if a peer selects it
+	UpstreamStartedAt time.Time          // start of the process of LastUpstream, as known when it was sent
+	Peer              string             // that it was forwarded to; empty for none
+	AwaitedRules      lentilmux.Revision // version of the configuration that the peer needs, if its last digest named an older one; 0 otherwise
+	Reservations      []Reservation
+	Hops              []lentilmux.Hop // its path
+	Move              MoveState
+	HopsBefore        []lentilmux.Hop       // hops before the move in flight, which continues if the move is refused
+	HeldBefore        []Reservation         // reservations of HopsBefore
+	LostHops          []string              // upstreams of the path that cannot continue the request, although they may not be dead
+	Events            *lentilmux.EventCount // delivered to the caller, of all attempts together; nil without a path
+	EventGap          time.Duration         // expected time between two events; zero without a path
+	SentAt            time.Time
+	Promised          time.Duration  // expected time to its first event; zero without a path
+	Elsewhere         bool           // whether its first hop must be another one than LastUpstream, which has not begun the request
+	PartsAtSend       []PartEvidence // of the shared parts when it was sent; nil if none was suspected
+	TrialUpstream     string         // its first hop if it is a trial which has not begun to answer; empty otherwise
 }
 
 // MoveState says whether the current attempt of a request can be moved.
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -31,7 +31,7 @@
 		t.markFull(request, failed.BlamedUpstream, now)
 	}
 	if !failed.NotRun {
-		request.countRun()
+		request.countRun(now)
 	}
 	if len(request.Older) > 0 {
 		a.continueOlder(t, request, failed, now)
@@ -47,7 +47,7 @@
 // is none.
 func (a *AdmitRequests) retryFailed(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) (refusal *lentilmux.Refusal) {
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
-	t.recordFailedAttempt(request, failed, map[bool]string{true: "resend", false: "end"}[reason == ""], detail)
+	t.recordFailedAttempt(request, failed, map[bool]string{true: "resend", false: "end"}[reason == ""], detail, now)
 	if reason == "" {
 		return a.sendRetry(t, request, failed, charged, now)
 	}
@@ -71,13 +71,13 @@
 // continueOlder handles the failure of an attempt beside which others are in
 // flight: these go on. If the newest of them cannot, it is replaced again.
 func (a *AdmitRequests) continueOlder(t *Tables, request *RequestRow, failed FailedAttemptRow, now time.Time) {
-	t.recordFailedAttempt(request, failed, "continue", "another attempt is in flight")
+	t.recordFailedAttempt(request, failed, "continue", "another attempt is in flight", now)
 	t.returnToOlder(request)
 	a.replaceOrKeep(t, request, failed, now)
 }
 
 // recordFailedAttempt logs a failed attempt and what follows.
-func (t *Tables) recordFailedAttempt(request *RequestRow, failed FailedAttemptRow, chosen, detail string) {
+func (t *Tables) recordFailedAttempt(request *RequestRow, failed FailedAttemptRow, chosen, detail string, now time.Time) {
 	if failed.Detail != "" {
 		detail = fmt.Sprintf("head=%q %s", failed.Detail, detail)
 	}
@@ -86,8 +86,9 @@
 		// delivered is the number of events that the caller has, runs the number of
 		// attempts that may have run the request and sends the number of all attempts.
 		// started tells whether the attempt had begun to answer; parts are the first
-		// shared parts of the prompt.
-		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream+request.Peer, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), detail),
+		// shared parts of the prompt. ran_on lists the upstreams on which the request may
+		// have run, and what is known of their processes since.
+		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s ran_on=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream+request.Peer, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), t.formatRuns(request, now), detail),
 	})
 }
 
@@ -149,11 +150,12 @@
 }
 
 // countRun counts the newest attempt as one that may have run the request.
-func (r *RequestRow) countRun() {
+func (r *RequestRow) countRun(now time.Time) {
 	if !r.RunCounted {
 		r.MayHaveRun, r.RunCounted = true, true
 		r.PossibleRuns++
 	}
+	r.recordRun(now)
 }
 
 // replaceAttempt sends another attempt beside one that is still in flight, if a
@@ -161,8 +163,8 @@
 // elsewhere is set. The one in flight gives up its reservations, since one of the two
 // ends soon.
 func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, elsewhere bool, now time.Time) (sent bool) {
-	mayHaveRun, possibleRuns, stalled := request.MayHaveRun, request.PossibleRuns, request.AttemptState
-	request.countRun()
+	mayHaveRun, possibleRuns, runs, stalled := request.MayHaveRun, request.PossibleRuns, slices.Clone(request.Runs), request.AttemptState
+	request.countRun(now)
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	if reason == "" {
 		older := request.AttemptState
@@ -183,7 +185,7 @@
 		t.addLoad(older.Reservations, 1)
 		detail = "no alternative upstream or path"
 	}
-	request.MayHaveRun, request.PossibleRuns, request.AttemptState = mayHaveRun, possibleRuns, stalled
+	request.MayHaveRun, request.PossibleRuns, request.Runs, request.AttemptState = mayHaveRun, possibleRuns, runs, stalled
 	t.RecordDecision(lentilmux.Decision{What: "attempt_kept", Subject: string(request.ID), Chosen: request.LastUpstream + request.Peer, Reason: detail})
 	return false
 }
--- a/fleet/upstreams.go
+++ b/fleet/upstreams.go
@@ -49,6 +49,7 @@
 	ReportedAt time.Time               // when its last report arrived
 	ProbedAt   time.Time               // when it was last probed
 
+	SurvivedAt      time.Time // when it was last logged that it lives on after attempts broke off
 	ConnectTestedAt time.Time // when a connection was last opened to find out whether it crashed
 
 	Target         lentilmux.LayerRange // layers that it is to load, if HasTarget
