Count the upstreams on which a stream may have run

Cause: maxRuns allows a resumable stream one run more after a connection broke, on any upstream, as if the upstream had crashed. It counts sends, and does not look which upstreams have ended.

Change: a request keeps the set of upstreams, by process, on which it may have run. When it may have run on as many that are not known to have ended as its route allows, it is confined to these: the further attempt goes to one of them again, on a new connection. An upstream that has ended does not count, so that after a crash another one is used as before. If those to which it is confined take nothing, a stream without events waits up to 400 ms for the probe that tells whether one has ended; one with events waits as it did.

Evidence: scenario reset_upstreams fails without the change (attempt 3 goes to a third upstream).

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -160,11 +160,12 @@
 	if !now.Before(request.Deadline) {
 		return a.adjustOutcome(request, t.notRunRefusal(lentilmux.ReasonDeadline, "no time left"))
 	}
+	request.Confined = t.isUsedUp(request, now)
 	if t.forwards(request) && a.forwardToPeer(t, request, correlationID, now) {
 		return nil
 	}
 	if t.Reach.State == ReachLost {
-		return a.adjustOutcome(request, t.unreachableRefusal())
+		return a.adjustOutcome(request, t.unreachableRefusal(request, now))
 	}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: lentilmux.Epoch(request.Attempts + 1), Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
@@ -184,14 +185,15 @@
 		if request.Attempts > 0 { // one that was never sent may fit nowhere
 			t.noteShortage(request.Service, request.Priority, request.ID, now)
 		}
-		return a.adjustOutcome(request, t.noRoomRefusal(request, a.describeNoRoom(request.Service), now))
+		return a.adjustOutcome(request, t.noRoomRefusal(request, a.describeNoRoom(request), now))
 	}
 	if row := t.Upstreams.Find(attempt.Upstream); row != nil {
 		attempt.Limited, attempt.StartedAt = row.RequestLimit.Named, row.StartedAt
 	}
 	request.Move, request.HopsBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.RunCounted = attempt.Epoch, false, false
-	request.SentAt, request.LastUpstream, request.UpstreamStartedAt, request.Peer = now, attempt.Upstream, attempt.StartedAt, ""
+	request.SentAt, request.LastUpstream, request.UpstreamStartedAt = now, attempt.Upstream, attempt.StartedAt
+	request.Peer = ""
 	request.Attempts++
 	t.reserve(request)
 	t.startTrial(request, now)
@@ -200,9 +202,12 @@
 	return nil
 }
 
-// describeNoRoom returns why no upstream of a service was chosen.
-func (a *AdmitRequests) describeNoRoom(service string) string {
-	text := fmt.Sprintf("nothing of %s has room, of %d upstreams", service, len(a.rows))
+// describeNoRoom returns why no upstream was chosen for a request.
+func (a *AdmitRequests) describeNoRoom(request *RequestRow) string {
+	text := fmt.Sprintf("nothing of %s has room, of %d upstreams", request.Service, len(a.rows))
+	if request.Confined {
+		text += ", and it may run only where it may have run before"
+	}
 	if a.atLimit > 0 {
 		text += fmt.Sprintf(", %d at the limit that they named", a.atLimit)
 	}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -17,6 +17,7 @@
 	a.collectNodes(t, request.Service, now)
 	pathRequest := newPathRequest(t, request, model)
 	pathRequest.UnseenRequests = t.unseenRequests(request.Service, model, a.nodes, now)
+	a.confineFirstHops(request)
 	excluded := a.excludeFirstHops(t, request.LastUpstream, now)
 	if request.Elsewhere {
 		a.excludeOverdue(t, now)
@@ -24,6 +25,7 @@
 	hops, estimate, ok := a.selectPath(t, pathRequest, now)
 	if !ok && excluded {
 		a.collectNodes(t, request.Service, now)
+		a.confineFirstHops(request)
 		if request.Elsewhere {
 			a.excludeFirstHop(request.LastUpstream)
 		}
@@ -191,7 +193,7 @@
 func (a *AdmitRequests) chooseUpstream(t *Tables, request *RequestRow, attempt *lentilmux.Attempt, now time.Time) (ok bool) {
 	a.candidates, a.rows, a.atLimit = a.candidates[:0], a.rows[:0], 0
 	for _, row := range t.Upstreams.Rows {
-		if row.Service != request.Service || !row.Usable(now) || row.backsOff(now) {
+		if row.Service != request.Service || !row.Usable(now) || row.backsOff(now) || request.Confined && !request.mayHaveRunOn(row) {
 			continue
 		}
 		if !t.hasLimitToken(row, now) {
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -84,7 +84,7 @@
 		ok = e.Admit.chooseUpstream(t, request, &attempt, now)
 	}
 	if !ok {
-		return t.noRoomRefusal(request, e.Admit.describeNoRoom(request.Service), now)
+		return t.noRoomRefusal(request, e.Admit.describeNoRoom(request), now)
 	}
 	answer.Upstream, answer.Path = attempt.Upstream, attempt.Path
 	answer.FirstEvent, answer.EventGap, answer.MaxMemoryUse = attempt.Promised, request.EventGap, e.Admit.memoryUse
--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -105,6 +105,9 @@
 // forwardToPeer makes a peer the target of the next attempt of a request and answers
 // with it. It returns false if no peer is usable.
 func (a *AdmitRequests) forwardToPeer(t *Tables, request *RequestRow, correlationID lentilmux.CorrelationID, now time.Time) (forwarded bool) {
+	if request.Confined {
+		return false // the peer would select another upstream
+	}
 	peer := t.selectPeer(now)
 	if peer == nil || t.waitsForPeer(request, peer, now) {
 		return false
@@ -151,8 +154,11 @@
 }
 
 // unreachableRefusal returns the refusal of a request that neither this VM nor a peer
-// can send to an upstream.
-func (t *Tables) unreachableRefusal() *lentilmux.Refusal {
+// can send to an upstream. A confined one may be sent once this VM reaches it again.
+func (t *Tables) unreachableRefusal(request *RequestRow, now time.Time) *lentilmux.Refusal {
+	if request.Confined {
+		return t.noRoomRefusal(request, "no upstream can be reached, and it may run only where it may have run before", now)
+	}
 	return t.notRunRefusal(lentilmux.ReasonNotReady, "no upstream can be reached, and no usable peer")
 }
 
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -10,6 +10,7 @@
 type RequestRow struct {
 	lentilmux.InboundRequest
 	AttemptState
+	RunHistory
 	Cost          RequestCost
 	Parts         []lentilmux.PromptPart // its shared parts and, last, the one that stands for it alone
 	Older         []AttemptState         // attempts in flight beside the newest, which races with them
@@ -17,17 +18,15 @@
 	Service       string
 	Workspace     string
 	Priority      int
-	MaxMemoryUse  float64       // fraction of KV cache that may be in use on the path of its first attempt; 0 for no limit of its own
-	Attempts      int           // attempts so far
-	PossibleRuns  int           // attempts that may have run the request
-	Runs          []UpstreamRun // upstreams on which it may have run
-	MayHaveRun    bool          // whether any attempt may have run the request
-	Delivered     int           // events that the caller had when the last attempt began
-	Moves         int           // moves so far, also refused ones
-	WaitedForPeer bool          // whether it waited in vain for a peer to apply the newest configuration
-	Returning     bool          // whether its caller was refused for want of room before
-	NeverFits     bool          // whether it was refused since it does not fit into idle upstreams either
-	PeerRefusals  int           // peers that refused the request since they cannot serve any
+	MaxMemoryUse  float64 // fraction of KV cache that may be in use on the path of its first attempt; 0 for no limit of its own
+	Attempts      int     // attempts so far
+	Confined      bool    // whether its newest attempt may go only to upstreams on which it may have run
+	Delivered     int     // events that the caller had when the last attempt began
+	Moves         int     // moves so far, also refused ones
+	WaitedForPeer bool    // whether it waited in vain for a peer to apply the newest configuration
+	Returning     bool    // whether its caller was refused for want of room before
+	NeverFits     bool    // whether it was refused since it does not fit into idle upstreams either
+	PeerRefusals  int     // peers that refused the request since they cannot serve any
 }
 
 // AttemptState is the state of one attempt of a request.
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -149,21 +149,12 @@
 	return slices.ContainsFunc(request.Hops, func(hop lentilmux.Hop) bool { return t.isLost(request, hop) })
 }
 
-// countRun counts the newest attempt as one that may have run the request.
-func (r *RequestRow) countRun(now time.Time) {
-	if !r.RunCounted {
-		r.MayHaveRun, r.RunCounted = true, true
-		r.PossibleRuns++
-	}
-	r.recordRun(now)
-}
-
 // replaceAttempt sends another attempt beside one that is still in flight, if a
 // retry is allowed and there is an alternative: one with another first hop, if
 // elsewhere is set. The one in flight gives up its reservations, since one of the two
 // ends soon.
 func (a *AdmitRequests) replaceAttempt(t *Tables, request *RequestRow, failed FailedAttemptRow, elsewhere bool, now time.Time) (sent bool) {
-	mayHaveRun, possibleRuns, runs, stalled := request.MayHaveRun, request.PossibleRuns, slices.Clone(request.Runs), request.AttemptState
+	history, stalled := request.RunHistory.clone(), request.AttemptState
 	request.countRun(now)
 	reason, detail, charged := a.checkRetry(t, request, failed, now)
 	if reason == "" {
@@ -185,7 +176,7 @@
 		t.addLoad(older.Reservations, 1)
 		detail = "no alternative upstream or path"
 	}
-	request.MayHaveRun, request.PossibleRuns, request.Runs, request.AttemptState = mayHaveRun, possibleRuns, runs, stalled
+	request.RunHistory, request.AttemptState = history, stalled
 	t.RecordDecision(lentilmux.Decision{What: "attempt_kept", Subject: string(request.ID), Chosen: request.LastUpstream + request.Peer, Reason: detail})
 	return false
 }
@@ -234,8 +225,9 @@
 	}
 }
 
-// maxRuns returns how many attempts may run a request. A resumable stream
-// gets one more after a crash of its upstream.
+// maxRuns returns how many attempts may run a request. A resumable stream gets one more
+// after its connection broke. That one goes to another upstream only if the request may
+// have run on fewer upstreams that live on than its route allows, see [Tables.isUsedUp].
 func (a *AdmitRequests) maxRuns(request *RequestRow, failed FailedAttemptRow) int {
 	if failed.Kind == lentilmux.FailureCrash && !failed.Answered && request.Route.Kind == lentilmux.CallResumableStream {
 		return request.Route.MaxAttempts + 1
--- a/fleet/resumewaits.go
+++ b/fleet/resumewaits.go
@@ -10,6 +10,11 @@
 // resumeRetryInterval is the time between two tries to continue a stream that waits.
 const resumeRetryInterval = 100 * time.Millisecond
 
+// maxVerdictWait is how long a stream without events waits until it is known whether an
+// upstream on which it may have run has ended. A refused connection shows that within
+// milliseconds; its caller may go elsewhere after this time.
+const maxVerdictWait = 400 * time.Millisecond
+
 // ResumeWaitRow is a stream that broke off at its upstream after the caller got its
 // beginning, and that waits for another attempt: the retry budget is spent or nothing
 // has room at the moment. It has no attempt in flight.
@@ -19,21 +24,27 @@
 	Since   time.Time
 	RetryAt time.Time
 	Until   time.Time
+	Verdict bool // whether it waits only until it is known which upstreams have ended
 }
 
 // holdToResume lets a stream that got no further attempt wait for one, since its caller
 // waits for the next event anyway and a stream that is broken off is lost. It waits for
-// ResumeWait; its caller's patience leaves time for the prefill after that. One that was
+// ResumeWait; its caller's patience leaves time for the prefill after that. A stream
+// without events waits only for the verdict on its upstreams, for maxVerdictWait. One that was
 // forwarded does not wait here: the VM that its caller reached decides.
 func (a *AdmitRequests) holdToResume(t *Tables, request *RequestRow, failed FailedAttemptRow, refusal *lentilmux.Refusal, now time.Time) (held bool) {
 	if refusal.Reason != lentilmux.ReasonRetryBudget && refusal.Reason != lentilmux.ReasonNoUpstream {
 		return false
 	}
-	until := earliest(now.Add(t.Limits.ResumeWait), request.Deadline)
-	if request.Route.Kind != lentilmux.CallResumableStream || failed.Delivered == 0 || request.Forwarded.IsForwarded() || !now.Before(until) {
+	wait, verdict := t.Limits.ResumeWait, failed.Delivered == 0
+	if verdict {
+		wait = maxVerdictWait
+	}
+	until := earliest(now.Add(wait), request.Deadline)
+	if request.Route.Kind != lentilmux.CallResumableStream || verdict && !t.awaitsVerdict(request, now) || request.Forwarded.IsForwarded() || !now.Before(until) {
 		return false
 	}
-	row := ResumeWaitRow{FailedAttemptRow: failed, Refusal: refusal, Since: now, RetryAt: now.Add(resumeRetryInterval), Until: until}
+	row := ResumeWaitRow{FailedAttemptRow: failed, Refusal: refusal, Since: now, RetryAt: now.Add(resumeRetryInterval), Until: until, Verdict: verdict}
 	t.ResumeWaits = append(t.ResumeWaits, row)
 	t.WakeAt(earliest(row.RetryAt, until))
 	t.RecordDecision(lentilmux.Decision{What: "stream_waiting", Subject: string(request.ID), Chosen: until.Sub(now).String(), Reason: string(refusal.Reason) + ": " + refusal.Detail})
@@ -66,7 +77,7 @@
 				full = append(full, request.Service)
 			}
 		}
-		if !now.Before(row.Until) {
+		if !now.Before(row.Until) || row.Verdict && !t.awaitsVerdict(request, now) {
 			a.refuse(t, row.Request, row.CorrelationID, row.Refusal, now)
 			continue
 		}
--- a/fleet/upstreamruns.go
+++ b/fleet/upstreamruns.go
@@ -1,12 +1,27 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"lentilmux.example/lentilmux"
 )
 
+// RunHistory is where a request may have run so far.
+type RunHistory struct {
+	MayHaveRun   bool          // whether any attempt may have run it
+	PossibleRuns int           // attempts that may have run it, also before it was forwarded to this VM
+	Runs         []UpstreamRun // upstreams of this VM's attempts on which it may have run
+}
+
+// clone returns a copy that does not change with the history.
+func (h *RunHistory) clone() RunHistory {
+	copied := *h
+	copied.Runs = slices.Clone(h.Runs)
+	return copied
+}
+
 // UpstreamRun is an upstream on which a request may have run: an attempt that it may
 // have acted on has failed there, or stalls.
 type UpstreamRun struct {
@@ -35,12 +50,19 @@
 	return [...]string{"unknown", "alive", "ended"}[s]
 }
 
+// countRun counts the newest attempt as one that may have run the request.
+func (r *RequestRow) countRun(now time.Time) {
+	if !r.RunCounted {
+		r.MayHaveRun, r.RunCounted = true, true
+		r.PossibleRuns++
+	}
+	if r.LastUpstream != "" {
+		r.recordRun(now)
+	}
+}
+
 // recordRun records that a request may have run on the first hop of its newest attempt.
-// A peer to which a request was forwarded selects the upstream itself.
 func (r *RequestRow) recordRun(now time.Time) {
-	if r.LastUpstream == "" {
-		return
-	}
 	for i := range r.Runs {
 		if run := &r.Runs[i]; run.Upstream == r.LastUpstream && run.StartedAt.Equal(r.UpstreamStartedAt) {
 			run.At = now
@@ -50,6 +72,63 @@
 	r.Runs = append(r.Runs, UpstreamRun{Upstream: r.LastUpstream, StartedAt: r.UpstreamStartedAt, At: now})
 }
 
+// isUsedUp reports whether a request may have run on as many upstreams as its route
+// allows, without those that have ended. An upstream counts as long as that is not
+// known. The request may then go only to one of these upstreams again.
+func (t *Tables) isUsedUp(request *RequestRow, now time.Time) (usedUp bool) {
+	return t.upstreamsLeft(request, now) <= 0
+}
+
+// upstreamsLeft returns on how many further upstreams a request may run.
+func (t *Tables) upstreamsLeft(request *RequestRow, now time.Time) (left int) {
+	left = request.Route.MaxAttempts - request.Forwarded.PossibleRuns
+	for i := range request.Runs {
+		if t.runState(&request.Runs[i], now) != upstreamEnded {
+			left--
+		}
+	}
+	return left
+}
+
+// mayHaveRunOn reports whether a request may have run on the process of an upstream.
+func (r *RequestRow) mayHaveRunOn(row *UpstreamRow) bool {
+	return slices.ContainsFunc(r.Runs, func(run UpstreamRun) bool {
+		return run.Upstream == row.ID && run.StartedAt.Equal(row.StartedAt)
+	})
+}
+
+// confineFirstHops keeps all upstreams but those on which a confined request may have
+// run from being the first hop of its path, which is the upstream that runs it.
+func (a *AdmitRequests) confineFirstHops(request *RequestRow) {
+	if !request.Confined {
+		return
+	}
+	for i, row := range a.rows {
+		if !request.mayHaveRunOn(row) {
+			a.nodes[i].Full = true
+		}
+	}
+}
+
+// awaitsVerdict reports whether a confined request may get another upstream soon, since
+// it is not known yet whether one on which it may have run has ended, and probes these.
+func (t *Tables) awaitsVerdict(request *RequestRow, now time.Time) (awaits bool) {
+	if !request.Confined {
+		return false
+	}
+	for i := range request.Runs {
+		run := &request.Runs[i]
+		if t.runState(run, now) != upstreamUnknown || now.Sub(run.At) > maxCrashDoubt {
+			continue
+		}
+		if row := t.Upstreams.Find(run.Upstream); row != nil {
+			t.probe(row, now)
+			awaits = true
+		}
+	}
+	return awaits
+}
+
 // runState returns what is known of an upstream on which a request may have run. One
 // that has ended stays so, also after its row was removed.
 func (t *Tables) runState(run *UpstreamRun, now time.Time) (state upstreamState) {
@@ -75,17 +154,14 @@
 
 // formatRuns formats the upstreams on which a request may have run, for the log.
 func (t *Tables) formatRuns(request *RequestRow, now time.Time) string {
-	if len(request.Runs) == 0 {
-		return "none"
-	}
-	var text strings.Builder
+	var parts []string
 	for i := range request.Runs {
-		if i > 0 {
-			text.WriteByte(',')
-		}
-		text.WriteString(request.Runs[i].Upstream + ":" + t.runState(&request.Runs[i], now).String())
+		parts = append(parts, request.Runs[i].Upstream+":"+t.runState(&request.Runs[i], now).String())
+	}
+	if len(parts) == 0 {
+		return "none"
 	}
-	return text.String()
+	return strings.Join(parts, ",")
 }
 
 // recordSurvival logs that an upstream lives on after attempts broke off there, once for
