Count the upstreams that peers use for a request

A VM that doubts its links forwards the continuation of a stream to a peer.

Cause: a VM does not know on which upstreams a peer runs what it forwards. It counted an attempt at a peer as a run, but not as an upstream, and the peer could use as many upstreams as the route allows.

Change: a forwarded request carries max_upstreams, the number of upstreams on which the peer may run it; what was granted counts in full if the peer is lost. A stream grants one less than is left, if it can, so that it can go on elsewhere. A request that is forwarded once too often is refused at once. Earlier versions neither send nor read the field: a VM then counts possible_runs as before, and one of before may use what the route leaves.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -123,6 +123,9 @@
 		return t.notRunRefusal(lentilmux.ReasonNotReady, "configuration too old")
 	}
 	request.Workspace, request.PossibleRuns, request.MayHaveRun = forwarded.Workspace, forwarded.PossibleRuns, forwarded.PossibleRuns > 0
+	if t.isUsedUp(request, now) { // a VM of an earlier version may forward it all the same
+		return t.notRunRefusal(lentilmux.ReasonUpstreamFailed, "it may have run on as many upstreams as its route allows")
+	}
 	request.Deadline = earliest(request.Deadline, request.ReceivedAt.Add(request.Route.Timeout))
 	return t.checkCrashes(request, now)
 }
@@ -193,7 +196,7 @@
 	request.Move, request.HopsBefore, request.HeldBefore, request.LostHops = MoveIdle, nil, nil, nil
 	request.Epoch, request.AnswerStarted, request.RunCounted = attempt.Epoch, false, false
 	request.SentAt, request.LastUpstream, request.UpstreamStartedAt = now, attempt.Upstream, attempt.StartedAt
-	request.Peer = ""
+	request.Peer, request.PeerUpstreams = "", 0
 	request.Attempts++
 	t.reserve(request)
 	t.startTrial(request, now)
--- a/fleet/peerforward.go
+++ b/fleet/peerforward.go
@@ -114,14 +114,14 @@
 	}
 	peer.ForwardedAt = now
 	request.Attempts++
-	request.AttemptState = AttemptState{Epoch: lentilmux.Epoch(request.Attempts), Peer: peer.Name, SentAt: now}
+	request.AttemptState = AttemptState{Epoch: lentilmux.Epoch(request.Attempts), Peer: peer.Name, PeerUpstreams: t.upstreamsForPeer(request, now), SentAt: now}
 	rules := t.newestRules()
 	if peer.Rules < rules {
 		request.AwaitedRules = rules
 	}
 	attempt := lentilmux.Attempt{
 		Request: request.ID, Epoch: request.Epoch, Kind: request.Route.Kind, Workspace: request.Workspace, Deadline: request.Deadline,
-		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns, MinRules: rules,
+		Peer: peer.Name, Addr: peer.Addr, PossibleRuns: request.PossibleRuns, MaxUpstreams: request.PeerUpstreams, MinRules: rules,
 	}
 	if request.Route.Kind.Repeatable() {
 		attempt.FirstEventTimeout, attempt.EventGapTimeout = t.Limits.MaxStallTimeout, t.Limits.MaxStallTimeout
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -37,6 +37,7 @@
 	LastUpstream      string             // its first hop; empty if a peer selects it
 	UpstreamStartedAt time.Time          // start of the process of LastUpstream, as known when it was sent
 	Peer              string             // that it was forwarded to; empty for none
+	PeerUpstreams     int                // upstreams on which the peer may run it
 	AwaitedRules      lentilmux.Revision // version of the configuration that the peer needs, if its last digest named an older one; 0 otherwise
 	Reservations      []Reservation
 	Hops              []lentilmux.Hop // its path
--- a/fleet/scenariofields_test.go
+++ b/fleet/scenariofields_test.go
@@ -128,7 +128,7 @@
 		timeout = parseDuration(fields["timeout"])
 	}
 	return lentilmux.InboundRequest{
-		Forwarded: lentilmux.ForwardedRequest{VM: fields["from"], Workspace: fields["workspace"], PossibleRuns: parseInt(fields["runs"]), MinRules: lentilmux.Revision(parseInt(fields["min_rules"]))},
+		Forwarded: lentilmux.ForwardedRequest{VM: fields["from"], Workspace: fields["workspace"], PossibleRuns: parseInt(fields["runs"]), MaxUpstreams: parseInt(fields["max_upstreams"]), MinRules: lentilmux.Revision(parseInt(fields["min_rules"]))},
 		ID:        lentilmux.RequestID(name), Host: "desk", Path: fields["path"], Key: fields["key"], ReceivedAt: now, Deadline: now.Add(timeout),
 		SharedParts: parseParts(fields["parts"]), PromptTokens: parseInt(fields["prompt"]), MaxTokens: parseInt(fields["answer"]), ExpectedTokens: parseInt(fields["hint"]), Fingerprint: lentilmux.ComputeFingerprint(fields["body"], cmp.Or(fields["again"], name)), ResumeAfter: -1,
 	}
--- a/fleet/scenariooutput_test.go
+++ b/fleet/scenariooutput_test.go
@@ -121,7 +121,7 @@
 	case lentilmux.AttemptAnswer:
 		s.epochs[string(answer.Attempt.Request)] = answer.Attempt.Epoch
 		if answer.Attempt.Peer != "" {
-			return fmt.Sprintf("answer %s: attempt %d at peer %s, workspace=%q possible_runs=%d min_rules=%d deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Peer, answer.Attempt.Workspace, answer.Attempt.PossibleRuns, answer.Attempt.MinRules, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
+			return fmt.Sprintf("answer %s: attempt %d at peer %s, workspace=%q possible_runs=%d max_upstreams=%d min_rules=%d deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Peer, answer.Attempt.Workspace, answer.Attempt.PossibleRuns, answer.Attempt.MaxUpstreams, answer.Attempt.MinRules, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
 		}
 		text := fmt.Sprintf("answer %s: attempt %d to %s %s workspace=%q deadline=%s first_event_timeout=%s", label, answer.Attempt.Epoch, answer.Attempt.Upstream, formatHops(answer.Attempt.Path), answer.Attempt.Workspace, answer.Attempt.Deadline.Sub(s.start), answer.Attempt.FirstEventTimeout)
 		if answer.Attempt.HasPriority {
--- a/fleet/upstreamruns.go
+++ b/fleet/upstreamruns.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	MayHaveRun   bool          // whether any attempt may have run it
 	PossibleRuns int           // attempts that may have run it, also before it was forwarded to this VM
 	Runs         []UpstreamRun // upstreams of this VM's attempts on which it may have run
+	PeerRuns     int           // upstreams on which peers may have run it that it was forwarded to
 }
 
 // clone returns a copy that does not change with the history.
@@ -55,6 +57,7 @@
 	if !r.RunCounted {
 		r.MayHaveRun, r.RunCounted = true, true
 		r.PossibleRuns++
+		r.PeerRuns += r.PeerUpstreams
 	}
 	if r.LastUpstream != "" {
 		r.recordRun(now)
@@ -79,14 +82,28 @@
 	return t.upstreamsLeft(request, now) <= 0
 }
 
-// upstreamsLeft returns on how many further upstreams a request may run.
+// upstreamsLeft returns on how many further upstreams a request may run. What a peer may
+// have run counts in full, since this VM does not learn on which upstreams.
 func (t *Tables) upstreamsLeft(request *RequestRow, now time.Time) (left int) {
 	left = request.Route.MaxAttempts - request.Forwarded.PossibleRuns
+	if request.Forwarded.MaxUpstreams > 0 {
+		left = request.Forwarded.MaxUpstreams
+	}
 	for i := range request.Runs {
 		if t.runState(&request.Runs[i], now) != upstreamEnded {
 			left--
 		}
 	}
+	return left - request.PeerRuns
+}
+
+// upstreamsForPeer returns on how many upstreams a peer may run a request that is
+// forwarded to it. A stream leaves one for the case that the peer is lost, if it can.
+func (t *Tables) upstreamsForPeer(request *RequestRow, now time.Time) (count int) {
+	left := t.upstreamsLeft(request, now)
+	if request.Route.Kind == lentilmux.CallResumableStream && left > 1 {
+		return left - 1
+	}
 	return left
 }
 
@@ -158,6 +175,9 @@
 	for i := range request.Runs {
 		parts = append(parts, request.Runs[i].Upstream+":"+t.runState(&request.Runs[i], now).String())
 	}
+	if request.PeerRuns > 0 {
+		parts = append(parts, fmt.Sprintf("of_peers:%d", request.PeerRuns))
+	}
 	if len(parts) == 0 {
 		return "none"
 	}
--- a/forward.go
+++ b/forward.go
@@ -31,6 +31,7 @@
 	Workspace    string      // that the caller's key belongs to; empty for an anonymous request
 	Fingerprint  Fingerprint // of the request
 	PossibleRuns int         // attempts so far that may have run it
+	MaxUpstreams int         // upstreams on which the peer may run it; 0 if that is not said
 	MinRules     Revision    // a VM that has an older version of the configuration refuses the request
 }
 
@@ -55,6 +56,7 @@
 	Upstream          string
 	Peer              string   // VM that the request is forwarded to, which selects the upstream; empty for none
 	PossibleRuns      int      // earlier attempts that may have run the request, if it is forwarded
+	MaxUpstreams      int      // upstreams on which the peer may run it, if it is forwarded
 	MinRules          Revision // oldest version of the configuration by which a peer may handle the request, if it is forwarded
 	Addr              netip.AddrPort
 	Path              []Hop // empty if the upstream runs all layers itself
--- a/peer/forwarded.go
+++ b/peer/forwarded.go
@@ -43,12 +43,16 @@
 // SetForwarded adds what a peer has to know of a forwarded request to its headers.
 func SetForwarded(header http.Header, forwarded lentilmux.ForwardedRequest) {
 	header.Set(headerForwardedBy, url.QueryEscape(forwarded.VM))
-	header.Set(headerForwardedFor, url.Values{
+	values := url.Values{
 		"workspace":     {forwarded.Workspace},
 		"fingerprint":   {strconv.FormatUint(uint64(forwarded.Fingerprint), 16)},
 		"possible_runs": {strconv.Itoa(forwarded.PossibleRuns)},
 		"min_rules":     {strconv.FormatUint(uint64(forwarded.MinRules), 10)},
-	}.Encode())
+	}
+	if forwarded.MaxUpstreams > 0 {
+		values.Set("max_upstreams", strconv.Itoa(forwarded.MaxUpstreams))
+	}
+	header.Set(headerForwardedFor, values.Encode())
 }
 
 // IsForwarded reports whether a request was forwarded by a peer.
@@ -80,15 +84,35 @@
 	if runs < 0 {
 		return forwarded, errors.Errorf("possible_runs is %d; expected at least 0", runs)
 	}
+	maxUpstreams, err := readMaxUpstreams(values)
+	if err != nil {
+		return forwarded, err
+	}
 	minRules, err := strconv.ParseUint(values.Get("min_rules"), 10, 64)
 	if err != nil {
 		return forwarded, err
 	}
 	return lentilmux.ForwardedRequest{
-		VM: vm, Workspace: values.Get("workspace"), Fingerprint: lentilmux.Fingerprint(fingerprint), PossibleRuns: runs, MinRules: lentilmux.Revision(minRules),
+		VM: vm, Workspace: values.Get("workspace"), Fingerprint: lentilmux.Fingerprint(fingerprint), PossibleRuns: runs, MaxUpstreams: maxUpstreams, MinRules: lentilmux.Revision(minRules),
 	}, nil
 }
 
+// readMaxUpstreams returns on how many upstreams a forwarded request may run, or 0 if that
+// is not said, as by VMs of earlier versions.
+func readMaxUpstreams(values url.Values) (count int, err error) {
+	text := values.Get("max_upstreams")
+	if text == "" {
+		return 0, nil
+	}
+	if count, err = strconv.Atoi(text); err != nil {
+		return 0, err
+	}
+	if count < 1 {
+		return 0, errors.Errorf("max_upstreams is %d; expected at least 1", count)
+	}
+	return count, nil
+}
+
 // SetRefusal adds a refusal to the headers of the answer to a forwarded request.
 func SetRefusal(header http.Header, refusal *lentilmux.Refusal) {
 	header.Set(headerForwardedRefusal, url.Values{
--- a/peer/forwarded_test.go
+++ b/peer/forwarded_test.go
@@ -18,7 +18,7 @@
 func TestForwardedHeaders(t *testing.T) {
 	var out strings.Builder
 	header := http.Header{"Accept": {"*/*"}}
-	sent := lentilmux.ForwardedRequest{VM: "edge-1", Workspace: "päper & co\r\n", Fingerprint: 0xfedcba9876543210, PossibleRuns: 2, MinRules: 1 << 63}
+	sent := lentilmux.ForwardedRequest{VM: "edge-1", Workspace: "päper & co\r\n", Fingerprint: 0xfedcba9876543210, PossibleRuns: 2, MaxUpstreams: 1, MinRules: 1 << 63}
 	peer.SetForwarded(header, sent)
 	fmt.Fprintf(&out, "request: %v\n", header)
 	if read, err := peer.ReadForwarded(header); err != nil || read != sent || !peer.IsForwarded(header) {
@@ -26,7 +26,7 @@
 	}
 	peer.RemoveForwardedHeaders(header)
 	fmt.Fprintf(&out, "without: %v\n", header)
-	for _, text := range []string{"", "workspace=w", "fingerprint=1&possible_runs=-1", "fingerprint=x&possible_runs=0", "fingerprint=1&possible_runs=", "fingerprint=1&possible_runs=0", "%zz"} {
+	for _, text := range []string{"", "workspace=w", "fingerprint=1&possible_runs=-1", "fingerprint=x&possible_runs=0", "fingerprint=1&possible_runs=", "fingerprint=1&possible_runs=0", "fingerprint=1&possible_runs=0&min_rules=0", "fingerprint=1&max_upstreams=0&possible_runs=0&min_rules=0", "fingerprint=1&max_upstreams=x&possible_runs=0&min_rules=0", "%zz"} {
 		_, err := peer.ReadForwarded(http.Header{"Lentilmux-Forwarded-By": {"edge-1"}, "Lentilmux-Forwarded-For": {text}})
 		fmt.Fprintf(&out, "for %q: %v\n", text, err)
 	}
