Reject early answers that were reset while their request was written

Seen by callers: a part of an answer as the whole. An upstream answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the request gets it, the next read returns the end of the connection, which is how an answer without length or chunks ends.

Change: package http1 knows for each connection whether a write has failed. A read that meets the end waits for a write in progress and returns ErrCutShort if one has failed. If none has, the end is that of the upstream: it has ended its side, and the answer is whole, also when the rest of the request is written later. The attempt fails as broken off (kind crash, cut="..." in its line): the request may have run, a call that is not idempotent is not sent again, a stream goes on as after any break.

Weighed: an end before the request is written in full as an error drops whole answers of upstreams that answer early, end their side in order and read on; the state of the socket in the kernel (TCP_INFO) exists on Linux only.

--- a/engine.go
+++ b/engine.go
@@ -114,7 +114,7 @@
 // UpstreamError is the error of a failed call to an upstream.
 type UpstreamError struct {
 	Kind   FailureKind
-	Detail string // of a malformed answer: what is wrong with its head
+	Detail string // what is wrong with the answer: with its head, or how it was cut; empty if that is not known
 	Err    error
 }
 
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -79,7 +79,7 @@
 // recordFailedAttempt logs a failed attempt and what follows.
 func (t *Tables) recordFailedAttempt(request *RequestRow, failed FailedAttemptRow, chosen, detail string, now time.Time) {
 	if failed.Detail != "" {
-		detail = fmt.Sprintf("head=%q %s", failed.Detail, detail)
+		detail = fmt.Sprintf("%s=%q %s", failed.detailName(), failed.Detail, detail)
 	}
 	t.RecordDecision(lentilmux.Decision{
 		What: "attempt_failed", Subject: string(request.ID), Chosen: chosen,
@@ -92,6 +92,14 @@
 	})
 }
 
+// detailName returns the name under which the log shows what is wrong with an answer.
+func (f *FailedAttemptRow) detailName() string {
+	if f.Kind == lentilmux.FailureMalformed {
+		return "head"
+	}
+	return "cut"
+}
+
 // handleStalledAttempt decides on an attempt without progress. Another one is sent
 // beside it only if it cannot continue at the moment and a retry is allowed. It
 // is reported again after StallReportInterval.
--- a/forward.go
+++ b/forward.go
@@ -90,7 +90,7 @@
 	Request        RequestID
 	Epoch          Epoch
 	Kind           FailureKind
-	Detail         string         // of a malformed answer: what is wrong with its head
+	Detail         string         // what is wrong with the answer, as in [UpstreamError]
 	NotRun         bool           // whether the upstream certainly did not run the request
 	Answered       bool           // whether the upstream itself answered with an error
 	BlamedUpstream netip.AddrPort // hop that the error answer names as the cause, if any
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -64,7 +64,11 @@
 	if errors.As(err, &upstreamErr) && (upstreamErr.Kind == lentilmux.FailureTooLarge || upstreamErr.Kind == lentilmux.FailureNoMemory) {
 		return err
 	}
-	return &lentilmux.UpstreamError{Kind: lentilmux.FailureCrash, Err: err}
+	failure := &lentilmux.UpstreamError{Kind: lentilmux.FailureCrash, Err: err}
+	if upstreamErr != nil {
+		failure.Detail = upstreamErr.Detail
+	}
+	return failure
 }
 
 // isDialFailure reports whether no connection to an upstream could be opened.
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+
+	"github.com/juju/errors"
 )
 
 // dialFunc opens a connection, as [net.Dialer.DialContext] does.
@@ -68,11 +72,15 @@
 	}
 }
 
-// conn is a connection that checks the head of the answer to each request.
+// conn is a connection that checks the head of the answer to each request, and that its
+// end is not a reset.
 type conn struct {
 	net.Conn
 	current atomic.Pointer[exchange] // of the last request
 
+	writing     sync.Mutex // held during each write
+	writeFailed bool       // whether a write has failed; guarded by writing
+
 	// The fields below belong to the goroutine that reads.
 	checked *exchange // of the last bytes that were read
 	head    headChecker
@@ -84,6 +92,9 @@
 	if headErr := c.check(buffer[:count]); headErr != nil {
 		return 0, headErr
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.endOfRead()
+	}
 	return count, err
 }
 
--- /dev/null
+++ b/http1/cut_test.go
@@ -0,0 +1,220 @@
+package http1_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"lentilmux.example/lentilmux/http1"
+	"lentilmux.example/lentilmux/standin"
+)
+
+const (
+	// uploadBytes is the size of a request that cannot be written while nothing of it is
+	// read, in bytes.
+	uploadBytes = 1 << 20
+	// sendBufferBytes is the send buffer of the client, in bytes.
+	sendBufferBytes = 64 << 10
+	// caseHeader carries the number of the case that a request belongs to.
+	caseHeader = "Case"
+	// earlyTries is how often each early answer is tried.
+	earlyTries = 10
+	// maxParallel bounds the requests at the same time.
+	maxParallel = 16
+)
+
+// framing is a way to mark the end of an answer.
+type framing struct{ name, answer string }
+
+// earlyBody is the body of the answers that have one.
+const earlyBody = "event one\n\n"
+
+// framings are answers with the same body.
+var framings = []framing{
+	{"no length", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nevent one\n\n"},
+	{"no length, status 500", "HTTP/1.1 500 Error\r\nX-Id: 1\r\n\r\nevent one\n\n"},
+	{"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Id: 1\r\n\r\nevent one\n\n"},
+	{"no length, after 103", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nevent one\n\n"},
+	{"no length, no body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"},
+	{"length", "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\nevent one\n\n"},
+	{"length, short", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nevent one\n\n"},
+	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nevent one\n\n\r\n0\r\n\r\n"},
+	{"chunks, no last one", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nevent one\n\n\r\n"},
+}
+
+// earlyClient returns a client of which a long request cannot be written while nothing
+// of it is read.
+func earlyClient(t *testing.T) *http.Client {
+	t.Helper()
+	dialer := &net.Dialer{}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return opened, opened.(*net.TCPConn).SetWriteBuffer(sendBufferBytes)
+	}
+	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: dial}), Timeout: 10 * time.Second}
+	t.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+// upload sends a long request and returns status and body of the answer.
+func upload(ctx context.Context, client *http.Client, server *standin.EarlyServer, number int) (status int, body string, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Addr().String()+"/", bytes.NewReader(make([]byte, uploadBytes)))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set(caseHeader, strconv.Itoa(number))
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// startEarlyServer starts a stand-in that gives each request the answer with the number
+// in its header.
+func startEarlyServer(t *testing.T, answers []standin.EarlyAnswer) *standin.EarlyServer {
+	t.Helper()
+	server, err := standin.StartEarlyServer(func(request *http.Request) standin.EarlyAnswer {
+		number, _ := strconv.Atoi(request.Header.Get(caseHeader)) // as the test sent it
+		return answers[number]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server
+}
+
+// TestEarlyAnswers compares with the golden file how often an answer is returned that
+// came while its request was being written. It guards against one without a length that
+// is taken for whole although its connection was reset, and one that is dropped although
+// its connection ended in order.
+func TestEarlyAnswers(t *testing.T) {
+	var out strings.Builder
+	for _, framing := range framings {
+		for _, end := range []standin.EarlyEnd{standin.EndReset, standin.EndUnread, standin.EndDrained} {
+			for _, wait := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
+				server, client := startEarlyServer(t, []standin.EarlyAnswer{{Text: framing.answer, Wait: wait, End: end}}), earlyClient(t)
+				returned := 0
+				for range earlyTries {
+					if _, _, err := upload(t.Context(), client, server, 0); err == nil {
+						returned++
+					}
+				}
+				fmt.Fprintf(&out, "%s, %s after %s: %s\n", framing.name, end, wait, describeReturned(framing, end, returned))
+			}
+		}
+	}
+	goldie.New(t).Assert(t, "early_answers", []byte(out.String()))
+}
+
+// describeReturned describes how many of earlyTries answers were returned. A framed answer
+// may arrive whole before its connection is reset, or not.
+func describeReturned(framing framing, end standin.EarlyEnd, returned int) string {
+	switch {
+	case isFramedWhole(framing.name) && end != standin.EndDrained:
+		return "any number returned"
+	case returned == 0:
+		return "none returned"
+	case returned == earlyTries:
+		return "all returned"
+	default:
+		return fmt.Sprintf("%d of %d returned", returned, earlyTries)
+	}
+}
+
+// isFramedWhole reports whether length or chunks show that the answer of a framing is
+// whole.
+func isFramedWhole(name string) bool { return name == "length" || name == "chunks" }
+
+// cutCase is an answer that is cut after some of its bytes, while the request is being
+// written.
+type cutCase struct {
+	framing framing
+	length  int // bytes of the answer that are sent
+	end     standin.EarlyEnd
+	kept    bool // whether the connection served a request before
+}
+
+// isWhole reports whether what a client gets of a cut answer is a whole answer. certain
+// is false if it depends on how fast it reads.
+func (c cutCase) isWhole() (whole, certain bool) {
+	sent := c.framing.answer[:c.length]
+	switch complete := c.length == len(c.framing.answer); {
+	case isFramedWhole(c.framing.name):
+		return complete, !complete || c.end == standin.EndDrained
+	case !strings.HasPrefix(c.framing.name, "no length"):
+		return false, true
+	default:
+		head := c.framing.answer[:strings.LastIndex(c.framing.answer, "\r\n\r\n")+4]
+		return c.end == standin.EndDrained && strings.HasPrefix(sent, head), true
+	}
+}
+
+// body returns the body of the part of the answer that is sent.
+func (c cutCase) body() string {
+	if isFramedWhole(c.framing.name) {
+		return earlyBody
+	}
+	sent := c.framing.answer[:c.length]
+	return sent[strings.LastIndex(sent, "\r\n\r\n")+4:]
+}
+
+// cutCases returns answers cut after each byte, in each of the ways to end, on a new and
+// on a kept connection.
+func cutCases() (cases []cutCase) {
+	for _, framing := range framings {
+		for length := range len(framing.answer) + 1 {
+			for _, end := range []standin.EarlyEnd{standin.EndReset, standin.EndUnread, standin.EndDrained} {
+				cases = append(cases, cutCase{framing, length, end, false}, cutCase{framing, length, end, true})
+			}
+		}
+	}
+	return cases
+}
+
+// TestCutAnswers guards against an answer that is taken for whole although it was cut, at
+// any byte, and against a whole one that is dropped.
+func TestCutAnswers(t *testing.T) {
+	cases := cutCases()
+	answers := []standin.EarlyAnswer{{Text: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", End: standin.EndKept}}
+	for _, c := range cases {
+		answers = append(answers, standin.EarlyAnswer{Text: c.framing.answer[:c.length], Wait: time.Millisecond, End: c.end})
+	}
+	server := startEarlyServer(t, answers)
+	var running sync.WaitGroup
+	slots := make(chan struct{}, maxParallel)
+	for i, c := range cases {
+		slots <- struct{}{}
+		running.Go(func() {
+			defer func() { <-slots }()
+			client := earlyClient(t)
+			if c.kept {
+				if _, _, err := upload(t.Context(), client, server, 0); err != nil {
+					t.Errorf("before %+v: %v", c, err)
+				}
+			}
+			_, body, err := upload(t.Context(), client, server, i+1)
+			whole, certain := c.isWhole()
+			if returned := err == nil; returned != whole && (certain || returned) || returned && body != c.body() {
+				t.Errorf("%+v: returned %q, error %v; expected whole=%t", c, body, err, whole)
+			}
+		})
+	}
+	running.Wait()
+}
--- a/service/service.go
+++ b/service/service.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		// A call that is canceled once it has a connection may still be being written.
 		mayBeWritten := writeStarted.Load() || connected.Load() && ctx.Err() != nil
-		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, mayBeWritten), Detail: headDetail(err), Err: markRefused(err)}
+		return nil, &lentilmux.UpstreamError{Kind: failureKind(err, mayBeWritten), Detail: errorDetail(err), Err: markRefused(err)}
 	}
 	return response, nil
 }
@@ -178,7 +178,7 @@
 	if errors.Is(err, lentilmux.ErrNoMemory) {
 		return &lentilmux.UpstreamError{Kind: lentilmux.FailureNoMemory, Err: err}
 	}
-	return &lentilmux.UpstreamError{Kind: failureKind(err, true), Err: err}
+	return &lentilmux.UpstreamError{Kind: failureKind(err, true), Detail: errorDetail(err), Err: err}
 }
 
 // singleUseBody returns a body that cannot be rewound. An empty body also gets
@@ -207,13 +207,15 @@
 	}
 }
 
-// headDetail returns what is wrong with the head of an answer, or "" if err is no error of
-// a head.
-func headDetail(err error) (detail string) {
+// errorDetail returns what is wrong with an answer, or "" if err does not tell.
+func errorDetail(err error) (detail string) {
 	var headErr *http1.HeadError
 	if errors.As(err, &headErr) {
 		return headErr.Reason
 	}
+	if errors.Is(err, http1.ErrCutShort) {
+		return http1.ErrCutShort.Error()
+	}
 	return ""
 }
 
