Reject answers whose TLS connection ended without close_notify

Change: the connection under TLS returns ErrNoCloseNotify at its end. When the server has ended the TLS connection, nothing is read below it any more. Answers with a length or chunks do not read the end.

Evidence: TestCutTLS fails without the change (body returned, no error) and shows that an answer that ends with close_notify is still whole.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -41,7 +41,7 @@
 		if config.ServerName == "" {
 			config.ServerName = host
 		}
-		secured := tls.Client(plain, config)
+		secured := tls.Client(tlsTransportConn{plain}, config)
 		if err = secured.HandshakeContext(ctx); err != nil {
 			_ = plain.Close() // not used
 			return nil, err
--- a/http1/cut_test.go
+++ b/http1/cut_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sebdah/goldie/v2"
 
 	"lentilmux.example/lentilmux/http1"
@@ -218,3 +220,41 @@
 	}
 	running.Wait()
 }
+
+// TestCutTLS guards against an answer without a length that is taken for whole although
+// its TLS connection ended without close_notify.
+func TestCutTLS(t *testing.T) {
+	for _, notifies := range []bool{true, false} {
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			hijacked, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(hijacked, framings[0].answer)
+			if notifies {
+				_ = hijacked.Close()
+			} else {
+				_ = netConn(hijacked).Close()
+			}
+		}))
+		config := server.Client().Transport.(*http.Transport).TLSClientConfig
+		client := &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, TLSClientConfig: config})}
+		response, err := client.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if notifies && (err != nil || string(body) != "event one\n\n") || !notifies && !errors.Is(err, http1.ErrNoCloseNotify) {
+			t.Errorf("close_notify=%t: body %q, error %v", notifies, body, err)
+		}
+		_ = response.Body.Close()
+		client.CloseIdleConnections()
+		server.Close()
+	}
+}
+
+// netConn returns the connection under TLS.
+func netConn(secured net.Conn) net.Conn {
+	return secured.(interface{ NetConn() net.Conn }).NetConn()
+}
--- a/service/service.go
+++ b/service/service.go
@@ -213,8 +213,10 @@
 	if errors.As(err, &headErr) {
 		return headErr.Reason
 	}
-	if errors.Is(err, http1.ErrCutShort) {
-		return http1.ErrCutShort.Error()
+	for _, cut := range []errors.ConstError{http1.ErrCutShort, http1.ErrNoCloseNotify} {
+		if errors.Is(err, cut) {
+			return cut.Error()
+		}
 	}
 	return ""
 }
