Learn from refused connections which upstreams have ended

Cause: a stream that is confined to upstreams on which it may have run got its next upstream only after a report, which takes a probe, and for a service without reports never. Each attempt that found nothing listening there counted as a send, so that after two crashes in a row the stream ended with "sent too often" before any upstream but the two was tried.

Change: the relay reports that nothing listens at an upstream's address (not_listening), which shows that the process has ended; the upstream then counts no more. The outcome of each broken attempt is kept with the request, also after the upstream's row was removed, and is forgotten when the links of the VM turn out to be lost.

--- a/fleet/partcrashes.go
+++ b/fleet/partcrashes.go
@@ -41,7 +41,7 @@
 
 // TrackCrashes finds prompt parts and requests that crash upstreams. It reads
 // Events.Digests, Events.FailedAttempts, Events.ConnectResults, Events.PartReleases,
-// Requests and Upstreams and writes PartSuspects, CrashSuspects and ProbeBucket.
+// and Upstreams and writes Requests, PartSuspects, CrashSuspects and ProbeBucket.
 type TrackCrashes struct{}
 
 // Run implements [System].
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -33,6 +33,9 @@
 	if !failed.NotRun {
 		request.countRun(now)
 	}
+	if failed.NotListening {
+		request.recordNotListening()
+	}
 	if len(request.Older) > 0 {
 		a.continueOlder(t, request, failed, now)
 		return
--- a/fleet/scenario_test.go
+++ b/fleet/scenario_test.go
@@ -303,7 +303,7 @@
 	}
 	msg := lentilmux.ForwardFailedMsg{
 		Request: lentilmux.RequestID(name), Epoch: s.epoch(name, fields), Kind: kinds[fields["kind"]], Detail: fields["detail"],
-		NotRun: fields["not_run"] == "true", Answered: fields["answered"] == "true", Delivered: parseInt(fields["delivered"]),
+		NotRun: fields["not_run"] == "true", NotListening: fields["listening"] == "none", Answered: fields["answered"] == "true", Delivered: parseInt(fields["delivered"]),
 	}
 	if row := s.tables.Upstreams.Find(fields["blamed"]); row != nil {
 		msg.BlamedUpstream = row.Addr
--- a/fleet/upstreamruns.go
+++ b/fleet/upstreamruns.go
@@ -30,7 +30,7 @@
 	Upstream  string
 	StartedAt time.Time // of the upstream's process
 	At        time.Time // when the last such attempt failed or was found stalled
-	Ended     bool      // whether the process is known to have ended since
+	State     upstreamState
 }
 
 // upstreamState is what is known of the process of an upstream since an attempt failed
@@ -66,11 +66,9 @@
 
 // recordRun records that a request may have run on the first hop of its newest attempt.
 func (r *RequestRow) recordRun(now time.Time) {
-	for i := range r.Runs {
-		if run := &r.Runs[i]; run.Upstream == r.LastUpstream && run.StartedAt.Equal(r.UpstreamStartedAt) {
-			run.At = now
-			return
-		}
+	if run := r.findRun(r.LastUpstream, r.UpstreamStartedAt); run != nil {
+		run.At, run.State = now, upstreamUnknown
+		return
 	}
 	r.Runs = append(r.Runs, UpstreamRun{Upstream: r.LastUpstream, StartedAt: r.UpstreamStartedAt, At: now})
 }
@@ -107,11 +105,20 @@
 	return left
 }
 
+// findRun returns the entry of an upstream's process, or nil if the request certainly has
+// not run there.
+func (r *RequestRow) findRun(upstream string, startedAt time.Time) (run *UpstreamRun) {
+	for i := range r.Runs {
+		if run = &r.Runs[i]; run.Upstream == upstream && run.StartedAt.Equal(startedAt) {
+			return run
+		}
+	}
+	return nil
+}
+
 // mayHaveRunOn reports whether a request may have run on the process of an upstream.
 func (r *RequestRow) mayHaveRunOn(row *UpstreamRow) bool {
-	return slices.ContainsFunc(r.Runs, func(run UpstreamRun) bool {
-		return run.Upstream == row.ID && run.StartedAt.Equal(row.StartedAt)
-	})
+	return r.findRun(row.ID, row.StartedAt) != nil
 }
 
 // confineFirstHops keeps all upstreams but those on which a confined request may have
@@ -146,20 +153,48 @@
 	return awaits
 }
 
-// runState returns what is known of an upstream on which a request may have run. One
-// that has ended stays so, also after its row was removed.
+// runState returns what is known of an upstream on which a request may have run, and
+// records it: what has ended stays so, also after its row was removed.
 func (t *Tables) runState(run *UpstreamRun, now time.Time) (state upstreamState) {
 	row := t.Upstreams.Find(run.Upstream)
-	if row != nil && (row.isGone(now) || !row.StartedAt.Equal(run.StartedAt)) {
-		run.Ended = true
-	}
 	switch {
-	case run.Ended:
-		return upstreamEnded
-	case row != nil && row.showedLifeSince(run.At):
-		return upstreamAlive
-	default:
-		return upstreamUnknown
+	case row == nil:
+	case row.isGone(now), !row.StartedAt.Equal(run.StartedAt):
+		run.State = upstreamEnded
+	case run.State == upstreamUnknown && row.showedLifeSince(run.At):
+		run.State = upstreamAlive
+	}
+	return run.State
+}
+
+// recordVerdict records what became known of the upstream of a broken attempt. A sign of
+// life says nothing of an attempt that failed there later.
+func (t *Tables) recordVerdict(broken *BrokenAttempt, state upstreamState) {
+	request := t.Requests.Find(broken.Request)
+	if request == nil {
+		return
+	}
+	run := request.findRun(broken.Upstream, broken.StartedAt)
+	if run != nil && (state == upstreamEnded || !run.At.After(broken.At)) {
+		run.State = state
+	}
+}
+
+// recordNotListening records that nothing listens at the upstream of a request's newest
+// attempt.
+func (r *RequestRow) recordNotListening() {
+	if run := r.findRun(r.LastUpstream, r.UpstreamStartedAt); run != nil {
+		run.State = upstreamEnded
+	}
+}
+
+// withdrawRunVerdicts forgets which upstreams have ended, as far as lost links made this
+// VM believe it.
+func (t *Tables) withdrawRunVerdicts() {
+	for _, request := range t.Requests.Rows {
+		for i := range request.Runs {
+			request.Runs[i].State = upstreamUnknown
+		}
 	}
 }
 
--- a/forward.go
+++ b/forward.go
@@ -92,6 +92,7 @@
 	Kind           FailureKind
 	Detail         string         // what is wrong with the answer, as in [UpstreamError]
 	NotRun         bool           // whether the upstream certainly did not run the request
+	NotListening   bool           // whether nothing listens at the upstream's address, so that its process has ended
 	Answered       bool           // whether the upstream itself answered with an error
 	BlamedUpstream netip.AddrPort // hop that the error answer names as the cause, if any
 	Delivered      int            // events delivered to the caller
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -52,6 +52,7 @@
 	case errors.As(err, &upstreamErr):
 		failure.Kind, failure.Detail = upstreamErr.Kind, upstreamErr.Detail
 		failure.NotRun = failure.Kind == lentilmux.FailureDial
+		failure.NotListening = errors.Is(err, lentilmux.ErrNotListening)
 	}
 	r.race.recordFailure(a, failure)
 	return failure
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -117,7 +117,7 @@
 		}
 		return s.nextAttempt(), nil
 	case lentilmux.ForwardFailedMsg:
-		s.logf("node: attempt %d failed %s not_run=%t answered=%t delivered=%d", x.Epoch, x.Kind, x.NotRun, x.Answered, x.Delivered)
+		s.logf("node: attempt %d failed %s not_run=%t not_listening=%t answered=%t delivered=%d", x.Epoch, x.Kind, x.NotRun, x.NotListening, x.Answered, x.Delivered)
 		if s.inFlight--; s.inFlight > 0 {
 			return lentilmux.WaitAnswer{Wait: 100 * time.Millisecond}, nil
 		}
@@ -189,7 +189,7 @@
 		return &scriptedResponse{script: s, epoch: attempt.Epoch, ctx: ctx, verdict: lentilmux.Verdict(-steps[0].event)}, nil
 	}
 	if len(steps) == 0 {
-		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: errors.New("connection refused")}
+		return nil, &lentilmux.UpstreamError{Kind: lentilmux.FailureDial, Err: errors.WithType(errors.New("connection refused"), lentilmux.ErrNotListening)}
 	}
 	return &scriptedResponse{script: s, epoch: attempt.Epoch, ctx: ctx, steps: steps, verdict: lentilmux.VerdictSuccess}, nil
 }
