Wait until the request is written before an end of the answer counts

Seen: beside other test runs TestEarlyAnswers returned 1 of 10 answers of an upstream that closes its connection with the request unread ("no length, status 500, unread after 1ms").

Cause: if nothing unread has arrived when the upstream closes, its kernel ends the connection in order and resets it when the next bytes of the request come. The read met that end between two writes, of which none had failed yet.

Change: in the body of an answer a read that meets the end waits until net/http has written the request (httptrace, and the write of what was buffered), or the connection is closed. If that failed, the answer is cut.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -22,7 +22,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: opened}, nil
+		return newConn(opened), nil
 	}
 }
 
@@ -54,8 +54,14 @@
 type exchange struct {
 	conn        *conn       // on which the request is sent; nil before it is known
 	headChecked atomic.Bool // whether the head of the answer has arrived and is valid
+
+	written  chan struct{} // closed once the request was written or its writing has failed, but for what is buffered
+	writeErr error         // with which it has failed; valid once written is closed
 }
 
+// newExchange returns the exchange of a request that is not sent yet.
+func newExchange() *exchange { return &exchange{written: make(chan struct{})} }
+
 // begin expects the next answer on a connection to be that of the exchange. net/http
 // calls it before it writes the request, when the previous answer was read to its end.
 func (e *exchange) begin(opened net.Conn) {
@@ -65,6 +71,13 @@
 	}
 }
 
+// endWrite ends the writing of the request. net/http calls it once for each connection on
+// which it writes the request.
+func (e *exchange) endWrite(err error) {
+	e.writeErr = err
+	close(e.written)
+}
+
 // abort closes the connection of the exchange.
 func (e *exchange) abort() {
 	if e.conn != nil {
@@ -78,6 +91,9 @@
 	net.Conn
 	current atomic.Pointer[exchange] // of the last request
 
+	closeOnce sync.Once
+	closed    chan struct{} // closed by Close
+
 	writing     sync.Mutex // held during each write
 	writeFailed bool       // whether a write has failed; guarded by writing
 
@@ -86,6 +102,15 @@
 	head    headChecker
 }
 
+// newConn returns a connection that reads and writes on opened.
+func newConn(opened net.Conn) *conn { return &conn{Conn: opened, closed: make(chan struct{})} }
+
+// Close implements [net.Conn].
+func (c *conn) Close() (err error) {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // Read implements [net.Conn]. It returns no byte of a read that makes a head malformed.
 func (c *conn) Read(buffer []byte) (count int, err error) {
 	count, err = c.Conn.Read(buffer)
--- a/http1/cut.go
+++ b/http1/cut.go
@@ -8,10 +8,12 @@
 )
 
 // An answer with neither a length nor chunks ends with its connection, so the end of the
-// connection must be told from a reset. Two things pass a reset off as an end:
+// connection must be told from a reset. Three things pass a reset off as an end:
 //
 //   - The kernel reports a reset once. If a write of the request gets it, the next read
 //     returns the end of the connection.
+//   - An upstream that closes a connection while some of the request is on its way ends it
+//     in order first, and resets it when that arrives.
 //   - crypto/tls returns the end of the TCP connection, which anybody on the way can
 //     cause, as the end of what the peer has sent.
 
@@ -34,13 +36,21 @@
 }
 
 // endOfRead returns the error of a read that met the end of the connection: [io.EOF] if
-// the peer has ended its side, or [ErrCutShort] if a write has failed, which then got the
-// reset. It waits for a write in progress, whose result is not known yet: an upstream may
-// answer and end its side before it reads the rest of a request.
+// the peer has ended its side in order, or [ErrCutShort] if the request could not be
+// written in full. In the body of an answer it waits until one of the two is known: an
+// upstream may answer and end its side before it reads the rest of the request.
 func (c *conn) endOfRead() error {
-	c.writing.Lock()
+	if c.checked == nil || !c.head.isComplete() {
+		return io.EOF // no answer ends here
+	}
+	select {
+	case <-c.checked.written:
+	case <-c.closed:
+		return net.ErrClosed
+	}
+	c.writing.Lock() // waits for the write of what was buffered
 	defer c.writing.Unlock()
-	if c.writeFailed {
+	if c.writeFailed || c.checked.writeErr != nil {
 		return ErrCutShort
 	}
 	return io.EOF
