Split the history of runs from the count of upstreams

One change of what counts: an upstream that is silent for longer than ToleratedSilence counts as ended only as long as it is, since it may go on; a refused connection and another process at its address stay.

--- a/fleet/brokenattempts.go
+++ b/fleet/brokenattempts.go
@@ -96,6 +96,25 @@
 	})
 }
 
+// showedLifeSince reports whether an upstream has answered a probe that was sent at a
+// time or later, or has made progress since.
+func (u *UpstreamRow) showedLifeSince(at time.Time) bool {
+	return !u.ProbedAt.Before(at) && u.ReportedAt.After(at) || u.Progress.Last().Sub(at) > lateProgress
+}
+
+// recordSurvival logs that an upstream lives on after attempts broke off there, once for
+// those that broke before the sign of life.
+func (t *Tables) recordSurvival(broken *BrokenAttempt, row *UpstreamRow, now time.Time) {
+	if !broken.At.After(row.SurvivedAt) {
+		return
+	}
+	row.SurvivedAt = now
+	t.RecordDecision(lentilmux.Decision{
+		What: "upstream_survived", Subject: row.ID, Chosen: string(broken.Request),
+		Reason: "alive " + now.Sub(broken.At).Round(time.Millisecond).String() + " after its connection broke",
+	})
+}
+
 // testConnection opens a connection to an upstream once crashTestDelay has passed since
 // an attempt broke, unless that was done or this VM's share of MaxProbesPerSecond is
 // used up.
--- a/fleet/upstreamruns.go
+++ b/fleet/runhistory.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"lentilmux.example/lentilmux"
 )
 
 // RunHistory is where a request may have run so far.
@@ -73,38 +71,6 @@
 	r.Runs = append(r.Runs, UpstreamRun{Upstream: r.LastUpstream, StartedAt: r.UpstreamStartedAt, At: now})
 }
 
-// isUsedUp reports whether a request may have run on as many upstreams as its route
-// allows, without those that have ended. An upstream counts as long as that is not
-// known. The request may then go only to one of these upstreams again.
-func (t *Tables) isUsedUp(request *RequestRow, now time.Time) (usedUp bool) {
-	return t.upstreamsLeft(request, now) <= 0
-}
-
-// upstreamsLeft returns on how many further upstreams a request may run. What a peer may
-// have run counts in full, since this VM does not learn on which upstreams.
-func (t *Tables) upstreamsLeft(request *RequestRow, now time.Time) (left int) {
-	left = request.Route.MaxAttempts - request.Forwarded.PossibleRuns
-	if request.Forwarded.MaxUpstreams > 0 {
-		left = request.Forwarded.MaxUpstreams
-	}
-	for i := range request.Runs {
-		if t.runState(&request.Runs[i], now) != upstreamEnded {
-			left--
-		}
-	}
-	return left - request.PeerRuns
-}
-
-// upstreamsForPeer returns on how many upstreams a peer may run a request that is
-// forwarded to it. A stream leaves one for the case that the peer is lost, if it can.
-func (t *Tables) upstreamsForPeer(request *RequestRow, now time.Time) (count int) {
-	left := t.upstreamsLeft(request, now)
-	if request.Route.Kind == lentilmux.CallResumableStream && left > 1 {
-		return left - 1
-	}
-	return left
-}
-
 // findRun returns the entry of an upstream's process, or nil if the request certainly has
 // not run there.
 func (r *RequestRow) findRun(upstream string, startedAt time.Time) (run *UpstreamRun) {
@@ -121,46 +87,17 @@
 	return r.findRun(row.ID, row.StartedAt) != nil
 }
 
-// confineFirstHops keeps all upstreams but those on which a confined request may have
-// run from being the first hop of its path, which is the upstream that runs it.
-func (a *AdmitRequests) confineFirstHops(request *RequestRow) {
-	if !request.Confined {
-		return
-	}
-	for i, row := range a.rows {
-		if !request.mayHaveRunOn(row) {
-			a.nodes[i].Full = true
-		}
-	}
-}
-
-// awaitsVerdict reports whether a confined request may get another upstream soon, since
-// it is not known yet whether one on which it may have run has ended, and probes these.
-func (t *Tables) awaitsVerdict(request *RequestRow, now time.Time) (awaits bool) {
-	if !request.Confined {
-		return false
-	}
-	for i := range request.Runs {
-		run := &request.Runs[i]
-		if t.runState(run, now) != upstreamUnknown || now.Sub(run.At) > maxCrashDoubt {
-			continue
-		}
-		if row := t.Upstreams.Find(run.Upstream); row != nil {
-			t.probe(row, now)
-			awaits = true
-		}
-	}
-	return awaits
-}
-
 // runState returns what is known of an upstream on which a request may have run, and
-// records it: what has ended stays so, also after its row was removed.
+// records it: a process that has ended stays so, also after its row was removed. One that
+// is cut off counts as ended only as long as it is.
 func (t *Tables) runState(run *UpstreamRun, now time.Time) (state upstreamState) {
 	row := t.Upstreams.Find(run.Upstream)
 	switch {
 	case row == nil:
-	case row.isGone(now), !row.StartedAt.Equal(run.StartedAt):
+	case row.Dead && row.Ended, !row.StartedAt.Equal(run.StartedAt):
 		run.State = upstreamEnded
+	case row.isGone(now):
+		return upstreamEnded
 	case run.State == upstreamUnknown && row.showedLifeSince(run.At):
 		run.State = upstreamAlive
 	}
@@ -198,12 +135,6 @@
 	}
 }
 
-// showedLifeSince reports whether an upstream has answered a probe that was sent at a
-// time or later, or has made progress since.
-func (u *UpstreamRow) showedLifeSince(at time.Time) bool {
-	return !u.ProbedAt.Before(at) && u.ReportedAt.After(at) || u.Progress.Last().Sub(at) > lateProgress
-}
-
 // formatRuns formats the upstreams on which a request may have run, for the log.
 func (t *Tables) formatRuns(request *RequestRow, now time.Time) string {
 	var parts []string
@@ -218,16 +149,3 @@
 	}
 	return strings.Join(parts, ",")
 }
-
-// recordSurvival logs that an upstream lives on after attempts broke off there, once for
-// those that broke before the sign of life.
-func (t *Tables) recordSurvival(broken *BrokenAttempt, row *UpstreamRow, now time.Time) {
-	if !broken.At.After(row.SurvivedAt) {
-		return
-	}
-	row.SurvivedAt = now
-	t.RecordDecision(lentilmux.Decision{
-		What: "upstream_survived", Subject: row.ID, Chosen: string(broken.Request),
-		Reason: "alive " + now.Sub(broken.At).Round(time.Millisecond).String() + " after its connection broke",
-	})
-}
--- a/ruleset.go
+++ b/ruleset.go
@@ -50,7 +50,7 @@
 	Timeout         time.Duration // maximum duration of a request
 	FirstByteTarget time.Duration // target for the time to the first byte
 	EventGapTarget  time.Duration // target for the gap between two events
-	MaxAttempts     int           // maximum number of attempts that may have run
+	MaxAttempts     int           // maximum number of upstreams on which a request may have run
 	Priority        int           // 0 is the most urgent
 	Anonymous       bool          // whether callers need no API key
 }
