--- a/drain.go
+++ b/drain.go
@@ -17,3 +17,13 @@
 	StartedAt time.Time     // start of the process that drains
 	Age       time.Duration // since its last known announcement
 }
+
+// ReadinessEffect sets the answer to the load balancer's readiness probes.
+type ReadinessEffect struct {
+	Ready  bool
+	Reason string // why this VM is not ready
+}
+
+// BeginDrainMsg begins a drain, the planned stop of this VM, in package fleet. It
+// has no answer. Package system uses [DrainMsg].
+type BeginDrainMsg struct{}
--- a/forward.go
+++ b/forward.go
@@ -200,3 +200,8 @@
 	// complete one.
 	Abort()
 }
+
+// BodyLimitEffect sets the maximum size of callers' request bodies.
+type BodyLimitEffect struct {
+	MaxBytes int64
+}
