--- a/fleet/brokenattempts.go
+++ b/fleet/brokenattempts.go
@@ -79,11 +79,11 @@
 		row := t.Upstreams.Find(broken.Upstream)
 		switch {
 		case row == nil, row.isGone(now), !row.StartedAt.Equal(broken.StartedAt), !broken.ByReport && t.refusedTest(&broken, row):
-			t.recordVerdict(&broken, upstreamEnded)
+			t.recordUpstreamState(&broken, upstreamEnded)
 			c.countCrash(t, &broken, now)
 			return true
 		case broken.ByReport && row.showedLifeSince(broken.At), !broken.ByReport && t.acceptedTest(&broken, row):
-			t.recordVerdict(&broken, upstreamAlive)
+			t.recordUpstreamState(&broken, upstreamAlive)
 			t.recordSurvival(&broken, row, now)
 			return true
 		case broken.ByReport:
--- a/fleet/confinement.go
+++ b/fleet/confinement.go
@@ -56,9 +56,9 @@
 	}
 }
 
-// awaitsVerdict reports whether a confined request may get another upstream soon, since
+// awaitsUpstreamState reports whether a confined request may get another upstream soon, since
 // it is not known yet whether one on which it may have run has ended, and probes these.
-func (t *Tables) awaitsVerdict(request *RequestRow, now time.Time) (awaits bool) {
+func (t *Tables) awaitsUpstreamState(request *RequestRow, now time.Time) (awaits bool) {
 	if !request.Confined {
 		return false
 	}
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -247,7 +247,7 @@
 // and of requests.
 func (t *Tables) withdrawVerdicts(now time.Time) {
 	t.PartSuspects.Broken = nil
-	t.withdrawRunVerdicts()
+	t.forgetUpstreamStates()
 	t.CrashSuspects.withdrawSince(now.Add(-evidenceDuration))
 	for _, row := range t.Upstreams.Rows {
 		row.SuspectUntil, row.MissedProbes, row.Dead, row.Ended, row.ReportedByPeer = time.Time{}, 0, false, false, false
--- a/fleet/resend.go
+++ b/fleet/resend.go
@@ -91,7 +91,10 @@
 		// started tells whether the attempt had begun to answer; parts are the first
 		// shared parts of the prompt. ran_on lists the upstreams on which the request may
 		// have run, and what is known of their processes since.
-		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s ran_on=%s %s", failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream+request.Peer, failed.Delivered, request.PossibleRuns, request.Attempts, request.AnswerStarted, lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), t.formatRuns(request, now), detail),
+		Reason: fmt.Sprintf("%s not_run=%t answered=%t upstream=%s delivered=%d runs=%d sends=%d started=%t parts=%s ran_on=%s %s",
+			failed.Kind, failed.NotRun, failed.Answered, request.LastUpstream+request.Peer, failed.Delivered,
+			request.PossibleRuns, request.Attempts, request.AnswerStarted,
+			lentilmux.FormatPromptParts(request.SharedParts, maxLoggedParts), t.formatRuns(request, now), detail),
 	})
 }
 
--- a/fleet/resumewaits.go
+++ b/fleet/resumewaits.go
@@ -10,41 +10,48 @@
 // resumeRetryInterval is the time between two tries to continue a stream that waits.
 const resumeRetryInterval = 100 * time.Millisecond
 
-// maxVerdictWait is how long a stream without events waits until it is known whether an
+// maxStateWait is how long a stream without events waits until it is known whether an
 // upstream on which it may have run has ended. A refused connection shows that within
 // milliseconds; its caller may go elsewhere after this time.
-const maxVerdictWait = 400 * time.Millisecond
+const maxStateWait = 400 * time.Millisecond
 
-// ResumeWaitRow is a stream that broke off at its upstream after the caller got its
-// beginning, and that waits for another attempt: the retry budget is spent or nothing
-// has room at the moment. It has no attempt in flight.
+// ResumeWaitRow is a stream that broke off at its upstream and waits for another attempt:
+// the retry budget is spent or nothing has room at the moment. Its caller got its
+// beginning, unless it waits for the state of its upstreams. It has no attempt in flight.
 type ResumeWaitRow struct {
 	FailedAttemptRow
-	Refusal *lentilmux.Refusal // why it got no attempt last
-	Since   time.Time
-	RetryAt time.Time
-	Until   time.Time
-	Verdict bool // whether it waits only until it is known which upstreams have ended
+	Refusal  *lentilmux.Refusal // why it got no attempt last
+	Since    time.Time
+	RetryAt  time.Time
+	Until    time.Time
+	ForState bool // whether it waits only until it is known which of its upstreams have ended
 }
 
 // holdToResume lets a stream that got no further attempt wait for one, since its caller
 // waits for the next event anyway and a stream that is broken off is lost. It waits for
 // ResumeWait; its caller's patience leaves time for the prefill after that. A stream
-// without events waits only for the verdict on its upstreams, for maxVerdictWait. One that was
-// forwarded does not wait here: the VM that its caller reached decides.
+// without events waits for maxStateWait, and only until it is known which of its upstreams
+// have ended. One that was forwarded does not wait here: the VM that its caller reached
+// decides.
 func (a *AdmitRequests) holdToResume(t *Tables, request *RequestRow, failed FailedAttemptRow, refusal *lentilmux.Refusal, now time.Time) (held bool) {
 	if refusal.Reason != lentilmux.ReasonRetryBudget && refusal.Reason != lentilmux.ReasonNoUpstream {
 		return false
 	}
-	wait, verdict := t.Limits.ResumeWait, failed.Delivered == 0
-	if verdict {
-		wait = maxVerdictWait
+	if request.Route.Kind != lentilmux.CallResumableStream || request.Forwarded.IsForwarded() {
+		return false
+	}
+	wait, forState := t.Limits.ResumeWait, failed.Delivered == 0
+	if forState {
+		wait = maxStateWait
+	}
+	if forState && (refusal.Reason != lentilmux.ReasonNoUpstream || !t.awaitsUpstreamState(request, now)) {
+		return false
 	}
 	until := earliest(now.Add(wait), request.Deadline)
-	if request.Route.Kind != lentilmux.CallResumableStream || verdict && !t.awaitsVerdict(request, now) || request.Forwarded.IsForwarded() || !now.Before(until) {
+	if !now.Before(until) {
 		return false
 	}
-	row := ResumeWaitRow{FailedAttemptRow: failed, Refusal: refusal, Since: now, RetryAt: now.Add(resumeRetryInterval), Until: until, Verdict: verdict}
+	row := ResumeWaitRow{FailedAttemptRow: failed, Refusal: refusal, Since: now, RetryAt: now.Add(resumeRetryInterval), Until: until, ForState: forState}
 	t.ResumeWaits = append(t.ResumeWaits, row)
 	t.WakeAt(earliest(row.RetryAt, until))
 	t.RecordDecision(lentilmux.Decision{What: "stream_waiting", Subject: string(request.ID), Chosen: until.Sub(now).String(), Reason: string(refusal.Reason) + ": " + refusal.Detail})
@@ -52,8 +59,9 @@
 }
 
 // resumeStreams tries again to continue the streams that wait, in the order of the
-// shortage policy or else oldest first, and ends those whose wait is over. Once nothing of a service has room, the later streams of that
-// service are tried in the next interval: each search for a path costs time.
+// shortage policy or else oldest first, and ends those whose wait is over. Once nothing of
+// a service has room, the later streams of that service are tried in the next interval:
+// each search for a path costs time.
 func (a *AdmitRequests) resumeStreams(t *Tables, now time.Time) {
 	rows := a.orderResumeWaits(t, t.ResumeWaits, now)
 	t.ResumeWaits = nil
@@ -77,7 +85,7 @@
 				full = append(full, request.Service)
 			}
 		}
-		if !now.Before(row.Until) || row.Verdict && !t.awaitsVerdict(request, now) {
+		if !now.Before(row.Until) || row.ForState && !t.awaitsUpstreamState(request, now) {
 			a.refuse(t, row.Request, row.CorrelationID, row.Refusal, now)
 			continue
 		}
--- a/fleet/runhistory.go
+++ b/fleet/runhistory.go
@@ -104,9 +104,9 @@
 	return run.State
 }
 
-// recordVerdict records what became known of the upstream of a broken attempt. A sign of
-// life says nothing of an attempt that failed there later.
-func (t *Tables) recordVerdict(broken *BrokenAttempt, state upstreamState) {
+// recordUpstreamState records what became known of the upstream of a broken attempt. A
+// sign of life says nothing of an attempt that failed there later.
+func (t *Tables) recordUpstreamState(broken *BrokenAttempt, state upstreamState) {
 	request := t.Requests.Find(broken.Request)
 	if request == nil {
 		return
@@ -125,9 +125,9 @@
 	}
 }
 
-// withdrawRunVerdicts forgets which upstreams have ended, as far as lost links made this
+// forgetUpstreamStates forgets which upstreams have ended: lost links may have made this
 // VM believe it.
-func (t *Tables) withdrawRunVerdicts() {
+func (t *Tables) forgetUpstreamStates() {
 	for _, request := range t.Requests.Rows {
 		for i := range request.Runs {
 			request.Runs[i].State = upstreamUnknown
