Follow the writing of a request by its bytes

Seen: a panic, "close of closed channel", in a new test; no process of a deployment was affected, since the code was not landed. net/http sends a request without a body again by itself when a kept connection was closed before its answer, and calls WroteRequest once for each connection, also late.

Change: the connection counts the bytes that are written, from the end of the head on, against the length of the request (requestwrites.go). A reader that meets the end of the connection waits for the last of them, or for a write that fails, or for Close. Nothing depends on the order of callbacks.

Evidence: TestResentRequest panics without the change.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -54,30 +53,19 @@
 type exchange struct {
 	conn        *conn       // on which the request is sent; nil before it is known
 	headChecked atomic.Bool // whether the head of the answer has arrived and is valid
-
-	written  chan struct{} // closed once the request was written or its writing has failed, but for what is buffered
-	writeErr error         // with which it has failed; valid once written is closed
+	bodyBytes   int64       // length of the request's body; 0 if it is not known
 }
 
-// newExchange returns the exchange of a request that is not sent yet.
-func newExchange() *exchange { return &exchange{written: make(chan struct{})} }
-
 // begin expects the next answer on a connection to be that of the exchange. net/http
 // calls it before it writes the request, when the previous answer was read to its end.
 func (e *exchange) begin(opened net.Conn) {
 	if c, ok := opened.(*conn); ok {
 		e.conn = c
+		c.writes.begin(e.bodyBytes)
 		c.current.Store(e)
 	}
 }
 
-// endWrite ends the writing of the request. net/http calls it once for each connection on
-// which it writes the request.
-func (e *exchange) endWrite(err error) {
-	e.writeErr = err
-	close(e.written)
-}
-
 // abort closes the connection of the exchange.
 func (e *exchange) abort() {
 	if e.conn != nil {
@@ -90,12 +78,7 @@
 type conn struct {
 	net.Conn
 	current atomic.Pointer[exchange] // of the last request
-
-	closeOnce sync.Once
-	closed    chan struct{} // closed by Close
-
-	writing     sync.Mutex // held during each write
-	writeFailed bool       // whether a write has failed; guarded by writing
+	writes  *requestWrites           // of the last request
 
 	// The fields below belong to the goroutine that reads.
 	checked *exchange // of the last bytes that were read
@@ -103,12 +86,20 @@
 }
 
 // newConn returns a connection that reads and writes on opened.
-func newConn(opened net.Conn) *conn { return &conn{Conn: opened, closed: make(chan struct{})} }
+func newConn(opened net.Conn) *conn { return &conn{Conn: opened, writes: newRequestWrites()} }
+
+// Write implements [net.Conn].
+func (c *conn) Write(data []byte) (count int, err error) {
+	count, err = c.Conn.Write(data)
+	c.writes.record(data[:count], err)
+	return count, err
+}
 
 // Close implements [net.Conn].
 func (c *conn) Close() (err error) {
-	c.closeOnce.Do(func() { close(c.closed) })
-	return c.Conn.Close()
+	err = c.Conn.Close()
+	c.writes.record(nil, net.ErrClosed)
+	return err
 }
 
 // Read implements [net.Conn]. It returns no byte of a read that makes a head malformed.
--- a/http1/cut.go
+++ b/http1/cut.go
@@ -26,15 +26,6 @@
 	ErrNoCloseNotify = errors.ConstError("TLS connection ended without close_notify")
 )
 
-// Write implements [net.Conn].
-func (c *conn) Write(data []byte) (count int, err error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	count, err = c.Conn.Write(data)
-	c.writeFailed = c.writeFailed || err != nil
-	return count, err
-}
-
 // endOfRead returns the error of a read that met the end of the connection: [io.EOF] if
 // the peer has ended its side in order, or [ErrCutShort] if the request could not be
 // written in full. In the body of an answer it waits until one of the two is known: an
@@ -43,14 +34,7 @@
 	if c.checked == nil || !c.head.isComplete() {
 		return io.EOF // no answer ends here
 	}
-	select {
-	case <-c.checked.written:
-	case <-c.closed:
-		return net.ErrClosed
-	}
-	c.writing.Lock() // waits for the write of what was buffered
-	defer c.writing.Unlock()
-	if c.writeFailed || c.checked.writeErr != nil {
+	if c.writes.await() != nil {
 		return ErrCutShort
 	}
 	return io.EOF
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -60,10 +60,9 @@
 // RoundTrip implements [http.RoundTripper]. The error wraps a [*HeadError] if the head of
 // the answer is malformed.
 func (t *Transport) RoundTrip(request *http.Request) (response *http.Response, err error) {
-	pending := newExchange()
+	pending := &exchange{bodyBytes: max(request.ContentLength, 0)}
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { pending.begin(info.Conn) },
-		WroteRequest: func(info httptrace.WroteRequestInfo) { pending.endWrite(info.Err) },
+		GotConn: func(info httptrace.GotConnInfo) { pending.begin(info.Conn) },
 	})
 	response, err = t.base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -202,3 +202,25 @@
 	}
 	return response.Body.Close()
 }
+
+// TestResentRequest guards against a request that net/http sends again by itself, since a
+// kept connection was closed before its answer, and that is taken for the one before.
+func TestResentRequest(t *testing.T) {
+	sound := standin.RawAnswer{Text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound", KeepsConn: true}
+	unframed := standin.RawAnswer{Text: "HTTP/1.1 200 OK\r\n\r\nsound"}
+	server, client := startServer(t, sound, standin.RawAnswer{}, unframed), newClient(t)
+	for range 2 {
+		response, err := client.Get("http://" + server.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || string(body) != "sound" {
+			t.Errorf("body %q, error %v", body, err)
+		}
+		_ = response.Body.Close()
+	}
+	if conns := server.Conns(); conns != 2 || server.Requests() != 3 {
+		t.Errorf("%d connections, %d requests; expected 2 and 3", conns, server.Requests())
+	}
+}
--- a/http1/unchecked_test.go
+++ b/http1/unchecked_test.go
@@ -41,7 +41,7 @@
 		}
 	}()
 	buffer := make([]byte, 64)
-	pending := newExchange()
+	pending := &exchange{}
 	if _, err := c.Read(buffer); err != nil {
 		t.Fatal(err)
 	}
