--- a/http1/http1.go
+++ b/http1/http1.go
@@ -9,7 +9,8 @@
 // fails the request with a [*HeadError] and closes the connection. Status and fields of
 // such a head are never returned. The check covers the interim answers (1xx) before an
 // answer and rejects answers whose head came before their request. It does not look into
-// bodies.
+// bodies, but for one that ends with its connection it tells that end from a reset, see
+// [ErrCutShort] and [ErrNoCloseNotify].
 //
 // # Usage
 //
--- a/http1/unchecked_test.go
+++ b/http1/unchecked_test.go
@@ -1,9 +1,11 @@
 package http1
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -29,6 +31,37 @@
 	}
 }
 
+// TestEndOfKeptConnection guards against the end of a kept connection that is held back
+// when its next request begins, which would then be written although nobody reads it.
+func TestEndOfKeptConnection(t *testing.T) {
+	near, far := net.Pipe()
+	c := newConn(near)
+	first, next := &exchange{}, &exchange{}
+	first.begin(c)
+	go func() {
+		_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		_ = far.Close()
+	}()
+	buffer := make([]byte, 64)
+	if _, err := c.Read(buffer); err != nil {
+		t.Fatal(err)
+	}
+	next.begin(c)
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Read(buffer)
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		if !errors.Is(err, io.EOF) {
+			t.Errorf("error %v, expected the end of the connection", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the end of the connection is held back")
+	}
+}
+
 // TestBytesBeforeRequest guards against bytes that arrive before a request and count as
 // the head of its answer.
 func TestBytesBeforeRequest(t *testing.T) {
