--- a/standin/earlyserver.go
+++ b/standin/earlyserver.go
@@ -95,22 +95,30 @@
 		}
 		s.requests.Add(1)
 		answer := s.answer(request)
-		if _, err = io.WriteString(conn, answer.Text); err != nil {
+		if answer.End != EndKept {
+			answer.Play(conn, reader)
 			return
 		}
-		time.Sleep(answer.Wait)
-		switch answer.End {
-		case EndReset:
-			_ = conn.SetLinger(0)
-			return
-		case EndUnread:
-			return
-		case EndDrained:
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, reader) // until the client closes
+		if _, err = io.WriteString(conn, answer.Text); err != nil {
 			return
-		case EndKept:
-			_, _ = io.Copy(io.Discard, request.Body)
 		}
+		time.Sleep(answer.Wait)
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+// Play writes the answer to a connection and ends it as its End says, other than EndKept.
+// The rest of the request is read from reader. The caller closes the connection.
+func (a EarlyAnswer) Play(conn *net.TCPConn, reader io.Reader) {
+	if _, err := io.WriteString(conn, a.Text); err != nil {
+		return
+	}
+	time.Sleep(a.Wait)
+	switch a.End {
+	case EndReset:
+		_ = conn.SetLinger(0)
+	case EndDrained:
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, reader) // until the client closes
 	}
 }
