Let an answer end only when its request was received

Callers got a part of an early answer as the whole: an upstream answered a long request at once without a length, sent a part of the body, and the reset of its connection came after the connection's end. It ended its side and reset the connection, or it closed the connection, or was killed, while the rest of the request was on its way. Status 200 or 500, replies and streams.

Cause: the end of a connection counted as the end of the answer once the request was written. But a request that fits into the buffers of the connection is written at once, most of it before the upstream has received it. The kernel of an upstream that has closed resets the connection when more arrives, a round trip later, and by then the answer was passed on.

Change: http1 lets the end count only when the peer has acknowledged all of the request (TCP_INFO, on Linux), and waits for that, for the reset or for the request's deadline otherwise. Why it works: a kernel acknowledges nothing for a connection that is closed, and an upstream that ends its side and reads on acknowledges the rest.

An early answer to a long request may wait up to 40 ms longer, for a delayed acknowledgement.

--- a/http1/cut.go
+++ b/http1/cut.go
@@ -19,7 +19,7 @@
 
 const (
 	// ErrCutShort is the error of an answer whose connection broke while the request was
-	// being written.
+	// being written, or was on its way.
 	ErrCutShort = errors.ConstError("connection broke while the request was being written")
 	// ErrNoCloseNotify is the error of an answer whose connection ended without the
 	// message with which TLS ends one.
@@ -27,14 +27,14 @@
 )
 
 // endOfRead returns the error of a read that met the end of the connection: [io.EOF] if
-// the peer has ended its side in order, or [ErrCutShort] if the request could not be
-// written in full. In the body of an answer it waits until one of the two is known: an
-// upstream may answer and end its side before it reads the rest of the request.
+// the peer has ended its side in order, or [ErrCutShort] if it has not received the request
+// in full. In the body of an answer it waits until one of the two is known: an upstream may
+// answer and end its side before it reads the rest of the request.
 func (c *conn) endOfRead() error {
 	if c.checked == nil || !c.head.isComplete() {
 		return io.EOF // no answer ends here
 	}
-	if c.writes.await() != nil {
+	if c.writes.await() != nil || awaitAcks(c.Conn) != nil {
 		return ErrCutShort
 	}
 	return io.EOF
--- a/http1/cut_test.go
+++ b/http1/cut_test.go
@@ -25,8 +25,12 @@
 	// uploadBytes is the size of a request that cannot be written while nothing of it is
 	// read, in bytes.
 	uploadBytes = 1 << 20
-	// sendBufferBytes is the send buffer of the client, in bytes.
-	sendBufferBytes = 64 << 10
+	// smallSendBuffer is the send buffer of a client that waits for such a request to be
+	// read, in bytes.
+	smallSendBuffer = 64 << 10
+	// defaultSendBuffer stands for the send buffer that the kernel chooses. On loopback it
+	// holds such a request, which is written at once and sent as it is read.
+	defaultSendBuffer = 0
 	// caseHeader carries the number of the case that a request belongs to.
 	caseHeader = "Case"
 	// earlyTries is how often each early answer is tried.
@@ -41,7 +45,7 @@
 // earlyBody is the body of the answers that have one.
 const earlyBody = "event one\n\n"
 
-// framings are answers with the same body.
+// framings are answers with the same body, first those without length or chunks.
 var framings = []framing{
 	{"no length", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nevent one\n\n"},
 	{"no length, status 500", "HTTP/1.1 500 Error\r\nX-Id: 1\r\n\r\nevent one\n\n"},
@@ -54,17 +58,22 @@
 	{"chunks, no last one", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nevent one\n\n\r\n"},
 }
 
-// earlyClient returns a client of which a long request cannot be written while nothing
-// of it is read.
-func earlyClient(t *testing.T) *http.Client {
+// earlyEnds are the ways to end the connection of an early answer.
+var earlyEnds = []standin.EarlyEnd{standin.EndReset, standin.EndUnread, standin.EndHalfReset, standin.EndDrained}
+
+// unframedCount is the number of framings without length or chunks, which come first.
+const unframedCount = 5
+
+// earlyClient returns a client with a send buffer in bytes, or defaultSendBuffer.
+func earlyClient(t *testing.T, sendBuffer int) *http.Client {
 	t.Helper()
 	dialer := &net.Dialer{}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
+		if err != nil || sendBuffer == defaultSendBuffer {
+			return opened, err
 		}
-		return opened, opened.(*net.TCPConn).SetWriteBuffer(sendBufferBytes)
+		return opened, opened.(*net.TCPConn).SetWriteBuffer(sendBuffer)
 	}
 	client := &http.Client{Transport: http1.NewTransport(&http.Transport{DialContext: dial}), Timeout: 10 * time.Second}
 	t.Cleanup(client.CloseIdleConnections)
@@ -107,11 +116,25 @@
 // is taken for whole although its connection was reset, and one that is dropped although
 // its connection ended in order.
 func TestEarlyAnswers(t *testing.T) {
+	goldie.New(t).Assert(t, "early_answers", []byte(describeEarlyAnswers(t, framings, smallSendBuffer)))
+}
+
+// TestEarlyAnswersToBufferedRequests is the same for requests that were written in full,
+// but most of which has not left the buffers of the client. It guards against an answer
+// without a length that is taken for whole since nothing is left to write.
+func TestEarlyAnswersToBufferedRequests(t *testing.T) {
+	goldie.New(t).Assert(t, "early_answers_to_buffered_requests", []byte(describeEarlyAnswers(t, framings[:unframedCount], defaultSendBuffer)))
+}
+
+// describeEarlyAnswers plays early answers to clients with a send buffer and describes how
+// many are returned.
+func describeEarlyAnswers(t *testing.T, framings []framing, sendBuffer int) string {
+	t.Helper()
 	var out strings.Builder
 	for _, framing := range framings {
-		for _, end := range []standin.EarlyEnd{standin.EndReset, standin.EndUnread, standin.EndDrained} {
+		for _, end := range earlyEnds {
 			for _, wait := range []time.Duration{time.Millisecond, 20 * time.Millisecond} {
-				server, client := startEarlyServer(t, []standin.EarlyAnswer{{Text: framing.answer, Wait: wait, End: end}}), earlyClient(t)
+				server, client := startEarlyServer(t, []standin.EarlyAnswer{{Text: framing.answer, Wait: wait, End: end}}), earlyClient(t, sendBuffer)
 				returned := 0
 				for range earlyTries {
 					if _, _, err := upload(t.Context(), client, server, 0); err == nil {
@@ -122,7 +145,7 @@
 			}
 		}
 	}
-	goldie.New(t).Assert(t, "early_answers", []byte(out.String()))
+	return out.String()
 }
 
 // describeReturned describes how many of earlyTries answers were returned. One that length
@@ -146,12 +169,13 @@
 func isFramedWhole(name string) bool { return name == "length" || name == "chunks" }
 
 // cutCase is an answer that is cut after some of its bytes, while the request is being
-// written.
+// written or sent.
 type cutCase struct {
-	framing framing
-	length  int // bytes of the answer that are sent
-	end     standin.EarlyEnd
-	kept    bool // whether the connection served a request before
+	framing    framing
+	length     int // bytes of the answer that are sent
+	end        standin.EarlyEnd
+	kept       bool // whether the connection served a request before
+	sendBuffer int  // of the client, in bytes, or defaultSendBuffer
 }
 
 // isWhole reports whether what a client gets of a cut answer is a whole answer. certain
@@ -179,12 +203,14 @@
 }
 
 // cutCases returns answers cut after each byte, in each of the ways to end, on a new and
-// on a kept connection.
+// on a kept connection, with both send buffers.
 func cutCases() (cases []cutCase) {
 	for _, framing := range framings {
 		for length := range len(framing.answer) + 1 {
-			for _, end := range []standin.EarlyEnd{standin.EndReset, standin.EndUnread, standin.EndDrained} {
-				cases = append(cases, cutCase{framing, length, end, false}, cutCase{framing, length, end, true})
+			for _, end := range earlyEnds {
+				for _, sendBuffer := range []int{smallSendBuffer, defaultSendBuffer} {
+					cases = append(cases, cutCase{framing, length, end, false, sendBuffer}, cutCase{framing, length, end, true, sendBuffer})
+				}
 			}
 		}
 	}
@@ -206,7 +232,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			client := earlyClient(t)
+			client := earlyClient(t, c.sendBuffer)
 			if c.kept {
 				if _, _, err := upload(t.Context(), client, server, 0); err != nil {
 					t.Errorf("before %+v: %v", c, err)
--- a/standin/earlyserver.go
+++ b/standin/earlyserver.go
@@ -11,6 +11,10 @@
 	"time"
 )
 
+// earlyReadBuffer is the receive buffer of an [EarlyServer], in bytes. Most of a long
+// request stays with its sender until it is read.
+const earlyReadBuffer = 64 << 10
+
 // EarlyEnd is how an [EarlyServer] ends the connection after its answer.
 type EarlyEnd int
 
@@ -21,6 +25,9 @@
 	// EndUnread closes the connection with the rest of the request unread, which resets
 	// it, too.
 	EndUnread
+	// EndHalfReset ends its side of the connection at once, without the wait, and resets the
+	// connection afterwards.
+	EndHalfReset
 	// EndDrained ends its side of the connection and reads the rest of the request.
 	EndDrained
 	// EndKept reads the rest of the request and serves the next one.
@@ -29,7 +36,7 @@
 
 // String returns the end in snake case.
 func (e EarlyEnd) String() string {
-	return [...]string{"reset", "unread", "drained", "kept"}[e]
+	return [...]string{"reset", "unread", "half_reset", "drained", "kept"}[e]
 }
 
 // EarlyAnswer is what an [EarlyServer] does when it has read the head of a request.
@@ -88,6 +95,9 @@
 // serve answers the requests on a connection.
 func (s *EarlyServer) serve(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadBuffer(earlyReadBuffer); err != nil {
+		return
+	}
 	for reader := bufio.NewReader(conn); ; {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -113,9 +123,12 @@
 	if _, err := io.WriteString(conn, a.Text); err != nil {
 		return
 	}
+	if a.End == EndHalfReset {
+		_ = conn.CloseWrite()
+	}
 	time.Sleep(a.Wait)
 	switch a.End {
-	case EndReset:
+	case EndReset, EndHalfReset:
 		_ = conn.SetLinger(0)
 	case EndDrained:
 		_ = conn.CloseWrite()
--- a/standin/silentlink_linux.go
+++ b/standin/silentlink_linux.go
@@ -111,6 +111,9 @@
 	return c.Conn.Write(data)
 }
 
+// CloseWrite ends the side of the upstream, also during a silence.
+func (c *silentLinkConn) CloseWrite() (err error) { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // Close implements [net.Conn].
 func (c *silentLinkConn) Close() (err error) {
 	c.link.forget(c)
