--- a/http1/acks.go
+++ b/http1/acks.go
@@ -17,7 +17,7 @@
 // connection. What is written is only in the buffers of the kernel at first, and a peer
 // that has closed the connection resets it when more arrives. The error says that the
 // connection was reset or closed. It does not wait under TLS, nor where the kernel does not
-// tell what was acknowledged.
+// tell what was acknowledged: all counts as acknowledged then.
 func awaitAcks(conn net.Conn) (err error) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
--- a/http1/cut_test.go
+++ b/http1/cut_test.go
@@ -119,8 +119,8 @@
 	goldie.New(t).Assert(t, "early_answers", []byte(describeEarlyAnswers(t, framings, smallSendBuffer)))
 }
 
-// TestEarlyAnswersToBufferedRequests is the same for requests that were written in full,
-// but most of which has not left the buffers of the client. It guards against an answer
+// TestEarlyAnswersToBufferedRequests is [TestEarlyAnswers] for requests that were written
+// in full, but most of which has not left the buffers of the client. It guards against an answer
 // without a length that is taken for whole since nothing is left to write.
 func TestEarlyAnswersToBufferedRequests(t *testing.T) {
 	goldie.New(t).Assert(t, "early_answers_to_buffered_requests", []byte(describeEarlyAnswers(t, framings[:unframedCount], defaultSendBuffer)))
