Do not hold an answer until a slow upstream has read its request

The change that waits for the acknowledgement of a request held whole answers as long as their upstream, which had ended its side, needed to read the rest.

Cause: it waited for all bytes, although fewer decide the question. The kernel of an upstream that has closed acknowledges nothing that arrives after its end.

--- a/http1/acks_linux.go
+++ b/http1/acks_linux.go
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// isAcknowledged reports whether the peer has acknowledged all that was written on a TCP
-// socket. It returns an error if the connection was reset or closed.
-func isAcknowledged(socket syscall.RawConn) (acknowledged bool, err error) {
+// readAckState returns what the peer has acknowledged on a TCP socket. It returns an error
+// if the connection was reset or closed.
+func readAckState(socket syscall.RawConn) (state ackState, err error) {
 	var info *unix.TCPInfo
 	var infoErr error
 	err = socket.Control(func(fd uintptr) {
@@ -16,11 +16,11 @@
 	})
 	switch {
 	case err != nil:
-		return false, err
+		return ackState{}, err
 	case infoErr != nil:
-		return true, nil // the kernel does not tell
+		return ackState{isAll: true}, nil // the kernel does not tell
 	case info.State == unix.BPF_TCP_CLOSE:
-		return false, unix.ECONNRESET
+		return ackState{}, unix.ECONNRESET
 	}
-	return info.Unacked == 0 && info.Notsent_bytes == 0, nil
+	return ackState{bytes: info.Bytes_acked, isAll: info.Unacked == 0 && info.Notsent_bytes == 0}, nil
 }
--- a/http1/acks_other.go
+++ b/http1/acks_other.go
@@ -4,5 +4,5 @@
 
 import "syscall"
 
-// isAcknowledged returns true, since only Linux tells what the peer has acknowledged.
-func isAcknowledged(syscall.RawConn) (acknowledged bool, err error) { return true, nil }
+// readAckState returns that all is acknowledged, since only Linux tells.
+func readAckState(syscall.RawConn) (state ackState, err error) { return ackState{isAll: true}, nil }
