--- a/http1/cut.go
+++ b/http1/cut.go
@@ -27,9 +27,9 @@
 )
 
 // endOfRead returns the error of a read that met the end of the connection: [io.EOF] if
-// the peer has ended its side in order, or [ErrCutShort] if it has not received the request
-// in full. In the body of an answer it waits until one of the two is known: an upstream may
-// answer and end its side before it reads the rest of the request.
+// the peer has ended its side in order, or [ErrCutShort] if it has closed the connection
+// before it received the request. In the body of an answer it waits until one of the two is
+// known: an upstream may answer and end its side before it reads the rest of the request.
 func (c *conn) endOfRead() error {
 	if c.checked == nil || !c.head.isComplete() {
 		return io.EOF // no answer ends here
